Start the workspace: ids, time, findings, settings, lists and ledger state

Change: base types, wire messages, strict YAML settings, lists with versions and change ids, ledger with claims and fences, each with unit tests. Conclusion: the state machines are ready for a log.

--- /dev/null
+++ b/cmake/Component.cmake
@@ -0,0 +1,37 @@
+# Options that every target of the workspace is built with.
+add_library(fuchsiaramp_options INTERFACE)
+target_include_directories(fuchsiaramp_options INTERFACE ${CMAKE_SOURCE_DIR}/packages)
+target_compile_options(fuchsiaramp_options INTERFACE -Wall -Wextra -Werror -Wshadow)
+target_compile_definitions(fuchsiaramp_options INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ALLOW_DEPRECATED_HEADERS)
+if(FUCHSIARAMP_SANITIZE)
+  target_compile_options(fuchsiaramp_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all)
+  target_link_options(fuchsiaramp_options INTERFACE -fsanitize=address,undefined)
+endif()
+
+# Defines one component NAME of the package in this folder: a library from
+# NAME.cc (header-only when there is no such file) and a test from
+# NAME_test.cc when that exists. DEPS are its direct dependencies, TEST_DEPS
+# those that only the test needs.
+function(fuchsiaramp_component NAME)
+  cmake_parse_arguments(ARG "" "" "DEPS;TEST_DEPS" ${ARGN})
+  set(target fr_${NAME})
+  if(EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/${NAME}.cc)
+    add_library(${target} STATIC ${NAME}.cc)
+    target_link_libraries(${target} PUBLIC fuchsiaramp_options ${ARG_DEPS})
+  else()
+    add_library(${target} INTERFACE)
+    target_link_libraries(${target} INTERFACE fuchsiaramp_options ${ARG_DEPS})
+  endif()
+  if(EXISTS ${CMAKE_CURRENT_SOURCE_DIR}/${NAME}_test.cc)
+    fuchsiaramp_test(${NAME}_test DEPS ${target} ${ARG_TEST_DEPS})
+  endif()
+endfunction()
+
+# Defines one Boost.Test program NAME from NAME.cc and registers it.
+function(fuchsiaramp_test NAME)
+  cmake_parse_arguments(ARG "" "" "DEPS;ARGS" ${ARGN})
+  add_executable(${NAME} ${NAME}.cc)
+  target_compile_definitions(${NAME} PRIVATE BOOST_TEST_DYN_LINK)
+  target_link_libraries(${NAME} PRIVATE fuchsiaramp_options ${ARG_DEPS} Boost::unit_test_framework)
+  add_test(NAME ${NAME} COMMAND ${NAME} ${ARG_ARGS})
+endfunction()
--- /dev/null
+++ b/packages/base/event.h
@@ -0,0 +1,51 @@
+// Typed events that the decision logic records for logs and the time line.
+//
+//   record(Event("backend_server_ejected").With("server", id));
+#pragma once
+
+#include <functional>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+
+namespace fuchsiaramp {
+
+// One field of an event.
+struct EventField
+{
+  std::string key;
+  std::string value;
+};
+
+// An event name with fields, in order.
+class Event
+{
+public:
+  explicit Event(std::string aName)
+    : m_name(std::move(aName))
+  {
+  }
+
+  template<class T>
+  Event&& With(std::string aKey, const T& aValue) &&
+  {
+    std::ostringstream text;
+    text << aValue;
+    m_fields.push_back({ std::move(aKey), text.str() });
+    return std::move(*this);
+  }
+
+  const std::string& Name() const { return m_name; }
+  const std::vector<EventField>& Fields() const { return m_fields; }
+
+private:
+  std::string m_name;
+  std::vector<EventField> m_fields;
+};
+
+using EventHook = std::function<void(const Event& aEvent)>;
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/base/findings.h
@@ -0,0 +1,45 @@
+// Findings about a document, each with its place, collected and reported
+// together.
+//
+//   Findings findings("lists.yaml");
+//   findings.Add({ 3, 9 }, "unknown key 'rate'");
+//   if (!findings.IsEmpty()) std::cerr << findings.Text();
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace fuchsiaramp {
+
+// A place in a document; line and column count from 1, 0 means unknown.
+struct Place
+{
+  int line = 0;
+  int column = 0;
+};
+
+struct Finding
+{
+  Place place;
+  std::string text;
+};
+
+class Findings
+{
+public:
+  // aDocument names the document in reports, usually its file name.
+  explicit Findings(std::string aDocument);
+
+  void Add(Place aPlace, std::string aText);
+  bool IsEmpty() const { return m_findings.empty(); }
+  const std::vector<Finding>& All() const { return m_findings; }
+
+  // One line per finding: "document:line:column: text".
+  std::string Text() const;
+
+private:
+  std::string m_document;
+  std::vector<Finding> m_findings;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/settings/settings.cc
@@ -0,0 +1,255 @@
+#include "settings/settings.h"
+
+#include <array>
+#include <charconv>
+
+#include "settings/yaml_reader.h"
+
+namespace fuchsiaramp {
+namespace internal {
+
+static constexpr std::size_t kKeyLength = 40;  // Z85 text of 32 bytes
+static constexpr std::size_t kHashLength = 64; // hexadecimal SHA-256
+static constexpr std::uint64_t kGigabyte = 1ULL << 30;
+
+static std::string Address(MapReader& aMap, const std::string& aKey,
+                           Findings& aFindings)
+{
+  std::string address = aMap.RequiredText(aKey);
+  if (!address.empty() && !IsAddress(address)) {
+    aFindings.Add(aMap.PlaceOfKey(aKey),
+                  "'" + aKey +
+                    "' must be an IP number and a port, such as "
+                    "10.0.0.5:7000");
+  }
+  return address;
+}
+
+static void CheckKey(const std::string& aKey, Place aPlace, Findings& aFindings)
+{
+  if (!aKey.empty() && aKey.size() != kKeyLength) {
+    aFindings.Add(aPlace, "a public key must be Z85 text of 40 characters");
+  }
+}
+
+static std::vector<PeerSettings> Peers(MapReader& aMap, const std::string& aKey,
+                                       bool aNeedsKey, Findings& aFindings)
+{
+  std::vector<PeerSettings> peers;
+  for (const YAML::Node& item : aMap.Items(aKey)) {
+    MapReader map(item, "an item of '" + aKey + "'", aFindings);
+    PeerSettings peer;
+    peer.host = HostId(map.RequiredText("host"));
+    peer.messageAddress = Address(map, "message_address", aFindings);
+    peer.publicKey =
+      aNeedsKey ? map.RequiredText("public_key") : map.Text("public_key", "");
+    CheckKey(peer.publicKey, map.PlaceOfKey("public_key"), aFindings);
+    map.Finish();
+    for (const PeerSettings& other : peers) {
+      if (other.host == peer.host) {
+        aFindings.Add(PlaceOf(item), "host '" + peer.host.Value() +
+                                       "' stands twice in '" + aKey + "'");
+      }
+    }
+    peers.push_back(peer);
+  }
+  return peers;
+}
+
+static KeySettings Keys(MapReader& aMap, Findings& aFindings)
+{
+  KeySettings keys;
+  const YAML::Node node = aMap.Map("keys");
+  if (!node.IsDefined()) {
+    aFindings.Add(aMap.PlaceOfKey("keys"),
+                  "settings need 'keys' (or 'keys: {plaintext: true}' where "
+                  "the network is trusted)");
+    return keys;
+  }
+  MapReader map(node, "'keys'", aFindings);
+  keys.plaintext = map.Flag("plaintext", false);
+  if (!keys.plaintext) {
+    keys.publicKey = map.RequiredText("public");
+    keys.secretKeyFile = map.RequiredText("secret_file");
+    CheckKey(keys.publicKey, map.PlaceOfKey("public"), aFindings);
+  }
+  keys.trustedKeys = map.Texts("trusted");
+  for (const std::string& key : keys.trustedKeys) {
+    CheckKey(key, map.PlaceOfKey("trusted"), aFindings);
+  }
+  map.Finish();
+  return keys;
+}
+
+static RoutingSettings Routing(MapReader& aMap, Findings& aFindings)
+{
+  RoutingSettings routing;
+  const YAML::Node node = aMap.Map("routing");
+  if (!node.IsDefined()) {
+    return routing;
+  }
+  MapReader map(node, "'routing'", aFindings);
+  routing.ejectionThreshold =
+    map.Real("ejection_threshold", routing.ejectionThreshold, 2.0, 100.0);
+  routing.floor = map.Real("floor", routing.floor, 0.1, 1.0);
+  routing.retryBudget = map.Real("retry_budget", routing.retryBudget, 0.0, 1.0);
+  routing.requestTimeout = map.Span("request_timeout", routing.requestTimeout);
+  routing.attemptTimeout = map.Span("attempt_timeout", routing.attemptTimeout);
+  routing.queueTimeout = map.Span("queue_timeout", routing.queueTimeout);
+  map.Finish();
+  if (routing.attemptTimeout > routing.requestTimeout) {
+    aFindings.Add(PlaceOf(node),
+                  "'attempt_timeout' must not exceed 'request_timeout'");
+  }
+  return routing;
+}
+
+static LimitSettings Limits(MapReader& aMap, Findings& aFindings)
+{
+  LimitSettings limits;
+  const YAML::Node node = aMap.Map("limits");
+  if (!node.IsDefined()) {
+    return limits;
+  }
+  MapReader map(node, "'limits'", aFindings);
+  limits.requestBodyBytes =
+    map.Number("request_body_bytes", limits.requestBodyBytes, 0, kGigabyte);
+  limits.answerBodyBytes =
+    map.Number("answer_body_bytes", limits.answerBodyBytes, 1, kGigabyte);
+  limits.headerBytes =
+    map.Number("header_bytes", limits.headerBytes, 1024, 1 << 20);
+  limits.callerConnections =
+    map.Number("caller_connections", limits.callerConnections, 1, 1'000'000);
+  limits.headerTimeout = map.Span("header_timeout", limits.headerTimeout);
+  limits.idleTimeout = map.Span("idle_timeout", limits.idleTimeout);
+  map.Finish();
+  return limits;
+}
+
+static LedgerSettings Ledger(MapReader& aMap, Findings& aFindings)
+{
+  LedgerSettings ledger;
+  const YAML::Node node = aMap.Map("ledger");
+  if (!node.IsDefined()) {
+    return ledger;
+  }
+  MapReader map(node, "'ledger'", aFindings);
+  ledger.groups = map.Number("groups", ledger.groups, 1, 64);
+  ledger.bytes = map.Number("bytes", ledger.bytes, 1 << 20, 1024 * kGigabyte);
+  ledger.answerBytes =
+    map.Number("answer_bytes", ledger.answerBytes, 0, 1 << 20);
+  ledger.retention = map.Span("retention", ledger.retention);
+  map.Finish();
+  return ledger;
+}
+
+static Role ReadRole(MapReader& aMap, Findings& aFindings)
+{
+  const std::string role = aMap.RequiredText("role");
+  if (role != "entry" && role != "control" && !role.empty()) {
+    aFindings.Add(aMap.PlaceOfKey("role"), "'role' must be entry or control");
+  }
+  return role == "control" ? Role::kControl : Role::kEntry;
+}
+
+static void CheckTogether(const Settings& aSettings, MapReader& aMap,
+                          Findings& aFindings)
+{
+  if (aSettings.controlHosts.empty()) {
+    aFindings.Add(aMap.PlaceOfKey("control_hosts"),
+                  "settings need at least one item of 'control_hosts'");
+  }
+  if (aSettings.role == Role::kControl) {
+    bool named = false;
+    for (const PeerSettings& peer : aSettings.controlHosts) {
+      named = named || peer.host == aSettings.host;
+    }
+    if (!named) {
+      aFindings.Add(aMap.PlaceOfKey("host"),
+                    "a control host must stand in 'control_hosts'");
+    }
+    if (aSettings.dataFolder.empty()) {
+      aFindings.Add(aMap.PlaceOfKey("data_folder"),
+                    "a control host needs 'data_folder'");
+    }
+  }
+  if (aSettings.operatorTokenHash.size() != kHashLength &&
+      !aSettings.operatorTokenHash.empty()) {
+    aFindings.Add(aMap.PlaceOfKey("operator_token_hash"),
+                  "'operator_token_hash' must be a hexadecimal SHA-256");
+  }
+}
+
+} // namespace internal
+
+bool IsAddress(const std::string& aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string::npos || colon + 1 == aText.size()) {
+    return false;
+  }
+  unsigned port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  if (parsed.ec != std::errc() || parsed.ptr != end || port == 0 ||
+      port > 65535) {
+    return false;
+  }
+  int parts = 0;
+  const char* cursor = aText.data();
+  const char* stop = aText.data() + colon;
+  while (cursor != stop) {
+    unsigned part = 0;
+    const auto read = std::from_chars(cursor, stop, part);
+    if (read.ec != std::errc() || part > 255) {
+      return false;
+    }
+    ++parts;
+    cursor = read.ptr;
+    if (cursor == stop) {
+      break;
+    }
+    if (*cursor != '.' || cursor + 1 == stop) {
+      return false;
+    }
+    ++cursor;
+  }
+  return parts == 4;
+}
+
+Settings ReadSettings(const std::string& aText, Findings& aFindings)
+{
+  Settings settings;
+  const auto root = ParseYaml(aText, aFindings);
+  if (!root) {
+    return settings;
+  }
+  MapReader map(*root, "settings", aFindings);
+  settings.host = HostId(map.RequiredText("host"));
+  settings.role = internal::ReadRole(map, aFindings);
+  settings.region = Region(map.RequiredText("region"));
+  settings.failureDomain = FailureDomain(map.RequiredText("failure_domain"));
+  settings.callerAddress = internal::Address(map, "caller_address", aFindings);
+  settings.messageAddress =
+    internal::Address(map, "message_address", aFindings);
+  settings.dataFolder = map.Text("data_folder", "");
+  settings.operatorTokenHash = map.Text("operator_token_hash", "");
+  settings.logLevel = map.Text("log_level", settings.logLevel);
+  settings.keys = internal::Keys(map, aFindings);
+  const bool needsKey = !settings.keys.plaintext;
+  settings.controlHosts =
+    internal::Peers(map, "control_hosts", needsKey, aFindings);
+  settings.seeds = internal::Peers(map, "seeds", needsKey, aFindings);
+  settings.routing = internal::Routing(map, aFindings);
+  settings.limits = internal::Limits(map, aFindings);
+  settings.ledger = internal::Ledger(map, aFindings);
+  settings.addressLifetime =
+    map.Span("address_lifetime", settings.addressLifetime);
+  settings.announcementLifetime =
+    map.Span("announcement_lifetime", settings.announcementLifetime);
+  internal::CheckTogether(settings, map, aFindings);
+  map.Finish();
+  return settings;
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/settings/settings.h
@@ -0,0 +1,100 @@
+// Settings of one daemon, read from YAML.
+//
+//   Findings findings("entry-1.yaml");
+//   Settings settings = ReadSettings(text, findings);
+//   if (!findings.IsEmpty()) { std::cerr << findings.Text(); return 2; }
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/findings.h"
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace fuchsiaramp {
+
+enum class Role
+{
+  kEntry,
+  kControl,
+};
+
+// Another host of the fleet that the settings name.
+struct PeerSettings
+{
+  HostId host;
+  std::string messageAddress; // IP:port
+  std::string publicKey;      // Z85, 40 characters; empty with plaintext
+};
+
+struct KeySettings
+{
+  bool plaintext = false;
+  std::string publicKey;                // Z85
+  std::string secretKeyFile;            // file with the Z85 secret key
+  std::vector<std::string> trustedKeys; // further keys that may connect, Z85
+};
+
+// Weights and limits of routing under gray failure.
+struct RoutingSettings
+{
+  // Evidence needed to eject, as a log-likelihood ratio. Lower values detect
+  // sooner, higher values eject fewer healthy servers.
+  double ejectionThreshold = 8.0;
+  // Share of the announced servers of a service that ejection always leaves.
+  double floor = 0.6;
+  // Share of extra attempts that retries may add to a service.
+  double retryBudget = 0.1;
+  Duration requestTimeout = std::chrono::seconds(10);
+  Duration attemptTimeout = std::chrono::seconds(3);
+  Duration queueTimeout = std::chrono::milliseconds(500);
+};
+
+struct LimitSettings
+{
+  std::uint64_t requestBodyBytes = 1 << 20;
+  std::uint64_t answerBodyBytes = 8 << 20;
+  std::uint64_t headerBytes = 16 << 10;
+  std::uint64_t callerConnections = 4096;
+  Duration headerTimeout = std::chrono::seconds(10);
+  Duration idleTimeout = std::chrono::seconds(60);
+};
+
+struct LedgerSettings
+{
+  std::uint64_t groups = 1;         // ledger groups besides the lists group
+  std::uint64_t bytes = 1ULL << 30; // per group
+  std::uint64_t answerBytes = 16 << 10;
+  Duration retention = std::chrono::hours(72);
+};
+
+struct Settings
+{
+  HostId host;
+  Role role = Role::kEntry;
+  Region region;
+  FailureDomain failureDomain;
+  std::string callerAddress;     // IP:port for callers (entry) or operators
+  std::string messageAddress;    // IP:port between the system's processes
+  std::string dataFolder;        // control only
+  std::string operatorTokenHash; // SHA-256, hexadecimal
+  std::string logLevel = "INFO";
+  std::vector<PeerSettings> controlHosts;
+  std::vector<PeerSettings> seeds; // entry hosts to join through
+  KeySettings keys;
+  RoutingSettings routing;
+  LimitSettings limits;
+  LedgerSettings ledger;
+  Duration addressLifetime = std::chrono::seconds(30);
+  Duration announcementLifetime = std::chrono::seconds(3);
+};
+
+// Reads and validates; every problem becomes a finding with its place.
+Settings ReadSettings(const std::string& aText, Findings& aFindings);
+
+// Whether the text is "IPv4:port" with a port from 1 to 65535.
+bool IsAddress(const std::string& aText);
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/settings/yaml_reader.cc
@@ -0,0 +1,258 @@
+#include "settings/yaml_reader.h"
+
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace fuchsiaramp {
+namespace internal {
+
+template<class T>
+static std::optional<T> ParseNumber(const std::string& aText)
+{
+  T value{};
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, value);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+struct SpanUnit
+{
+  const char* suffix;
+  std::int64_t micros;
+};
+
+static constexpr SpanUnit kSpanUnits[] = {
+  { "us", 1 },         { "ms", 1'000 },        { "s", 1'000'000 },
+  { "m", 60'000'000 }, { "h", 3'600'000'000 },
+};
+
+static constexpr std::uint64_t kLongestSpanMicros = 400ULL * 24 * 3'600'000'000;
+
+static std::optional<Duration> ParseSpan(const std::string& aText)
+{
+  const std::size_t digits = aText.find_first_not_of("0123456789");
+  if (digits == 0 || digits == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto count = ParseNumber<std::uint64_t>(aText.substr(0, digits));
+  for (const SpanUnit& unit : kSpanUnits) {
+    if (aText.substr(digits) != unit.suffix || !count) {
+      continue;
+    }
+    if (*count > kLongestSpanMicros / unit.micros) {
+      return std::nullopt;
+    }
+    return Duration(static_cast<std::int64_t>(*count) * unit.micros);
+  }
+  return std::nullopt;
+}
+
+} // namespace internal
+
+std::optional<YAML::Node> ParseYaml(const std::string& aText,
+                                    Findings& aFindings)
+{
+  try {
+    return YAML::Load(aText);
+  } catch (const YAML::Exception& error) {
+    aFindings.Add({ error.mark.line + 1, error.mark.column + 1 }, error.msg);
+    return std::nullopt;
+  }
+}
+
+Place PlaceOf(const YAML::Node& aNode)
+{
+  const YAML::Mark mark = aNode.Mark();
+  return { mark.line + 1, mark.column + 1 };
+}
+
+MapReader::MapReader(YAML::Node aNode, std::string aWhat, Findings& aFindings)
+  : m_node(std::move(aNode))
+  , m_what(std::move(aWhat))
+  , m_findings(aFindings)
+{
+  if (!m_node.IsMap()) {
+    m_findings.Add(PlaceOf(m_node), m_what + " must be a map");
+    m_node = YAML::Node(YAML::NodeType::Map);
+  }
+}
+
+YAML::Node MapReader::Find(const std::string& aKey)
+{
+  m_asked.insert(aKey);
+  for (const auto& item : m_node) {
+    if (item.first.IsScalar() && item.first.Scalar() == aKey) {
+      return item.second;
+    }
+  }
+  return YAML::Node(YAML::NodeType::Undefined);
+}
+
+bool MapReader::Has(const std::string& aKey)
+{
+  return Find(aKey).IsDefined();
+}
+
+Place MapReader::PlaceOfKey(const std::string& aKey) const
+{
+  for (const auto& item : m_node) {
+    if (item.first.IsScalar() && item.first.Scalar() == aKey) {
+      return PlaceOf(item.second);
+    }
+  }
+  return PlaceOf(m_node);
+}
+
+std::string MapReader::Scalar(const std::string& aKey, const YAML::Node& aNode)
+{
+  if (!aNode.IsScalar()) {
+    m_findings.Add(PlaceOf(aNode),
+                   "'" + aKey + "' of " + m_what + " must be a single value");
+    return "";
+  }
+  return aNode.Scalar();
+}
+
+std::string MapReader::RequiredText(const std::string& aKey)
+{
+  const YAML::Node node = Find(aKey);
+  if (!node.IsDefined()) {
+    m_findings.Add(PlaceOf(m_node), m_what + " needs '" + aKey + "'");
+    return "";
+  }
+  std::string text = Scalar(aKey, node);
+  if (text.empty() && node.IsScalar()) {
+    m_findings.Add(PlaceOf(node),
+                   "'" + aKey + "' of " + m_what + " must not be empty");
+  }
+  return text;
+}
+
+std::string MapReader::Text(const std::string& aKey,
+                            const std::string& aDefault)
+{
+  const YAML::Node node = Find(aKey);
+  return node.IsDefined() ? Scalar(aKey, node) : aDefault;
+}
+
+bool MapReader::Flag(const std::string& aKey, bool aDefault)
+{
+  const YAML::Node node = Find(aKey);
+  if (!node.IsDefined()) {
+    return aDefault;
+  }
+  const std::string text = Scalar(aKey, node);
+  if (text != "true" && text != "false") {
+    m_findings.Add(PlaceOf(node),
+                   "'" + aKey + "' of " + m_what + " must be true or false");
+  }
+  return text == "true";
+}
+
+std::uint64_t MapReader::Number(const std::string& aKey, std::uint64_t aDefault,
+                                std::uint64_t aLowest, std::uint64_t aHighest)
+{
+  const YAML::Node node = Find(aKey);
+  if (!node.IsDefined()) {
+    return aDefault;
+  }
+  const auto value = internal::ParseNumber<std::uint64_t>(Scalar(aKey, node));
+  if (!value || *value < aLowest || *value > aHighest) {
+    m_findings.Add(PlaceOf(node), "'" + aKey + "' of " + m_what +
+                                    " must be a whole number from " +
+                                    std::to_string(aLowest) + " to " +
+                                    std::to_string(aHighest));
+    return aDefault;
+  }
+  return *value;
+}
+
+double MapReader::Real(const std::string& aKey, double aDefault, double aLowest,
+                       double aHighest)
+{
+  const YAML::Node node = Find(aKey);
+  if (!node.IsDefined()) {
+    return aDefault;
+  }
+  const auto value = internal::ParseNumber<double>(Scalar(aKey, node));
+  if (!value || !(*value >= aLowest) || !(*value <= aHighest)) {
+    m_findings.Add(PlaceOf(node), "'" + aKey + "' of " + m_what +
+                                    " must be from " + std::to_string(aLowest) +
+                                    " to " + std::to_string(aHighest));
+    return aDefault;
+  }
+  return *value;
+}
+
+Duration MapReader::Span(const std::string& aKey, Duration aDefault)
+{
+  const YAML::Node node = Find(aKey);
+  if (!node.IsDefined()) {
+    return aDefault;
+  }
+  const auto span = internal::ParseSpan(Scalar(aKey, node));
+  if (!span || span->count() == 0) {
+    m_findings.Add(PlaceOf(node),
+                   "'" + aKey + "' of " + m_what +
+                     " must be a time such as 250ms, 3s, 10m or 72h");
+    return aDefault;
+  }
+  return *span;
+}
+
+std::vector<YAML::Node> MapReader::Items(const std::string& aKey)
+{
+  const YAML::Node node = Find(aKey);
+  std::vector<YAML::Node> items;
+  if (!node.IsDefined()) {
+    return items;
+  }
+  if (!node.IsSequence()) {
+    m_findings.Add(PlaceOf(node),
+                   "'" + aKey + "' of " + m_what + " must be a sequence");
+    return items;
+  }
+  for (const auto& item : node) {
+    items.push_back(item);
+  }
+  return items;
+}
+
+std::vector<std::string> MapReader::Texts(const std::string& aKey)
+{
+  std::vector<std::string> texts;
+  for (const YAML::Node& item : Items(aKey)) {
+    texts.push_back(Scalar(aKey, item));
+  }
+  return texts;
+}
+
+YAML::Node MapReader::Map(const std::string& aKey)
+{
+  return Find(aKey);
+}
+
+void MapReader::Finish()
+{
+  std::set<std::string> seen;
+  for (const auto& item : m_node) {
+    const Place place = PlaceOf(item.first);
+    if (!item.first.IsScalar()) {
+      m_findings.Add(place, "a key of " + m_what + " must be a single value");
+      continue;
+    }
+    const std::string& key = item.first.Scalar();
+    if (m_asked.count(key) == 0) {
+      m_findings.Add(place, "unknown key '" + key + "' of " + m_what);
+    }
+    if (!seen.insert(key).second) {
+      m_findings.Add(place, "key '" + key + "' of " + m_what + " stands twice");
+    }
+  }
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/state/group_state.cc
@@ -0,0 +1,49 @@
+#include "state/group_state.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace fuchsiaramp {
+
+GroupState::GroupState(LedgerOptions aOptions)
+  : m_ledger(aOptions)
+{
+}
+
+wire::CommandResult GroupState::Apply(const wire::Command& aCommand)
+{
+  m_time = std::max(m_time, aCommand.leader_time_us());
+  switch (aCommand.body_case()) {
+    case wire::Command::kPutLists:
+      return m_lists.Put(aCommand.put_lists(), m_time);
+    case wire::Command::kClaim:
+      return m_ledger.Claim(aCommand.claim(), m_time);
+    case wire::Command::kFinish:
+      return m_ledger.Finish(aCommand.finish(), m_time);
+    case wire::Command::BODY_NOT_SET:
+      break;
+  }
+  return wire::CommandResult();
+}
+
+std::string GroupState::Snapshot() const
+{
+  wire::StateSnapshot snapshot;
+  m_lists.Save(snapshot);
+  m_ledger.Save(snapshot);
+  snapshot.set_time_us(m_time);
+  return snapshot.SerializeAsString();
+}
+
+void GroupState::Restore(const std::string& aSnapshot)
+{
+  wire::StateSnapshot snapshot;
+  CheckInvariant(snapshot.ParseFromString(aSnapshot),
+                 "a snapshot that passed its checksum can be decoded");
+  m_lists.Restore(snapshot);
+  m_ledger.Restore(snapshot);
+  m_time = snapshot.time_us();
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/state/group_state.h
@@ -0,0 +1,35 @@
+// The replicated state of one consensus group: the lists or a ledger shard.
+//
+//   GroupState state(options);
+//   wire::CommandResult result = state.Apply(command);
+#pragma once
+
+#include <string>
+
+#include "state/ledger.h"
+#include "state/lists_state.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+class GroupState
+{
+public:
+  explicit GroupState(LedgerOptions aOptions);
+
+  wire::CommandResult Apply(const wire::Command& aCommand);
+
+  // Serialised StateSnapshot; an empty text restores the initial state.
+  std::string Snapshot() const;
+  void Restore(const std::string& aSnapshot);
+
+  const ListsState& ListsPart() const { return m_lists; }
+  const Ledger& LedgerPart() const { return m_ledger; }
+
+private:
+  ListsState m_lists;
+  Ledger m_ledger;
+  std::int64_t m_time = 0; // largest leader time seen, microseconds
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/state/lists.cc
@@ -0,0 +1,195 @@
+#include "state/lists.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+#include "base/invariant.h"
+
+namespace fuchsiaramp {
+
+bool Lists::CanApply(const wire::ListsDelta& aDelta) const
+{
+  const bool later = aDelta.to_version() > m_version.Value();
+  return later && (aDelta.full() || aDelta.from_version() == m_version.Value());
+}
+
+bool Lists::Apply(const wire::ListsDelta& aDelta)
+{
+  if (!CanApply(aDelta)) {
+    return false;
+  }
+  if (aDelta.full()) {
+    m_plans.clear();
+    m_customers.clear();
+    m_customerByTokenHash.clear();
+  }
+  for (const std::string& id : aDelta.removed_customers()) {
+    RemoveCustomer(id);
+  }
+  for (const std::string& name : aDelta.removed_plans()) {
+    m_plans.erase(name);
+  }
+  for (const wire::Plan& plan : aDelta.plans()) {
+    PutPlan(plan);
+  }
+  for (const wire::Customer& customer : aDelta.customers()) {
+    RemoveCustomer(customer.id());
+  }
+  for (const wire::Customer& customer : aDelta.customers()) {
+    PutCustomer(customer);
+  }
+  CheckInvariant(aDelta.to_version() > m_version.Value(),
+                 "the version of the lists only grows");
+  m_version = ListsVersion(aDelta.to_version());
+  return true;
+}
+
+void Lists::PutPlan(const wire::Plan& aPlan)
+{
+  PlanEntry entry;
+  entry.plan = aPlan;
+  for (int i = 0; i < aPlan.routes_size(); ++i) {
+    entry.routesByService[aPlan.routes(i).service()].push_back(i);
+  }
+  for (auto& [service, indices] : entry.routesByService) {
+    std::stable_sort(indices.begin(), indices.end(),
+                     [&aPlan](int aLeft, int aRight) {
+                       return aPlan.routes(aLeft).path_prefix().size() >
+                              aPlan.routes(aRight).path_prefix().size();
+                     });
+  }
+  m_plans[aPlan.name()] = std::move(entry);
+}
+
+void Lists::PutCustomer(const wire::Customer& aCustomer)
+{
+  m_customers[aCustomer.id()] = aCustomer;
+  m_customerByTokenHash[aCustomer.token_hash()] = aCustomer.id();
+}
+
+void Lists::RemoveCustomer(const std::string& aId)
+{
+  const auto it = m_customers.find(aId);
+  if (it == m_customers.end()) {
+    return;
+  }
+  const auto token = m_customerByTokenHash.find(it->second.token_hash());
+  if (token != m_customerByTokenHash.end() && token->second == aId) {
+    m_customerByTokenHash.erase(token);
+  }
+  m_customers.erase(it);
+}
+
+std::string Lists::Problem(const wire::ListsDelta& aDelta) const
+{
+  std::unordered_set<std::string> newPlans;
+  for (const wire::Plan& plan : aDelta.plans()) {
+    newPlans.insert(plan.name());
+  }
+  const std::unordered_set<std::string> removedPlans(
+    aDelta.removed_plans().begin(), aDelta.removed_plans().end());
+  const auto planExists = [&](const std::string& aName) {
+    const bool kept = !aDelta.full() && m_plans.count(aName) != 0 &&
+                      removedPlans.count(aName) == 0;
+    return kept || newPlans.count(aName) != 0;
+  };
+  std::unordered_set<std::string> replaced(aDelta.removed_customers().begin(),
+                                           aDelta.removed_customers().end());
+  for (const wire::Customer& customer : aDelta.customers()) {
+    replaced.insert(customer.id());
+  }
+  std::unordered_set<std::string> tokens;
+  for (const wire::Customer& customer : aDelta.customers()) {
+    if (!planExists(customer.plan())) {
+      return "customer '" + customer.id() + "' holds the unknown plan '" +
+             customer.plan() + "'";
+    }
+    const auto holder = m_customerByTokenHash.find(customer.token_hash());
+    const bool taken = !aDelta.full() &&
+                       holder != m_customerByTokenHash.end() &&
+                       replaced.count(holder->second) == 0;
+    if (taken || !tokens.insert(customer.token_hash()).second) {
+      return "customer '" + customer.id() +
+             "' has the token of another customer";
+    }
+  }
+  if (removedPlans.empty() || aDelta.full()) {
+    return "";
+  }
+  for (const auto& [id, customer] : m_customers) {
+    if (replaced.count(id) == 0 && !planExists(customer.plan())) {
+      return "customer '" + id + "' still holds the removed plan '" +
+             customer.plan() + "'";
+    }
+  }
+  return "";
+}
+
+wire::ListsDelta Lists::Full() const
+{
+  wire::ListsDelta delta;
+  delta.set_full(true);
+  delta.set_to_version(m_version.Value());
+  for (const auto& [name, entry] : m_plans) {
+    *delta.add_plans() = entry.plan;
+  }
+  for (const auto& [id, customer] : m_customers) {
+    *delta.add_customers() = customer;
+  }
+  const auto byName = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.name() < aRight.name();
+  };
+  const auto byId = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.id() < aRight.id();
+  };
+  std::sort(delta.mutable_plans()->begin(), delta.mutable_plans()->end(),
+            byName);
+  std::sort(delta.mutable_customers()->begin(),
+            delta.mutable_customers()->end(), byId);
+  return delta;
+}
+
+const wire::Customer* Lists::FindByTokenHash(
+  const std::string& aTokenHash) const
+{
+  const auto it = m_customerByTokenHash.find(aTokenHash);
+  return it == m_customerByTokenHash.end()
+           ? nullptr
+           : FindCustomer(CustomerId(it->second));
+}
+
+const wire::Customer* Lists::FindCustomer(const CustomerId& aCustomer) const
+{
+  const auto it = m_customers.find(aCustomer.Value());
+  return it == m_customers.end() ? nullptr : &it->second;
+}
+
+const wire::Plan* Lists::FindPlan(const PlanName& aPlan) const
+{
+  const auto it = m_plans.find(aPlan.Value());
+  return it == m_plans.end() ? nullptr : &it->second.plan;
+}
+
+const wire::Route* Lists::FindRoute(const wire::Customer& aCustomer,
+                                    const ServiceName& aService,
+                                    const std::string& aPath) const
+{
+  const auto plan = m_plans.find(aCustomer.plan());
+  if (plan == m_plans.end()) {
+    return nullptr;
+  }
+  const auto routes = plan->second.routesByService.find(aService.Value());
+  if (routes == plan->second.routesByService.end()) {
+    return nullptr;
+  }
+  for (int index : routes->second) {
+    const wire::Route& route = plan->second.plan.routes(index);
+    if (aPath.compare(0, route.path_prefix().size(), route.path_prefix()) ==
+        0) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/state/lists.h
@@ -0,0 +1,68 @@
+// The two lists in memory: the plans of customers and what a plan may use.
+//
+// Content changes only by deltas, each of which leads from one version to a
+// later one, so the version never decreases.
+//
+//   Lists lists;
+//   if (lists.Apply(delta)) { ... }
+//   const wire::Customer* customer = lists.FindByTokenHash(hash);
+//   const wire::Route* route = lists.FindRoute(*customer, service, path);
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+class Lists
+{
+public:
+  ListsVersion Version() const { return m_version; }
+
+  // Whether the delta leads from this content to a later version.
+  bool CanApply(const wire::ListsDelta& aDelta) const;
+
+  // Applies the delta; returns false and changes nothing if it does not fit.
+  bool Apply(const wire::ListsDelta& aDelta);
+
+  // Why the content after the delta would be invalid; empty when it is valid.
+  std::string Problem(const wire::ListsDelta& aDelta) const;
+
+  // The whole content as one delta.
+  wire::ListsDelta Full() const;
+
+  // Null when unknown. Valid until the next Apply.
+  const wire::Customer* FindByTokenHash(const std::string& aTokenHash) const;
+  const wire::Customer* FindCustomer(const CustomerId& aCustomer) const;
+  const wire::Plan* FindPlan(const PlanName& aPlan) const;
+  // The route of the customer's plan with the longest matching path prefix.
+  const wire::Route* FindRoute(const wire::Customer& aCustomer,
+                               const ServiceName& aService,
+                               const std::string& aPath) const;
+
+  std::size_t PlanCount() const { return m_plans.size(); }
+  std::size_t CustomerCount() const { return m_customers.size(); }
+
+private:
+  struct PlanEntry
+  {
+    wire::Plan plan;
+    // Indices into plan.routes(), longest path prefix first.
+    std::unordered_map<std::string, std::vector<int>> routesByService;
+  };
+
+  void PutPlan(const wire::Plan& aPlan);
+  void PutCustomer(const wire::Customer& aCustomer);
+  void RemoveCustomer(const std::string& aId);
+
+  ListsVersion m_version;
+  std::unordered_map<std::string, PlanEntry> m_plans;
+  std::unordered_map<std::string, wire::Customer> m_customers;
+  std::unordered_map<std::string, std::string> m_customerByTokenHash;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/state/lists_document_test.cc
@@ -0,0 +1,68 @@
+#define BOOST_TEST_MODULE lists_document
+#include <boost/test/unit_test.hpp>
+
+#include "base/digest.h"
+#include "state/lists_document.h"
+
+namespace fuchsiaramp {
+
+static std::string Document(const std::string& aExtra)
+{
+  return "plans:\n"
+         "  - name: listener\n"
+         "    routes:\n"
+         "      - {name: all, service: profile, path_prefix: /, repeatable: "
+         "true}\n"
+         "      - {name: buy, service: profile, path_prefix: /buy, repeatable: "
+         "false}\n"
+         "customers:\n"
+         "  - {id: shop-7, plan: listener, token_hash: " +
+         Sha256Hex("t7") + "}\n" + aExtra;
+}
+
+BOOST_AUTO_TEST_CASE(ReadsFindsRoutesAndWritesBack)
+{
+  Findings findings("lists.yaml");
+  const wire::ListsDelta content = ReadLists(Document(""), findings);
+  BOOST_TEST(findings.Text() == "");
+  Lists lists;
+  BOOST_TEST(lists.Apply(Difference(lists, content)));
+  const wire::Customer* customer = lists.FindByTokenHash(Sha256Hex("t7"));
+  BOOST_REQUIRE(customer != nullptr);
+  const ServiceName service("profile");
+  BOOST_TEST(lists.FindRoute(*customer, service, "/buy/1")->name() == "buy");
+  BOOST_TEST(lists.FindRoute(*customer, service, "/curve")->name() == "all");
+  BOOST_TEST(lists.FindRoute(*customer, ServiceName("x"), "/") == nullptr);
+  const wire::ListsDelta again = ReadLists(WriteLists(lists.Full()), findings);
+  const wire::ListsDelta change = Difference(lists, again);
+  BOOST_TEST(change.plans_size() + change.customers_size() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(CollectsFindingsWithTheirPlaces)
+{
+  Findings findings("lists.yaml");
+  ReadLists(Document("  - {id: shop-7, plan: gone, token_hash: zz}\n"
+                     "colour: red\n"),
+            findings);
+  const std::string text = findings.Text();
+  BOOST_TEST(text.find("lists.yaml:8:5: customer 'shop-7' stands twice") !=
+             std::string::npos);
+  BOOST_TEST(text.find("unknown plan 'gone'") != std::string::npos);
+  BOOST_TEST(text.find("'token_hash' must be") != std::string::npos);
+  BOOST_TEST(text.find("lists.yaml:9:1: unknown key 'colour'") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(DifferenceRemovesWhatIsGone)
+{
+  Findings findings("lists.yaml");
+  Lists lists;
+  lists.Apply(Difference(lists, ReadLists(Document(""), findings)));
+  const auto change = Difference(lists, ReadLists("plans: []\n", findings));
+  BOOST_TEST(change.removed_plans_size() == 1);
+  BOOST_TEST(change.removed_customers_size() == 1);
+  BOOST_TEST(lists.Apply(change));
+  BOOST_TEST(lists.CustomerCount() == 0u);
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/state/lists_state.h
@@ -0,0 +1,46 @@
+// The lists as replicated state: accepts changes in the order of the log and
+// answers each change id the same way every time.
+//
+//   wire::CommandResult result = state.Put(put, leaderTime);
+//   std::vector<wire::ListsDelta> chain = state.Since(ListsVersion(7));
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "state/lists.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+class ListsState
+{
+public:
+  // aTime is the leader's wall clock in microseconds, for history only.
+  wire::CommandResult Put(const wire::PutLists& aPut, std::int64_t aTime);
+
+  // The deltas that lead from aVersion to the current version: a chain when
+  // history reaches back far enough, otherwise one full delta.
+  std::vector<wire::ListsDelta> Since(ListsVersion aVersion) const;
+
+  const Lists& Current() const { return m_lists; }
+  const std::deque<wire::ChangeRecord>& Changes() const { return m_changes; }
+  const std::deque<wire::ListsDelta>& History() const { return m_history; }
+
+  void Save(wire::StateSnapshot& aSnapshot) const;
+  void Restore(const wire::StateSnapshot& aSnapshot);
+
+private:
+  void Remember(const wire::ChangeRecord& aChange);
+
+  Lists m_lists;
+  std::deque<wire::ListsDelta> m_history;
+  std::deque<wire::ChangeRecord> m_changes;
+  std::unordered_map<std::string, wire::ChangeRecord> m_changeById;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/state/lists_state_test.cc
@@ -0,0 +1,78 @@
+#define BOOST_TEST_MODULE lists_state
+#include <boost/test/unit_test.hpp>
+
+#include "state/lists_state.h"
+
+namespace fuchsiaramp {
+
+static wire::PutLists Put(const std::string& aChange, std::uint64_t aExpected,
+                          const std::string& aPlan)
+{
+  wire::PutLists put;
+  put.set_change_id(aChange);
+  put.set_expected_version(aExpected);
+  put.mutable_delta()->set_from_version(aExpected);
+  put.mutable_delta()->set_to_version(aExpected + 1);
+  put.mutable_delta()->add_plans()->set_name(aPlan);
+  put.set_digest(std::hash<std::string>()(aPlan));
+  return put;
+}
+
+BOOST_AUTO_TEST_CASE(RacingChangesHaveOneWinnerAndRepeatableAnswers)
+{
+  ListsState state;
+  BOOST_TEST(state.Put(Put("a", 0, "x"), 1).code() == wire::CommandResult::OK);
+  const auto lost = state.Put(Put("b", 0, "y"), 2);
+  BOOST_TEST(lost.code() == wire::CommandResult::VERSION_CONFLICT);
+  state.Put(Put("c", 1, "z"), 3);
+  wire::StateSnapshot snapshot;
+  state.Save(snapshot);
+  ListsState restored;
+  restored.Restore(snapshot);
+  const auto again = restored.Put(Put("a", 0, "x"), 4);
+  BOOST_TEST(again.code() == wire::CommandResult::OK);
+  BOOST_TEST(again.version() == 1u);
+  BOOST_TEST(restored.Put(Put("b", 0, "y"), 5).code() ==
+             wire::CommandResult::VERSION_CONFLICT);
+  BOOST_TEST(restored.Put(Put("a", 0, "other"), 6).code() ==
+             wire::CommandResult::INVALID);
+  BOOST_TEST(restored.Current().Version() == ListsVersion(2));
+}
+
+BOOST_AUTO_TEST_CASE(ChainLeadsFromAnyVersionToTheCurrentOne)
+{
+  ListsState state;
+  for (std::uint64_t i = 0; i < 5; ++i) {
+    state.Put(Put("c" + std::to_string(i), i, "p" + std::to_string(i)), 1);
+  }
+  for (std::uint64_t have = 0; have <= 5; ++have) {
+    Lists lists;
+    for (const auto& delta : state.Since(ListsVersion(0))) {
+      if (delta.to_version() <= have) {
+        lists.Apply(delta);
+      }
+    }
+    for (const auto& delta : state.Since(ListsVersion(have))) {
+      BOOST_TEST(lists.Apply(delta));
+    }
+    BOOST_TEST(lists.Version() == ListsVersion(5));
+    BOOST_TEST(lists.PlanCount() == 5u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAPlanThatIsStillHeld)
+{
+  ListsState state;
+  wire::PutLists put = Put("a", 0, "x");
+  auto* customer = put.mutable_delta()->add_customers();
+  customer->set_id("shop");
+  customer->set_plan("x");
+  customer->set_token_hash("t");
+  BOOST_TEST(state.Put(put, 1).code() == wire::CommandResult::OK);
+  wire::PutLists removal = Put("b", 1, "y");
+  removal.mutable_delta()->add_removed_plans("x");
+  BOOST_TEST(state.Put(removal, 2).code() == wire::CommandResult::INVALID);
+  BOOST_TEST(state.Current().FindByTokenHash("t") != nullptr);
+}
+
+} // namespace fuchsiaramp
