Add membership by gossip and the directory of backend servers

Weighed: heartbeats of all hosts to all were ruled out (4,500 x 4,500 a period); one record per server was ruled out, since two watchers would write it, so each watcher writes its own record and the directory merges them. Change: probes direct and through others, refutation, watches with leases, digests by bucket for anti-entropy, merge after a partition.

--- /dev/null
+++ b/packages/membership/directory.cc
@@ -0,0 +1,101 @@
+#include "membership/directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsiaramp {
+
+Directory::Directory(WatcherAlive aWatcherAlive, ChangedHook aChanged)
+  : m_watcherAlive(std::move(aWatcherAlive))
+  , m_changed(std::move(aChanged))
+{
+}
+
+void Directory::Update(const wire::BackendServerRecord& aRecord)
+{
+  const BackendServerId id(aRecord.id());
+  m_watches[id][aRecord.watcher()] = aRecord;
+  Evaluate(id);
+}
+
+void Directory::WatcherChanged(const HostId& aWatcher)
+{
+  std::vector<BackendServerId> affected;
+  for (const auto& [id, watches] : m_watches) {
+    if (watches.count(aWatcher.Value()) != 0) {
+      affected.push_back(id);
+    }
+  }
+  for (const BackendServerId& id : affected) {
+    Evaluate(id);
+  }
+}
+
+void Directory::MarkLeaving(const BackendServerId& aServer)
+{
+  const auto it = m_servers.find(aServer);
+  if (it != m_servers.end()) {
+    m_leavingIncarnation[aServer] = it->second.incarnation;
+    Evaluate(aServer);
+  }
+}
+
+const BackendServer* Directory::Find(const BackendServerId& aServer) const
+{
+  const auto it = m_servers.find(aServer);
+  return it == m_servers.end() ? nullptr : &it->second;
+}
+
+void Directory::Evaluate(const BackendServerId& aServer)
+{
+  const wire::BackendServerRecord* newest = nullptr;
+  for (const auto& [watcher, record] : m_watches[aServer]) {
+    if (!newest || record.incarnation() > newest->incarnation()) {
+      newest = &record;
+    }
+  }
+  if (!newest) {
+    return;
+  }
+  const std::uint64_t incarnation = newest->incarnation();
+  bool up = false;
+  bool leaving = m_leavingIncarnation[aServer] == incarnation;
+  for (const auto& [watcher, record] : m_watches[aServer]) {
+    if (record.incarnation() != incarnation) {
+      continue;
+    }
+    const bool alive =
+      m_watcherAlive(HostId(watcher), record.watcher_incarnation());
+    up = up || (alive && record.state() != wire::BackendServerRecord::GONE);
+    leaving = leaving || record.state() == wire::BackendServerRecord::LEAVING;
+  }
+  BackendServer server;
+  server.id = aServer;
+  server.service = ServiceName(newest->service());
+  server.address = newest->address();
+  server.region = Region(newest->region());
+  server.failureDomain = FailureDomain(newest->failure_domain());
+  server.slots = std::max(1U, newest->slots());
+  server.maxConnections = newest->max_connections();
+  server.incarnation = incarnation;
+  server.state = !up       ? ServerState::kGone
+                 : leaving ? ServerState::kLeaving
+                           : ServerState::kUp;
+  const auto known = m_servers.find(aServer);
+  const bool same = known != m_servers.end() &&
+                    known->second.incarnation == server.incarnation &&
+                    known->second.state == server.state &&
+                    known->second.address == server.address &&
+                    known->second.slots == server.slots;
+  if (same) {
+    return;
+  }
+  if (server.state == ServerState::kGone) {
+    m_servers.erase(aServer);
+  } else {
+    m_servers[aServer] = server;
+  }
+  m_changed(server);
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/membership/membership.cc
@@ -0,0 +1,458 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace fuchsiaramp {
+
+static constexpr int kSyncRecordsPerMessage = 400;
+static constexpr double kTransmissionFactor = 3.0;
+
+static bool IsLive(const wire::HostRecord& aRecord)
+{
+  return aRecord.state() == wire::HostRecord::ALIVE ||
+         aRecord.state() == wire::HostRecord::SUSPECT;
+}
+
+Membership::Membership(MembershipOptions aOptions, MembershipHooks aHooks,
+                       Random aRandom, TimePoint aNow)
+  : m_options(std::move(aOptions))
+  , m_hooks(std::move(aHooks))
+  , m_random(aRandom)
+  , m_probeAt(aNow)
+  , m_spreadAt(aNow)
+  , m_syncAt(aNow)
+{
+  m_table.Merge(m_options.self);
+  m_hostUpdates[m_options.self.host()] = {};
+}
+
+void Membership::Tick(TimePoint aNow)
+{
+  CheckProbe(aNow);
+  CheckSuspects(aNow);
+  CheckWatches(aNow);
+  if (IsDue(m_probeAt, aNow)) {
+    m_probeAt = aNow + m_options.probeInterval;
+    StartProbe(aNow);
+  }
+  if (IsDue(m_spreadAt, aNow)) {
+    m_spreadAt = aNow + m_options.spreadInterval;
+    Spread(aNow);
+  }
+}
+
+void Membership::StartProbe(TimePoint aNow)
+{
+  const bool alone = AliveHosts().size() <= 1;
+  if (alone) {
+    // Until another host is known, the seeds are asked for everything.
+    for (const HostId& seed : m_options.seeds) {
+      if (seed.Value() != m_options.self.host()) {
+        RequestSync(seed, aNow);
+        m_syncAt = aNow;
+      }
+    }
+    return;
+  }
+  if (m_probeOrder.empty()) {
+    m_probeOrder = AliveHosts();
+    m_random.Shuffle(m_probeOrder);
+    // A seed that was declared dead is still probed now and then, so that two
+    // halves of the fleet find each other after a partition.
+    for (const HostId& seed : m_options.seeds) {
+      if (!IsAlive(seed)) {
+        m_probeOrder.push_back(seed);
+      }
+    }
+  }
+  const HostId target = m_probeOrder.back();
+  m_probeOrder.pop_back();
+  if (target.Value() == m_options.self.host()) {
+    return;
+  }
+  const std::uint64_t id = m_nextProbe++;
+  m_probes[id] = { target, aNow + m_options.probeTimeout,
+                   aNow + m_options.probeInterval, false };
+  wire::Gossip ping;
+  ping.set_kind(wire::Gossip::PING);
+  ping.set_probe_id(id);
+  ping.set_origin(m_options.self.host());
+  Send(target, std::move(ping));
+}
+
+void Membership::CheckProbe(TimePoint aNow)
+{
+  for (auto it = m_probes.begin(); it != m_probes.end();) {
+    Probe& probe = it->second;
+    if (!probe.indirectSent && IsDue(probe.indirectAt, aNow)) {
+      probe.indirectSent = true;
+      for (const HostId& peer :
+           RandomPeers(m_options.indirectProbes, probe.target)) {
+        wire::Gossip request;
+        request.set_kind(wire::Gossip::PING_REQUEST);
+        request.set_probe_id(it->first);
+        request.set_target(probe.target.Value());
+        request.set_origin(m_options.self.host());
+        Send(peer, std::move(request));
+      }
+    }
+    if (IsDue(probe.failsAt, aNow)) {
+      Suspect(probe.target, aNow);
+      it = m_probes.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Membership::Suspect(const HostId& aHost, TimePoint aNow)
+{
+  const wire::HostRecord* known = m_table.FindHost(aHost);
+  if (known == nullptr || known->state() != wire::HostRecord::ALIVE) {
+    return;
+  }
+  wire::HostRecord suspect = *known;
+  suspect.set_state(wire::HostRecord::SUSPECT);
+  MergeHost(suspect, aNow);
+}
+
+void Membership::CheckSuspects(TimePoint aNow)
+{
+  std::vector<wire::HostRecord> dead;
+  for (const auto& [host, deadline] : m_suspectUntil) {
+    const wire::HostRecord* known = m_table.FindHost(HostId(host));
+    if (IsDue(deadline, aNow) && known != nullptr) {
+      wire::HostRecord record = *known;
+      record.set_state(wire::HostRecord::DEAD);
+      dead.push_back(record);
+    }
+  }
+  for (const wire::HostRecord& record : dead) {
+    MergeHost(record, aNow);
+  }
+  for (auto it = m_deadUntil.begin(); it != m_deadUntil.end();) {
+    if (!IsDue(it->second, aNow)) {
+      ++it;
+      continue;
+    }
+    m_table.EraseHost(HostId(it->first));
+    m_table.EraseServersOf(HostId(it->first));
+    it = m_deadUntil.erase(it);
+  }
+}
+
+void Membership::CheckWatches(TimePoint aNow)
+{
+  for (auto it = m_watches.begin(); it != m_watches.end();) {
+    if (!IsDue(it->second.lapsesAt, aNow)) {
+      ++it;
+      continue;
+    }
+    wire::BackendServerRecord record = it->second.record;
+    record.set_state(wire::BackendServerRecord::GONE);
+    m_hooks.record(Event("announcement_lapsed").With("server", record.id()));
+    Publish(record);
+    it = m_watches.erase(it);
+  }
+}
+
+void Membership::Watch(wire::BackendServerRecord aAnnouncement, TimePoint aNow)
+{
+  aAnnouncement.set_watcher(m_options.self.host());
+  WatchState& watch = m_watches[aAnnouncement.id()];
+  watch.lapsesAt = aNow + m_options.announcementLifetime;
+  // Fields that the announcement does not carry are copied, so that a plain
+  // renewal compares equal and spreads nothing.
+  aAnnouncement.set_revision(watch.record.revision());
+  aAnnouncement.set_watcher_incarnation(watch.record.watcher_incarnation());
+  const bool renewal =
+    !watch.record.id().empty() &&
+    aAnnouncement.SerializeAsString() == watch.record.SerializeAsString();
+  if (renewal || aAnnouncement.incarnation() < watch.record.incarnation()) {
+    return;
+  }
+  Publish(aAnnouncement);
+  const auto published =
+    m_table.Servers().find(RecordTable::KeyOf(aAnnouncement));
+  if (published != m_table.Servers().end()) {
+    watch.record = published->second;
+  }
+}
+
+void Membership::Publish(const wire::BackendServerRecord& aRecord)
+{
+  wire::BackendServerRecord record = aRecord;
+  record.set_watcher_incarnation(m_options.self.incarnation());
+  record.set_revision(m_nextRevision++);
+  MergeServer(record);
+}
+
+void Membership::Leave(TimePoint aNow)
+{
+  wire::HostRecord record = m_options.self;
+  record.set_revision(record.revision() + 1);
+  record.set_state(wire::HostRecord::LEAVING);
+  m_options.self = record;
+  MergeHost(record, aNow);
+}
+
+bool Membership::MergeHost(const wire::HostRecord& aRecord, TimePoint aNow)
+{
+  const bool self = aRecord.host() == m_options.self.host();
+  if (self && (aRecord.incarnation() > m_options.self.incarnation() ||
+               aRecord.state() == wire::HostRecord::SUSPECT ||
+               aRecord.state() == wire::HostRecord::DEAD)) {
+    Refute(aRecord);
+    return true;
+  }
+  if (!m_table.Merge(aRecord)) {
+    return false;
+  }
+  m_hostUpdates[aRecord.host()] = {};
+  m_suspectUntil.erase(aRecord.host());
+  m_deadUntil.erase(aRecord.host());
+  if (aRecord.state() == wire::HostRecord::SUSPECT) {
+    m_suspectUntil[aRecord.host()] = aNow + m_options.suspectTimeout;
+  } else if (!IsLive(aRecord)) {
+    m_deadUntil[aRecord.host()] = aNow + m_options.deadHostKept;
+  }
+  if (!self) {
+    m_hooks.record(
+      Event("host_changed")
+        .With("peer", aRecord.host())
+        .With("state", wire::HostRecord::State_Name(aRecord.state()))
+        .With("peer_incarnation", aRecord.incarnation()));
+    m_hooks.hostChanged(aRecord);
+  }
+  return true;
+}
+
+// Others believe something about this host that is not so; a higher revision
+// overrides it. A higher incarnation means that this host's clock went back
+// across a restart.
+void Membership::Refute(const wire::HostRecord& aClaim)
+{
+  wire::HostRecord& self = m_options.self;
+  if (aClaim.incarnation() < self.incarnation()) {
+    return;
+  }
+  if (aClaim.incarnation() > self.incarnation()) {
+    self.set_incarnation(aClaim.incarnation() + 1);
+    self.set_revision(1);
+  } else {
+    if (aClaim.revision() < self.revision()) {
+      return;
+    }
+    self.set_revision(aClaim.revision() + 1);
+  }
+  m_table.Merge(self);
+  m_hostUpdates[self.host()] = {};
+  m_hooks.record(Event("suspicion_refuted").With("revision", self.revision()));
+}
+
+void Membership::MergeServer(const wire::BackendServerRecord& aRecord)
+{
+  if (!m_table.Merge(aRecord)) {
+    return;
+  }
+  m_serverUpdates[RecordTable::KeyOf(aRecord)] = {};
+  m_hooks.serverChanged(aRecord);
+}
+
+void Membership::OnGossip(const HostId& aFrom, const wire::Gossip& aGossip,
+                          TimePoint aNow)
+{
+  MergeAll(aFrom, aGossip, aNow);
+  switch (aGossip.kind()) {
+    case wire::Gossip::PING: {
+      wire::Gossip ack;
+      ack.set_kind(wire::Gossip::ACK);
+      ack.set_probe_id(aGossip.probe_id());
+      ack.set_origin(aGossip.origin());
+      // An indirect ping is acked to the host that started the probe; it may
+      // be that only the direct way back is cut, so both get it.
+      if (aGossip.origin() != aFrom.Value()) {
+        Send(HostId(aGossip.origin()), ack);
+      }
+      Send(aFrom, std::move(ack));
+      break;
+    }
+    case wire::Gossip::PING_REQUEST: {
+      wire::Gossip ping;
+      ping.set_kind(wire::Gossip::PING);
+      ping.set_probe_id(aGossip.probe_id());
+      ping.set_origin(aGossip.origin());
+      Send(HostId(aGossip.target()), std::move(ping));
+      break;
+    }
+    case wire::Gossip::ACK:
+      if (aGossip.origin() == m_options.self.host()) {
+        m_probes.erase(aGossip.probe_id());
+      } else {
+        Send(HostId(aGossip.origin()), aGossip);
+      }
+      break;
+    case wire::Gossip::SYNC_REQUEST:
+      AnswerSync(aFrom, aGossip);
+      return;
+    default:
+      return;
+  }
+  if (aGossip.digest() != m_table.TotalDigest()) {
+    RequestSync(aFrom, aNow);
+  }
+}
+
+void Membership::MergeAll(const HostId& aFrom, const wire::Gossip& aGossip,
+                          TimePoint aNow)
+{
+  for (const wire::HostRecord& record : aGossip.hosts()) {
+    MergeHost(record, aNow);
+  }
+  for (const wire::BackendServerRecord& record : aGossip.servers()) {
+    MergeServer(record);
+  }
+  if (aGossip.lists_version() != 0) {
+    m_hooks.peerListsVersion(aFrom, aGossip.lists_version());
+  }
+}
+
+void Membership::RequestSync(const HostId& aPeer, TimePoint aNow)
+{
+  if (!IsDue(m_syncAt, aNow)) {
+    return;
+  }
+  m_syncAt = aNow + m_options.syncInterval;
+  wire::Gossip request;
+  request.set_kind(wire::Gossip::SYNC_REQUEST);
+  for (std::uint64_t digest : m_table.Digests()) {
+    request.add_digests(digest);
+  }
+  Send(aPeer, std::move(request));
+}
+
+void Membership::AnswerSync(const HostId& aPeer, const wire::Gossip& aRequest)
+{
+  if (aRequest.digests_size() != static_cast<int>(kDigestBuckets)) {
+    return;
+  }
+  BucketDigests other{};
+  std::copy(aRequest.digests().begin(), aRequest.digests().end(),
+            other.begin());
+  std::vector<wire::HostRecord> hosts;
+  std::vector<wire::BackendServerRecord> servers;
+  m_table.CollectDifferent(other, hosts, servers);
+  wire::Gossip sync;
+  sync.set_kind(wire::Gossip::SYNC);
+  for (wire::HostRecord& record : hosts) {
+    *sync.add_hosts() = std::move(record);
+  }
+  for (wire::BackendServerRecord& record : servers) {
+    *sync.add_servers() = std::move(record);
+    if (sync.servers_size() >= kSyncRecordsPerMessage) {
+      m_hooks.send(aPeer, sync);
+      sync.clear_servers();
+      sync.clear_hosts();
+    }
+  }
+  m_hooks.send(aPeer, sync);
+}
+
+void Membership::Spread(TimePoint)
+{
+  if (m_hostUpdates.empty() && m_serverUpdates.empty()) {
+    return;
+  }
+  for (const HostId& peer : RandomPeers(m_options.spreadFanout, HostId())) {
+    wire::Gossip news;
+    news.set_kind(wire::Gossip::SYNC);
+    Send(peer, std::move(news));
+  }
+}
+
+int Membership::MaxTransmissions() const
+{
+  const double hosts = static_cast<double>(m_table.Hosts().size()) + 1;
+  return static_cast<int>(std::ceil(kTransmissionFactor * std::log2(hosts))) +
+         1;
+}
+
+// Adds the news that were sent the fewest times, and forgets news that were
+// sent often enough to have reached everybody.
+void Membership::Attach(wire::Gossip& aGossip)
+{
+  const auto pick = [this](auto& aUpdates, const auto& aAdd) {
+    std::vector<std::pair<int, std::string>> order;
+    for (const auto& [key, update] : aUpdates) {
+      order.emplace_back(update.transmissions, key);
+    }
+    const std::size_t count = std::min<std::size_t>(
+      order.size(), static_cast<std::size_t>(m_options.updatesPerMessage));
+    std::partial_sort(order.begin(),
+                      order.begin() + static_cast<std::ptrdiff_t>(count),
+                      order.end());
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::string& key = order[i].second;
+      aAdd(key);
+      if (++aUpdates[key].transmissions >= MaxTransmissions()) {
+        aUpdates.erase(key);
+      }
+    }
+  };
+  pick(m_hostUpdates, [&](const std::string& aKey) {
+    if (const wire::HostRecord* record = m_table.FindHost(HostId(aKey))) {
+      *aGossip.add_hosts() = *record;
+    }
+  });
+  pick(m_serverUpdates, [&](const std::string& aKey) {
+    const auto it = m_table.Servers().find(aKey);
+    if (it != m_table.Servers().end()) {
+      *aGossip.add_servers() = it->second;
+    }
+  });
+}
+
+void Membership::Send(const HostId& aTo, wire::Gossip aGossip)
+{
+  Attach(aGossip);
+  aGossip.set_lists_version(m_hooks.listsVersion());
+  aGossip.set_digest(m_table.TotalDigest());
+  m_hooks.send(aTo, aGossip);
+}
+
+std::vector<HostId> Membership::AliveHosts() const
+{
+  std::vector<HostId> hosts;
+  for (const auto& [host, record] : m_table.Hosts()) {
+    if (IsLive(record)) {
+      hosts.push_back(HostId(host));
+    }
+  }
+  std::sort(hosts.begin(), hosts.end());
+  return hosts;
+}
+
+bool Membership::IsAlive(const HostId& aHost) const
+{
+  const wire::HostRecord* record = m_table.FindHost(aHost);
+  return record != nullptr && IsLive(*record);
+}
+
+std::vector<HostId> Membership::RandomPeers(std::size_t aCount,
+                                            const HostId& aExcept)
+{
+  std::vector<HostId> peers = AliveHosts();
+  peers.erase(std::remove_if(peers.begin(), peers.end(),
+                             [&](const HostId& aHost) {
+                               return aHost == aExcept ||
+                                      aHost.Value() == m_options.self.host();
+                             }),
+              peers.end());
+  m_random.Shuffle(peers);
+  peers.resize(std::min(peers.size(), aCount));
+  return peers;
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/membership/membership.h
@@ -0,0 +1,135 @@
+// Which entry hosts live and which backend servers are announced, spread by
+// gossip between entry hosts.
+//
+// Each host probes one other host per interval, directly and then through
+// others, so its traffic does not grow with the fleet. Renewals of a backend
+// server stay with the hosts that watch it; only transitions spread.
+//
+//   Membership membership(options, hooks, random, now);
+//   membership.OnGossip(from, gossip, now);
+//   membership.Watch(announcement, now);
+//   membership.Tick(now);
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/event.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/record_table.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+struct MembershipOptions
+{
+  wire::HostRecord self;
+  std::vector<HostId> seeds;
+  Duration probeInterval = std::chrono::milliseconds(500);
+  Duration probeTimeout = std::chrono::milliseconds(150);
+  Duration suspectTimeout = std::chrono::seconds(2);
+  Duration spreadInterval = std::chrono::milliseconds(150);
+  Duration syncInterval = std::chrono::seconds(2);
+  Duration announcementLifetime = std::chrono::seconds(2);
+  Duration deadHostKept = std::chrono::hours(1);
+  std::size_t indirectProbes = 3;
+  std::size_t spreadFanout = 3;
+  int updatesPerMessage = 24;
+};
+
+struct MembershipHooks
+{
+  std::function<void(const HostId&, const wire::Gossip&)> send;
+  std::function<void(const wire::HostRecord&)> hostChanged;
+  std::function<void(const wire::BackendServerRecord&)> serverChanged;
+  // The version of the lists that this host has, and what a peer reports.
+  std::function<std::uint64_t()> listsVersion;
+  std::function<void(const HostId&, std::uint64_t)> peerListsVersion;
+  EventHook record;
+};
+
+class Membership
+{
+public:
+  Membership(MembershipOptions aOptions, MembershipHooks aHooks, Random aRandom,
+             TimePoint aNow);
+
+  void OnGossip(const HostId& aFrom, const wire::Gossip& aGossip,
+                TimePoint aNow);
+  void Tick(TimePoint aNow);
+
+  // A backend server announced itself to this host or renewed.
+  void Watch(wire::BackendServerRecord aAnnouncement, TimePoint aNow);
+  // This host leaves the fleet.
+  void Leave(TimePoint aNow);
+
+  // Entry hosts that are alive or suspected, this one included; sorted.
+  std::vector<HostId> AliveHosts() const;
+  bool IsAlive(const HostId& aHost) const;
+  const RecordTable& Table() const { return m_table; }
+  const wire::HostRecord& Self() const { return m_options.self; }
+
+private:
+  struct Update
+  {
+    int transmissions = 0;
+  };
+
+  struct Probe
+  {
+    HostId target;
+    TimePoint indirectAt;
+    TimePoint failsAt;
+    bool indirectSent = false;
+  };
+
+  struct WatchState
+  {
+    TimePoint lapsesAt;
+    wire::BackendServerRecord record;
+  };
+
+  void StartProbe(TimePoint aNow);
+  void CheckProbe(TimePoint aNow);
+  void CheckSuspects(TimePoint aNow);
+  void CheckWatches(TimePoint aNow);
+  void Spread(TimePoint aNow);
+  void Suspect(const HostId& aHost, TimePoint aNow);
+  bool MergeHost(const wire::HostRecord& aRecord, TimePoint aNow);
+  void MergeServer(const wire::BackendServerRecord& aRecord);
+  void Refute(const wire::HostRecord& aClaim);
+  void MergeAll(const HostId& aFrom, const wire::Gossip& aGossip,
+                TimePoint aNow);
+  void RequestSync(const HostId& aPeer, TimePoint aNow);
+  void AnswerSync(const HostId& aPeer, const wire::Gossip& aRequest);
+  void Attach(wire::Gossip& aGossip);
+  void Send(const HostId& aTo, wire::Gossip aGossip);
+  std::vector<HostId> RandomPeers(std::size_t aCount, const HostId& aExcept);
+  int MaxTransmissions() const;
+  void Publish(const wire::BackendServerRecord& aRecord);
+
+  MembershipOptions m_options;
+  MembershipHooks m_hooks;
+  Random m_random;
+  RecordTable m_table;
+  std::unordered_map<std::string, Update> m_hostUpdates;
+  std::unordered_map<std::string, Update> m_serverUpdates;
+  std::unordered_map<std::string, TimePoint> m_suspectUntil;
+  std::unordered_map<std::string, TimePoint> m_deadUntil;
+  std::unordered_map<std::string, WatchState> m_watches;
+  std::map<std::uint64_t, Probe> m_probes;
+  std::vector<HostId> m_probeOrder;
+  std::uint64_t m_nextProbe = 1;
+  std::uint64_t m_nextRevision = 1;
+  TimePoint m_probeAt;
+  TimePoint m_spreadAt;
+  TimePoint m_syncAt;
+};
+
+} // namespace fuchsiaramp
