--- /dev/null
+++ b/packages/control/control_node_test.cc
@@ -0,0 +1,147 @@
+#define BOOST_TEST_MODULE control_node
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+#include "control/control_node.h"
+#include "testing/fake_network.h"
+
+namespace fuchsiaramp {
+
+// Three control hosts over memory storage that never fails.
+class ControlGroup
+{
+public:
+  ControlGroup()
+    : m_network({}, Random(7))
+    , m_now(FromMicros(1'000'000))
+  {
+    for (int i = 0; i < 3; ++i) {
+      m_hosts.push_back(HostId("control-" + std::to_string(i)));
+    }
+    for (const HostId& host : m_hosts) {
+      std::vector<GroupStorage> storage(2);
+      for (GroupStorage& group : storage) {
+        group.stored.hardState.set_disk_id(m_random.Bits());
+        group.hooks.append = [](const auto&, const auto&) {
+          return std::error_code();
+        };
+        group.hooks.saveSnapshot = [](const auto&, const auto&, const auto&,
+                                      const auto&) {
+          return std::error_code();
+        };
+      }
+      ControlHooks hooks;
+      hooks.send = [this, host](const HostId& aTo,
+                                const wire::Envelope& aMessage) {
+        m_network.Send(host, aTo, aMessage, m_now);
+      };
+      hooks.wallClock = [this] { return ToMicros(m_now); };
+      hooks.fatal = [](std::error_code) {};
+      hooks.record = [](const Event&) {};
+      ControlOptions options;
+      options.self = host;
+      options.hosts = m_hosts;
+      m_nodes[host] = std::make_unique<ControlNode>(
+        options, std::move(storage), hooks, Random(m_random.Bits()), m_now);
+    }
+  }
+
+  void Run(Duration aSpan)
+  {
+    const TimePoint end = m_now + aSpan;
+    while (m_now < end) {
+      m_now += std::chrono::milliseconds(5);
+      while (auto delivery = m_network.Next(m_now)) {
+        const auto it = m_nodes.find(delivery->to);
+        if (it == m_nodes.end()) {
+          m_toOthers.push_back(delivery->message);
+          continue;
+        }
+        it->second->OnMessage(delivery->from, delivery->message, m_now);
+      }
+      for (auto& [host, node] : m_nodes) {
+        node->Tick(m_now);
+        node->Flush(m_now);
+      }
+    }
+  }
+
+  ControlNode* Leader(std::size_t aGroup)
+  {
+    for (auto& [host, node] : m_nodes) {
+      if (node->GroupNode(aGroup).HasLease(m_now)) {
+        return node.get();
+      }
+    }
+    return nullptr;
+  }
+
+  ListsChangeReply Put(const std::string& aDocument, std::uint64_t aExpected,
+                       const std::string& aChange)
+  {
+    std::optional<ListsChangeReply> reply;
+    Leader(0)->ChangeLists(
+      { aDocument, aExpected, aChange, "op" }, m_now,
+      [&](const ListsChangeReply& aReply) { reply = aReply; });
+    Run(std::chrono::milliseconds(300));
+    BOOST_REQUIRE(reply.has_value());
+    return *reply;
+  }
+
+  std::vector<wire::Envelope> m_toOthers;
+  Random m_random{ 3 };
+  FakeNetwork<wire::Envelope> m_network;
+  TimePoint m_now;
+  std::vector<HostId> m_hosts;
+  std::map<HostId, std::unique_ptr<ControlNode>> m_nodes;
+};
+
+static const char* const kDocument = "plans:\n  - {name: p}\n";
+static const char* const kOther = "plans:\n  - {name: q}\n";
+
+BOOST_AUTO_TEST_CASE(ARaceHasOneWinnerAndResendsRepeatTheirAnswers)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(group.Leader(0) != nullptr);
+  const auto first = group.Put(kDocument, 0, "change-a");
+  BOOST_TEST(first.result.code() == wire::CommandResult::OK);
+  BOOST_TEST(group.Put(kOther, 0, "change-b").result.code() ==
+             wire::CommandResult::VERSION_CONFLICT);
+  const auto again = group.Put(kDocument, 0, "change-a");
+  BOOST_TEST(again.result.code() == wire::CommandResult::OK);
+  BOOST_TEST(again.result.version() == 1u);
+  // The same after another host took over.
+  ControlNode* old = group.Leader(0);
+  old->Leave(group.m_now);
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(group.Leader(0) != nullptr);
+  BOOST_TEST(group.Leader(0) != old);
+  BOOST_TEST(group.Put(kDocument, 0, "change-a").result.version() == 1u);
+  BOOST_TEST(group.Put(kOther, 0, "change-b").result.code() ==
+             wire::CommandResult::VERSION_CONFLICT);
+  BOOST_TEST(!group.Put("plans: 3\n", 1, "change-c").findings.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OnlyALeaderWithALeaseConfirmsTheLists)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  group.Put(kDocument, 0, "change-a");
+  wire::Envelope pull;
+  pull.mutable_lists_pull()->set_confirm(true);
+  for (const HostId& host : group.m_hosts) {
+    group.m_network.Send(HostId("entry-1"), host, pull, group.m_now);
+  }
+  group.Run(std::chrono::milliseconds(200));
+  int confirmed = 0;
+  for (const wire::Envelope& envelope : group.m_toOthers) {
+    confirmed += envelope.lists_push().confirmed() ? 1 : 0;
+    BOOST_TEST(envelope.lists_push().group_leaders_size() == 2);
+  }
+  BOOST_TEST(group.m_toOthers.size() == 3u);
+  BOOST_TEST(confirmed == 1);
+}
+
+} // namespace fuchsiaramp
