--- /dev/null
+++ b/packages/entry/claim_client.cc
@@ -0,0 +1,127 @@
+#include "entry/claim_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace fuchsiaramp {
+
+static constexpr Duration kResend = std::chrono::milliseconds(250);
+static constexpr std::size_t kMaxWaiting = 10'000; // calls
+
+ClaimClient::ClaimClient(std::vector<HostId> aControlHosts, SendHook aSend)
+  : m_controlHosts(std::move(aControlHosts))
+  , m_send(std::move(aSend))
+{
+}
+
+void ClaimClient::SetGroupLeaders(const std::vector<std::string>& aLeaders)
+{
+  m_leaders.resize(aLeaders.size());
+  for (std::size_t i = 0; i < aLeaders.size(); ++i) {
+    if (!aLeaders[i].empty()) {
+      m_leaders[i] = HostId(aLeaders[i]);
+    }
+  }
+}
+
+std::uint32_t ClaimClient::GroupOf(const wire::ClaimKey& aKey) const
+{
+  const std::string text =
+    aKey.customer() + '\n' + aKey.service() + '\n' + aKey.key();
+  const std::uint64_t shards = m_leaders.size() - 1;
+  return static_cast<std::uint32_t>(1 + Hash64(text) % shards);
+}
+
+std::uint32_t ClaimClient::GroupOf(const wire::Command& aCommand) const
+{
+  return GroupOf(aCommand.has_claim() ? aCommand.claim().key()
+                                      : aCommand.finish().key());
+}
+
+bool ClaimClient::IsReachable(const wire::ClaimKey& aKey, TimePoint) const
+{
+  return m_leaders.size() > 1 && !m_leaders[GroupOf(aKey)].IsEmpty() &&
+         m_waiting.size() < kMaxWaiting;
+}
+
+void ClaimClient::Submit(wire::Command aCommand, TimePoint aDeadline,
+                         TimePoint aNow, DoneHook aDone)
+{
+  const std::uint64_t id = m_nextId++;
+  Call& call = m_waiting[id];
+  call.group = GroupOf(aCommand);
+  call.command = std::move(aCommand);
+  call.deadline = aDeadline;
+  call.done = std::move(aDone);
+  Send(id, call, aNow);
+}
+
+void ClaimClient::Send(std::uint64_t aId, Call& aCall, TimePoint aNow)
+{
+  aCall.resendAt = aNow + kResend;
+  wire::Envelope envelope;
+  wire::ControlRequest* request = envelope.mutable_control_request();
+  request->set_request_id(aId);
+  request->set_group(aCall.group);
+  *request->mutable_command() = aCall.command;
+  m_send(m_leaders[aCall.group], envelope);
+}
+
+void ClaimClient::TryNextHost(std::uint32_t aGroup)
+{
+  m_leaders[aGroup] = m_controlHosts[m_nextHost++ % m_controlHosts.size()];
+}
+
+void ClaimClient::OnReply(const HostId& aFrom, const wire::ControlReply& aReply,
+                          TimePoint aNow)
+{
+  const auto it = m_waiting.find(aReply.request_id());
+  if (it == m_waiting.end()) {
+    return;
+  }
+  Call& call = it->second;
+  const auto code = aReply.result().code();
+  if (code == wire::CommandResult::NOT_LEADER) {
+    // A hint that names the host itself or nobody is of no use.
+    const bool hinted =
+      !aReply.leader().empty() && aReply.leader() != aFrom.Value();
+    if (hinted && m_leaders[call.group] != HostId(aReply.leader())) {
+      m_leaders[call.group] = HostId(aReply.leader());
+      Send(it->first, call, aNow);
+    } else if (!hinted && m_leaders[call.group] == aFrom) {
+      TryNextHost(call.group);
+    }
+    return;
+  }
+  if (code == wire::CommandResult::RESULT_UNKNOWN) {
+    return; // repeated at its resend time
+  }
+  const DoneHook done = std::move(call.done);
+  m_waiting.erase(it);
+  done(&aReply.result());
+}
+
+void ClaimClient::Tick(TimePoint aNow)
+{
+  std::vector<DoneHook> expired;
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    Call& call = it->second;
+    if (IsDue(call.deadline, aNow)) {
+      expired.push_back(std::move(call.done));
+      it = m_waiting.erase(it);
+      continue;
+    }
+    if (IsDue(call.resendAt, aNow)) {
+      TryNextHost(call.group);
+      Send(it->first, call, aNow);
+    }
+    ++it;
+  }
+  for (const DoneHook& done : expired) {
+    done(nullptr);
+  }
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/claim_client.h
@@ -0,0 +1,66 @@
+// Talks to the ledger on behalf of one entry host: finds the leader of a key's
+// group, repeats what got no answer, and gives up at a deadline.
+//
+// Repeating is safe because claims and reports name their attempt.
+//
+//   client.Submit(command, deadline, now, [](const wire::CommandResult* r) {
+//     // null: no answer by the deadline; the command may still be committed
+//   });
+//   client.Tick(now);
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+class ClaimClient
+{
+public:
+  using DoneHook = std::function<void(const wire::CommandResult* aResult)>;
+
+  ClaimClient(std::vector<HostId> aControlHosts, SendHook aSend);
+
+  // Index 0 is the lists group; the others are ledger shards.
+  void SetGroupLeaders(const std::vector<std::string>& aLeaders);
+  // Whether a leader of the key's shard is known and has not been silent.
+  bool IsReachable(const wire::ClaimKey& aKey, TimePoint aNow) const;
+
+  void Submit(wire::Command aCommand, TimePoint aDeadline, TimePoint aNow,
+              DoneHook aDone);
+  void OnReply(const HostId& aFrom, const wire::ControlReply& aReply,
+               TimePoint aNow);
+  void Tick(TimePoint aNow);
+  std::size_t Waiting() const { return m_waiting.size(); }
+
+private:
+  struct Call
+  {
+    std::uint32_t group = 0;
+    wire::Command command;
+    TimePoint deadline;
+    TimePoint resendAt;
+    DoneHook done;
+  };
+
+  std::uint32_t GroupOf(const wire::Command& aCommand) const;
+  std::uint32_t GroupOf(const wire::ClaimKey& aKey) const;
+  void Send(std::uint64_t aId, Call& aCall, TimePoint aNow);
+  void TryNextHost(std::uint32_t aGroup);
+
+  std::vector<HostId> m_controlHosts;
+  SendHook m_send;
+  std::vector<HostId> m_leaders; // by group
+  std::map<std::uint64_t, Call> m_waiting;
+  std::uint64_t m_nextId = 1;
+  std::size_t m_nextHost = 0;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/entry_attempts.cc
@@ -0,0 +1,344 @@
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+#include "entry/entry_node.h"
+
+namespace fuchsiaramp {
+
+static constexpr int kMaxAttempts = 4; // of one request
+static constexpr Duration kRetrySoon = std::chrono::seconds(1);
+
+void EntryNode::StartAttempt(Request& aRequest, const BackendServerId& aServer,
+                             TimePoint aNow)
+{
+  ServiceRouter* router = m_services->Find(aRequest.head.service);
+  const BackendServer* server = router->Find(aServer);
+  if (server == nullptr) {
+    // It left while the key was being claimed.
+    aRequest.excluded.insert(aServer);
+    if (!Retry(aRequest, true, aNow)) {
+      GiveUp(aRequest, nullptr, "no backend server is left", kRetrySoon, aNow);
+    }
+    return;
+  }
+  CheckInvariant(aRequest.repeatable || !aRequest.mayHaveRun,
+                 "work that must not repeat is attempted only with proof that "
+                 "it did not run");
+  CheckInvariant(aRequest.repeatable || !aRequest.claimAttempt.empty(),
+                 "work that must not repeat is claimed before it is attempted");
+  const Duration patience = m_options.settings.routing.attemptTimeout;
+  AttemptStart start;
+  start.id = m_nextAttempt;
+  m_nextAttempt = m_nextAttempt.Next();
+  start.request = aRequest.head.id;
+  start.server = aServer;
+  start.address = server->address;
+  start.deadline = aRequest.head.deadline;
+  if (aRequest.repeatable) {
+    start.deadline = std::min(start.deadline, aNow + patience);
+  }
+  start.freshConnection = aRequest.forceFresh;
+  Attempt attempt;
+  attempt.request = aRequest.head.id;
+  attempt.service = aRequest.head.service;
+  attempt.server = aServer;
+  attempt.startedAt = aNow;
+  aRequest.stage = Stage::kAttempting;
+  aRequest.excluded.insert(aServer);
+  aRequest.attempts.push_back(start.id);
+  ++aRequest.started;
+  ++m_counters.attempts;
+  router->OnStarted(aServer);
+  m_hooks.record(Event("attempt_started")
+                   .With("request", aRequest.head.id)
+                   .With("attempt", start.id)
+                   .With("server", aServer));
+  m_attempts[start.id] = attempt;
+  m_attempts[start.id].proven = m_hooks.startAttempt(start);
+}
+
+void EntryNode::OnAttemptEnd(const AttemptEnd& aEnd, TimePoint aNow)
+{
+  m_now = aNow;
+  const auto it = m_attempts.find(aEnd.id);
+  if (it == m_attempts.end()) {
+    return;
+  }
+  const Attempt attempt = it->second;
+  m_attempts.erase(it);
+  ServiceRouter* router = m_services->Find(attempt.service);
+  Gate& gate = m_gates[attempt.service];
+  AttemptReport report;
+  report.outcome = aEnd.outcome;
+  report.latency = aNow - attempt.startedAt;
+  report.reportedLoad = aEnd.reportedLoad;
+  report.countedAsSlow = attempt.overdue;
+  const double running = static_cast<double>(router->Outstanding());
+  router->OnFinished(attempt.server, report, aNow);
+  if (aEnd.outcome == AttemptOutcome::kShed) {
+    gate.limit.OnShed();
+  } else if (aEnd.outcome == AttemptOutcome::kSuccess) {
+    gate.limit.OnAnswered(running, static_cast<double>(router->TotalSlots()));
+  }
+  if (aEnd.serverIsLeaving) {
+    m_directory.MarkLeaving(attempt.server);
+  }
+  const auto owner = m_requests.find(attempt.request);
+  if (owner != m_requests.end()) {
+    Request& request = owner->second;
+    request.attempts.erase(
+      std::remove(request.attempts.begin(), request.attempts.end(), aEnd.id),
+      request.attempts.end());
+    if (aEnd.outcome == AttemptOutcome::kSuccess) {
+      OnSuccess(request, aEnd, aNow);
+    } else {
+      OnFailure(request, attempt, aEnd, aNow);
+    }
+  }
+  Drain(attempt.service, aNow);
+}
+
+void EntryNode::OnSuccess(Request& aRequest, const AttemptEnd& aEnd,
+                          TimePoint aNow)
+{
+  // Servers whose connection broke under this request were at fault, since
+  // another server could run it.
+  ServiceRouter* router = m_services->Find(aRequest.head.service);
+  for (const BackendServerId& server : aRequest.broken) {
+    router->CountBroken(server, aNow);
+  }
+  if (!aRequest.broken.empty()) {
+    m_services->Poison().OnSuccess(aRequest.head.fingerprint);
+  }
+  aRequest.mayHaveRun = true;
+  if (!aRequest.claimAttempt.empty()) {
+    ReportFinished(aRequest, aEnd, wire::LedgerRecord::FINISHED, aNow);
+  }
+  FinalAnswer answer;
+  answer.request = aRequest.head.id;
+  answer.outcome = CallerOutcome::kAnswered;
+  answer.status = aEnd.status;
+  answer.relay = aEnd.id;
+  Answer(aRequest, std::move(answer), aNow);
+}
+
+// Whether the outcome proves that the work did not run.
+static bool ProvesNotRun(AttemptOutcome aOutcome)
+{
+  return aOutcome == AttemptOutcome::kRefused ||
+         aOutcome == AttemptOutcome::kNothingWritten ||
+         aOutcome == AttemptOutcome::kNotRun ||
+         aOutcome == AttemptOutcome::kShed;
+}
+
+void EntryNode::OnFailure(Request& aRequest, const Attempt& aAttempt,
+                          const AttemptEnd& aEnd, TimePoint aNow)
+{
+  const bool proven = ProvesNotRun(aEnd.outcome);
+  aRequest.mayHaveRun = aRequest.mayHaveRun || !proven;
+  if (aEnd.outcome == AttemptOutcome::kSilent) {
+    aRequest.forceFresh = true;
+    aRequest.excluded.erase(aAttempt.server);
+  }
+  if (aEnd.outcome == AttemptOutcome::kBroken &&
+      OnBrokenConnection(aRequest, aAttempt, aNow)) {
+    return;
+  }
+  if (!aRequest.attempts.empty()) {
+    return; // another attempt of the request still runs
+  }
+  if (aRequest.repeatable || !aRequest.mayHaveRun) {
+    if (Retry(aRequest, proven, aNow)) {
+      return;
+    }
+  }
+  GiveUp(aRequest, &aEnd, "the backend servers failed the request", kRetrySoon,
+         aNow);
+}
+
+// Returns whether the request has its final answer.
+bool EntryNode::OnBrokenConnection(Request& aRequest, const Attempt& aAttempt,
+                                   TimePoint aNow)
+{
+  aRequest.broken.push_back(aAttempt.server);
+  const bool quarantined = m_services->OnBroken(
+    aRequest.head.service, aRequest.head.fingerprint, aAttempt.server, aNow);
+  if (!quarantined) {
+    return false;
+  }
+  if (!aRequest.claimAttempt.empty()) {
+    ReportFinished(aRequest, {}, wire::LedgerRecord::UNKNOWN, aNow);
+  }
+  Refuse(aRequest, CallerOutcome::kUnknown, 422,
+         "this request broke the connection of every backend server that ran "
+         "it; change it before sending it again",
+         m_services->Poison().Until(aRequest.head.fingerprint) - aNow, aNow);
+  return true;
+}
+
+bool EntryNode::Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow)
+{
+  ServiceRouter* router = m_services->Find(aRequest.head.service);
+  if (aRequest.started >= kMaxAttempts || IsDue(aRequest.head.deadline, aNow) ||
+      aRequest.callerGone) {
+    return false;
+  }
+  // Attempts that did not run put no load on the service.
+  if (!aProvenNotRun && !router->Retries().TryRetry()) {
+    return false;
+  }
+  ++m_counters.retries;
+  const auto server =
+    router->Choose({ aRequest.repeatable, aRequest.excluded }, aNow);
+  if (server) {
+    StartAttempt(aRequest, *server, aNow);
+    return true;
+  }
+  // All servers are full or were tried: wait for a slot of any of them.
+  aRequest.excluded.clear();
+  aRequest.stage = Stage::kQueued;
+  const Duration patience = m_options.settings.routing.queueTimeout;
+  aRequest.queuedUntil = std::min(aRequest.head.deadline, aNow + patience);
+  const auto dropped = m_gates[aRequest.head.service].queue.Push(
+    aRequest.head.id, aRequest.priority, aRequest.queuedUntil);
+  if (dropped && *dropped == aRequest.head.id) {
+    return false;
+  }
+  if (dropped) {
+    GiveUp(m_requests.at(*dropped), nullptr, "the service is full", kRetrySoon,
+           aNow);
+  }
+  return true;
+}
+
+void EntryNode::GiveUp(Request& aRequest, const AttemptEnd* aEnd,
+                       const std::string& aReason, TimePoint aNow)
+{
+  FinalAnswer answer;
+  answer.request = aRequest.head.id;
+  answer.reason = aReason;
+  answer.retryAfter = kRetrySoon;
+  if (!aRequest.mayHaveRun) {
+    if (aRequest.claimAttempt.empty()) {
+      Answer(aRequest, std::move(answer), aNow);
+    } else {
+      Fence(aRequest, answer, aNow);
+    }
+    return;
+  }
+  if (!aRequest.claimAttempt.empty()) {
+    ReportFinished(aRequest, aEnd == nullptr ? AttemptEnd() : *aEnd,
+                   wire::LedgerRecord::UNKNOWN, aNow);
+  }
+  answer.outcome = CallerOutcome::kUnknown;
+  answer.status = 502;
+  if (aEnd != nullptr && aEnd->outcome == AttemptOutcome::kTimeout) {
+    answer.status = 504;
+  }
+  // The server's own words are passed on where it sent any.
+  if (aEnd != nullptr && aEnd->outcome == AttemptOutcome::kServerError) {
+    answer.status = aEnd->status;
+    answer.relay = aEnd->id;
+  }
+  Answer(aRequest, std::move(answer), aNow);
+}
+
+// An attempt that takes longer than a slow answer is evidence at once. A second
+// attempt elsewhere then spares the caller the wait.
+void EntryNode::CheckOverdue(TimePoint aNow)
+{
+  std::vector<RequestId> late;
+  for (auto& [id, attempt] : m_attempts) {
+    ServiceRouter* router = m_services->Find(attempt.service);
+    if (attempt.overdue ||
+        aNow - attempt.startedAt <= router->SlowThreshold()) {
+      continue;
+    }
+    attempt.overdue = true;
+    // On a connection that had been idle, the connection may be at fault.
+    if (attempt.proven) {
+      router->OnOverdue(attempt.server, aNow);
+    }
+    late.push_back(attempt.request);
+  }
+  for (RequestId id : late) {
+    const auto it = m_requests.find(id);
+    if (it != m_requests.end()) {
+      Hedge(it->second, aNow);
+    }
+  }
+}
+
+void EntryNode::Hedge(Request& aRequest, TimePoint aNow)
+{
+  if (!aRequest.repeatable || aRequest.hedged ||
+      aRequest.started >= kMaxAttempts || aRequest.callerGone) {
+    return;
+  }
+  ServiceRouter* router = m_services->Find(aRequest.head.service);
+  const auto server = router->Choose({ true, aRequest.excluded }, aNow);
+  if (!server || !router->Retries().TryRetry()) {
+    return;
+  }
+  aRequest.hedged = true;
+  aRequest.forceFresh = true;
+  ++m_counters.hedges;
+  StartAttempt(aRequest, *server, aNow);
+}
+
+void EntryNode::CancelAttempts(Request& aRequest, TimePoint aNow)
+{
+  for (AttemptId id : aRequest.attempts) {
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+      continue;
+    }
+    AttemptReport report;
+    report.outcome = AttemptOutcome::kCancelled;
+    m_services->Find(it->second.service)
+      ->OnFinished(it->second.server, report, aNow);
+    m_attempts.erase(it);
+    m_hooks.cancelAttempt(id);
+  }
+  aRequest.attempts.clear();
+}
+
+void EntryNode::CheckDeadlines(TimePoint aNow)
+{
+  std::vector<RequestId> late;
+  for (const auto& [id, request] : m_requests) {
+    const bool waits = request.stage == Stage::kAttempting;
+    if (waits && IsDue(request.head.deadline, aNow)) {
+      late.push_back(id);
+    }
+  }
+  for (RequestId id : late) {
+    Request& request = m_requests.at(id);
+    request.mayHaveRun = true;
+    AttemptEnd end;
+    end.outcome = AttemptOutcome::kTimeout;
+    GiveUp(request, &end, "no answer by the deadline of the request",
+           kRetrySoon, aNow);
+  }
+}
+
+void EntryNode::OnCallerGone(RequestId aRequest, TimePoint aNow)
+{
+  m_now = aNow;
+  const auto it = m_requests.find(aRequest);
+  if (it == m_requests.end()) {
+    return;
+  }
+  Request& request = it->second;
+  request.callerGone = true;
+  // Work that must not repeat goes on, so that its outcome can be kept.
+  const bool claimed = !request.claimAttempt.empty();
+  if (request.repeatable || (request.stage == Stage::kQueued && !claimed)) {
+    request.mayHaveRun = true;
+    GiveUp(request, nullptr, "the caller closed its connection", kRetrySoon,
+           aNow);
+  }
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/entry_filters.cc
@@ -0,0 +1,377 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/digest.h"
+#include "base/invariant.h"
+#include "entry/entry_node.h"
+
+namespace fuchsiaramp {
+
+static constexpr Duration kRetrySoon = std::chrono::seconds(1);
+static constexpr Duration kClaimTimeout = std::chrono::seconds(2);
+static constexpr Duration kFenceTimeout = std::chrono::seconds(1);
+// How long the outcome of finished work is offered to the ledger.
+static constexpr Duration kReportTimeout = std::chrono::minutes(10);
+static constexpr std::size_t kMaxKeyLength = 200; // bytes
+
+void EntryNode::OnRequest(const RequestHead& aHead, TimePoint aNow)
+{
+  m_now = aNow;
+  ++m_counters.requests;
+  Request& request = m_requests[aHead.id];
+  request.head = aHead;
+  static constexpr Filter kFilters[] = {
+    &EntryNode::CheckServing,    &EntryNode::Authenticate,
+    &EntryNode::FindRoute,       &EntryNode::CheckKey,
+    &EntryNode::CheckQuarantine, &EntryNode::CheckService,
+    &EntryNode::CheckLimits,
+  };
+  for (const Filter filter : kFilters) {
+    if ((this->*filter)(request, aNow) == FilterResult::kDone) {
+      return;
+    }
+  }
+  Enqueue(request, aNow);
+}
+
+EntryNode::FilterResult EntryNode::CheckServing(Request& aRequest,
+                                                TimePoint aNow)
+{
+  if (m_lists->IsServing()) {
+    return FilterResult::kContinue;
+  }
+  Refuse(aRequest, CallerOutcome::kNotRun, 503,
+         "this host has no confirmed lists yet; use another entry host",
+         kRetrySoon, aNow);
+  return FilterResult::kDone;
+}
+
+EntryNode::FilterResult EntryNode::Authenticate(Request& aRequest,
+                                                TimePoint aNow)
+{
+  const std::string hash = Sha256Hex(aRequest.head.token);
+  const wire::Customer* customer = m_lists->Current().FindByTokenHash(hash);
+  const bool known = !aRequest.head.token.empty() && customer != nullptr &&
+                     EqualConstantTime(customer->token_hash(), hash);
+  if (!known) {
+    Refuse(aRequest, CallerOutcome::kNotRun, 401,
+           "the bearer token is missing or unknown", std::nullopt, aNow);
+    return FilterResult::kDone;
+  }
+  aRequest.customer = customer->id();
+  return FilterResult::kContinue;
+}
+
+EntryNode::FilterResult EntryNode::FindRoute(Request& aRequest, TimePoint aNow)
+{
+  const Lists& lists = m_lists->Current();
+  const wire::Customer* customer =
+    lists.FindCustomer(CustomerId(aRequest.customer));
+  const wire::Route* route =
+    lists.FindRoute(*customer, aRequest.head.service, aRequest.head.path);
+  if (route == nullptr) {
+    Refuse(aRequest, CallerOutcome::kNotRun, 403,
+           "the customer's plan has no route for this service and path",
+           std::nullopt, aNow);
+    return FilterResult::kDone;
+  }
+  aRequest.repeatable = route->repeatable();
+  aRequest.priority = lists.FindPlan(PlanName(customer->plan()))->priority();
+  return FilterResult::kContinue;
+}
+
+EntryNode::FilterResult EntryNode::CheckKey(Request& aRequest, TimePoint aNow)
+{
+  const std::string& key = aRequest.head.key.Value();
+  if (!aRequest.repeatable && (key.empty() || key.size() > kMaxKeyLength)) {
+    Refuse(aRequest, CallerOutcome::kNotRun, 400,
+           "a request of this route needs an Idempotency-Key of 1 to 200 bytes",
+           std::nullopt, aNow);
+    return FilterResult::kDone;
+  }
+  return FilterResult::kContinue;
+}
+
+EntryNode::FilterResult EntryNode::CheckQuarantine(Request& aRequest,
+                                                   TimePoint aNow)
+{
+  Quarantine& poison = m_services->Poison();
+  if (!poison.IsQuarantined(aRequest.head.fingerprint, aNow)) {
+    return FilterResult::kContinue;
+  }
+  Refuse(aRequest, CallerOutcome::kNotRun, 422,
+         "this request broke the connection of every backend server that ran "
+         "it; change it before sending it again",
+         poison.Until(aRequest.head.fingerprint) - aNow, aNow);
+  return FilterResult::kDone;
+}
+
+EntryNode::FilterResult EntryNode::CheckService(Request& aRequest,
+                                                TimePoint aNow)
+{
+  const ServiceRouter* router = m_services->Find(aRequest.head.service);
+  if (router != nullptr && router->HasServers()) {
+    return FilterResult::kContinue;
+  }
+  Refuse(aRequest, CallerOutcome::kNotRun, 503,
+         "no backend server of the service is announced", kRetrySoon, aNow);
+  return FilterResult::kDone;
+}
+
+EntryNode::FilterResult EntryNode::CheckLimits(Request& aRequest,
+                                               TimePoint aNow)
+{
+  const Lists& lists = m_lists->Current();
+  const wire::Customer* customer =
+    lists.FindCustomer(CustomerId(aRequest.customer));
+  const wire::Plan* plan = lists.FindPlan(PlanName(customer->plan()));
+  const wire::Route* route =
+    lists.FindRoute(*customer, aRequest.head.service, aRequest.head.path);
+  const std::string byCustomer = "customer/" + aRequest.customer;
+  const std::string byRoute = "route/" + plan->name() + '/' + route->name();
+  std::string exceeded;
+  if (!m_limiter->TryTake(byCustomer, plan->requests_per_second(), aNow)) {
+    exceeded = byCustomer;
+  } else if (!m_limiter->TryTake(byRoute, route->requests_per_second(), aNow)) {
+    exceeded = byRoute;
+  }
+  if (exceeded.empty()) {
+    return FilterResult::kContinue;
+  }
+  Refuse(aRequest, CallerOutcome::kNotRun, 429,
+         "the limit of the plan is reached",
+         m_limiter->NextAt(exceeded, aNow) - aNow, aNow);
+  return FilterResult::kDone;
+}
+
+void EntryNode::Enqueue(Request& aRequest, TimePoint aNow)
+{
+  const RequestId id = aRequest.head.id;
+  const ServiceName service = aRequest.head.service;
+  Gate& gate = m_gates[service];
+  m_services->Find(service)->Retries().OnRequest();
+  aRequest.stage = Stage::kQueued;
+  const Duration patience = m_options.settings.routing.queueTimeout;
+  aRequest.queuedUntil = std::min(aRequest.head.deadline, aNow + patience);
+  // A request that would still wait at its deadline is refused at once.
+  const Duration wait = EstimateWait(service);
+  if (!gate.queue.empty() && aNow + wait > aRequest.queuedUntil) {
+    ++m_counters.shed;
+    Refuse(aRequest, CallerOutcome::kNotRun, 503, "the service is full",
+           std::max(kRetrySoon, wait), aNow);
+    return;
+  }
+  const auto dropped =
+    gate.queue.Push(id, aRequest.priority, aRequest.queuedUntil);
+  if (dropped) {
+    ++m_counters.shed;
+    Refuse(m_requests.at(*dropped), CallerOutcome::kNotRun, 503,
+           "the service is full", std::max(kRetrySoon, wait), aNow);
+  }
+  Drain(service, aNow);
+}
+
+// From the queue's length, the usual latency and the attempts that may run.
+Duration EntryNode::EstimateWait(const ServiceName& aService)
+{
+  const Gate& gate = m_gates[aService];
+  const ServiceRouter* router = m_services->Find(aService);
+  const double running = std::clamp(static_cast<double>(router->Outstanding()),
+                                    1.0, gate.limit.Limit());
+  const double usual = ToSeconds(router->LatencyQuantile(0.5));
+  return FromSeconds(static_cast<double>(gate.queue.size()) * usual / running);
+}
+
+void EntryNode::Drain(const ServiceName& aService, TimePoint aNow)
+{
+  const auto it = m_gates.find(aService);
+  if (it == m_gates.end()) {
+    return;
+  }
+  Gate& gate = it->second;
+  for (RequestId late : gate.queue.TakeExpired(aNow)) {
+    ++m_counters.shed;
+    GiveUp(m_requests.at(late), nullptr,
+           "no slot of the service was free in time",
+           std::max(kRetrySoon, EstimateWait(aService)), aNow);
+  }
+  ServiceRouter* router = m_services->Find(aService);
+  while (!gate.queue.empty() &&
+         static_cast<double>(router->Outstanding()) < gate.limit.Limit()) {
+    const RequestId id = *gate.queue.Pop();
+    Request& request = m_requests.at(id);
+    const auto server =
+      router->Choose({ request.repeatable, request.excluded }, aNow);
+    if (!server) {
+      gate.queue.Push(id, request.priority, request.queuedUntil);
+      return;
+    }
+    Begin(request, *server, aNow);
+  }
+}
+
+// A slot is taken before the claim, so that a key is claimed only when its work
+// can start at once.
+void EntryNode::Begin(Request& aRequest, const BackendServerId& aServer,
+                      TimePoint aNow)
+{
+  if (aRequest.repeatable || !aRequest.claimAttempt.empty()) {
+    StartAttempt(aRequest, aServer, aNow);
+    return;
+  }
+  aRequest.reserved = aServer;
+  m_services->Find(aRequest.head.service)->OnStarted(aServer);
+  StartClaim(aRequest, aNow);
+}
+
+void EntryNode::ReleaseReservation(Request& aRequest, TimePoint aNow)
+{
+  if (!aRequest.reserved) {
+    return;
+  }
+  AttemptReport report;
+  report.outcome = AttemptOutcome::kCancelled;
+  m_services->Find(aRequest.head.service)
+    ->OnFinished(*aRequest.reserved, report, aNow);
+  aRequest.reserved.reset();
+}
+
+wire::ClaimKey EntryNode::KeyOf(const Request& aRequest) const
+{
+  wire::ClaimKey key;
+  key.set_customer(aRequest.customer);
+  key.set_service(aRequest.head.service.Value());
+  key.set_key(aRequest.head.key.Value());
+  return key;
+}
+
+void EntryNode::StartClaim(Request& aRequest, TimePoint aNow)
+{
+  const wire::ClaimKey key = KeyOf(aRequest);
+  if (!m_claims->IsReachable(key, aNow)) {
+    Refuse(aRequest, CallerOutcome::kNotRun, 503,
+           "the ledger cannot be reached; nothing was started", kRetrySoon,
+           aNow);
+    return;
+  }
+  aRequest.stage = Stage::kClaiming;
+  aRequest.claimAttempt = m_options.settings.host.Value() + '/' +
+                          std::to_string(m_options.incarnation) + '/' +
+                          std::to_string(m_nextClaim++);
+  ++m_counters.claims;
+  wire::Command command;
+  wire::Claim* claim = command.mutable_claim();
+  *claim->mutable_key() = key;
+  claim->set_body_hash(aRequest.head.bodyHash);
+  claim->set_attempt(aRequest.claimAttempt);
+  const TimePoint deadline =
+    std::min(aRequest.head.deadline, aNow + kClaimTimeout);
+  const RequestId id = aRequest.head.id;
+  m_claims->Submit(std::move(command), deadline, aNow,
+                   [this, id](const wire::CommandResult* aResult) {
+                     OnClaimResult(id, aResult, m_now);
+                   });
+}
+
+void EntryNode::OnClaimResult(RequestId aRequest,
+                              const wire::CommandResult* aResult,
+                              TimePoint aNow)
+{
+  const auto it = m_requests.find(aRequest);
+  if (it == m_requests.end()) {
+    return;
+  }
+  Request& request = it->second;
+  FinalAnswer answer;
+  answer.request = aRequest;
+  if (aResult == nullptr) {
+    answer.reason = "the ledger did not answer in time";
+    answer.retryAfter = kRetrySoon;
+    Fence(request, answer, aNow);
+    return;
+  }
+  switch (aResult->code()) {
+    case wire::CommandResult::GRANTED: {
+      const BackendServerId server = *request.reserved;
+      ReleaseReservation(request, aNow);
+      StartAttempt(request, server, aNow);
+      return;
+    }
+    case wire::CommandResult::ALREADY_FINISHED:
+      answer.outcome = CallerOutcome::kAnswered;
+      answer.status = 409;
+      answer.reason = "the work ran before; its answer was not kept";
+      if (aResult->record().answer_kept()) {
+        answer.stored = StoredAnswer{ aResult->record().status(),
+                                      aResult->record().content_type(),
+                                      aResult->record().answer() };
+      }
+      break;
+    case wire::CommandResult::IN_PROGRESS:
+      answer.outcome = CallerOutcome::kUnknown;
+      answer.status = 409;
+      answer.reason = "another attempt with this key runs or may have run";
+      answer.retryAfter = kRetrySoon;
+      break;
+    case wire::CommandResult::BODY_MISMATCH:
+      answer.status = 422;
+      answer.reason = "the Idempotency-Key was used with another request";
+      break;
+    default:
+      answer.reason = "the ledger takes no new work: " + aResult->text();
+      answer.retryAfter = kRetrySoon;
+      break;
+  }
+  request.claimAttempt.clear();
+  Answer(request, std::move(answer), aNow);
+}
+
+// Ends the claim of a request that never ran, so that a resend can be granted
+// the key, before the caller hears not-run. Without the ledger's answer the
+// caller hears unknown, since a resend may still meet the old claim.
+void EntryNode::Fence(Request& aRequest, const FinalAnswer& aAnswer,
+                      TimePoint aNow)
+{
+  CheckInvariant(!aRequest.mayHaveRun, "only work that did not run is fenced");
+  ReleaseReservation(aRequest, aNow);
+  aRequest.stage = Stage::kFencing;
+  wire::Command command;
+  wire::Finish* finish = command.mutable_finish();
+  *finish->mutable_key() = KeyOf(aRequest);
+  finish->set_attempt(aRequest.claimAttempt);
+  finish->set_state(wire::LedgerRecord::NOT_RUN);
+  const RequestId id = aRequest.head.id;
+  m_claims->Submit(std::move(command), aNow + kFenceTimeout, aNow,
+                   [this, id, aAnswer](const wire::CommandResult* aResult) {
+                     const auto it = m_requests.find(id);
+                     if (it == m_requests.end()) {
+                       return;
+                     }
+                     FinalAnswer answer = aAnswer;
+                     if (aResult == nullptr) {
+                       answer.outcome = CallerOutcome::kUnknown;
+                       answer.status = 503;
+                     }
+                     Answer(it->second, std::move(answer), m_now);
+                   });
+}
+
+void EntryNode::ReportFinished(const Request& aRequest, const AttemptEnd& aEnd,
+                               wire::LedgerRecord::State aState, TimePoint aNow)
+{
+  wire::Command command;
+  wire::Finish* finish = command.mutable_finish();
+  *finish->mutable_key() = KeyOf(aRequest);
+  finish->set_attempt(aRequest.claimAttempt);
+  finish->set_state(aState);
+  finish->set_status(aEnd.status);
+  finish->set_content_type(aEnd.contentType);
+  finish->set_answer_kept(aEnd.body.has_value());
+  finish->set_answer(aEnd.body.value_or(""));
+  // The caller need not wait: a resend that comes first hears unknown.
+  m_claims->Submit(std::move(command), aNow + kReportTimeout, aNow,
+                   [](const wire::CommandResult*) {});
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/entry_node.cc
@@ -0,0 +1,295 @@
+#include "entry/entry_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+#include "routing/rendezvous.h"
+
+namespace fuchsiaramp {
+
+// How long the news that a host leaves may take to reach every host that gives
+// out addresses.
+static constexpr Duration kSpreadTime = std::chrono::seconds(3);
+static constexpr std::size_t kAddressesPerAnswer = 8;
+// Entry hosts that share the callers of one service.
+static constexpr std::size_t kHostsPerService = 24;
+
+EntryNode::EntryNode(EntryOptions aOptions, EntryHooks aHooks, Random aRandom,
+                     TimePoint aNow)
+  : m_options(std::move(aOptions))
+  , m_hooks(std::move(aHooks))
+  , m_now(aNow)
+  , m_directory(
+      [this](const HostId& aHost, std::uint64_t aIncarnation) {
+        const wire::HostRecord* record =
+          m_membership ? m_membership->Table().FindHost(aHost) : nullptr;
+        return record != nullptr && m_membership->IsAlive(aHost) &&
+               record->incarnation() == aIncarnation;
+      },
+      [this](const BackendServer& aServer) {
+        m_services->UpdateServer(aServer, m_now);
+      })
+{
+  Connect(aRandom, aNow);
+}
+
+// Builds the parts and wires their hooks to each other and to the adapter.
+void EntryNode::Connect(Random& aRandom, TimePoint aNow)
+{
+  const Settings& settings = m_options.settings;
+  std::vector<HostId> controlHosts;
+  for (const PeerSettings& peer : settings.controlHosts) {
+    controlHosts.push_back(peer.host);
+  }
+  const auto aliveHosts = [this] { return m_membership->AliveHosts(); };
+
+  ServicePlaneHooks planeHooks;
+  planeHooks.send = [this](const HostId& aTo, const wire::Evidence& aMessage) {
+    wire::Envelope envelope;
+    *envelope.mutable_evidence() = aMessage;
+    m_hooks.send(aTo, envelope);
+  };
+  planeHooks.aliveHosts = aliveHosts;
+  planeHooks.regionOf = [this](const HostId& aHost) {
+    const wire::HostRecord* record = m_membership->Table().FindHost(aHost);
+    return record == nullptr ? Region() : Region(record->region());
+  };
+  planeHooks.record = m_hooks.record;
+  m_services = std::make_unique<ServicePlane>(
+    ServicePlaneOptions{ settings.host, settings.region, settings.failureDomain,
+                         settings.routing },
+    std::move(planeHooks), Random(aRandom.Bits()));
+
+  ListsFollowerHooks listsHooks;
+  listsHooks.sendPull = [this](const HostId& aTo,
+                               const wire::ListsPull& aMessage) {
+    wire::Envelope envelope;
+    *envelope.mutable_lists_pull() = aMessage;
+    m_hooks.send(aTo, envelope);
+  };
+  listsHooks.sendPush = [this](const HostId& aTo,
+                               const wire::ListsPush& aMessage) {
+    wire::Envelope envelope;
+    *envelope.mutable_lists_push() = aMessage;
+    m_hooks.send(aTo, envelope);
+  };
+  listsHooks.aliveHosts = aliveHosts;
+  listsHooks.groupLeaders = [this](const std::vector<std::string>& aLeaders) {
+    m_claims->SetGroupLeaders(aLeaders);
+  };
+  listsHooks.record = m_hooks.record;
+  ListsFollowerOptions listsOptions;
+  listsOptions.self = settings.host;
+  listsOptions.controlHosts = controlHosts;
+  m_lists = std::make_unique<ListsFollower>(listsOptions, std::move(listsHooks),
+                                            Random(aRandom.Bits()), aNow);
+
+  m_claims = std::make_unique<ClaimClient>(controlHosts, m_hooks.send);
+
+  PlanLimiterHooks limiterHooks;
+  limiterHooks.send = [this](const HostId& aTo,
+                             const wire::LimitReport& aMessage) {
+    wire::Envelope envelope;
+    *envelope.mutable_limits() = aMessage;
+    m_hooks.send(aTo, envelope);
+  };
+  limiterHooks.aliveHosts = aliveHosts;
+  m_limiter =
+    std::make_unique<PlanLimiter>(settings.host, std::move(limiterHooks), aNow);
+
+  MembershipHooks memberHooks;
+  memberHooks.send = [this](const HostId& aTo, const wire::Gossip& aMessage) {
+    wire::Envelope envelope;
+    *envelope.mutable_gossip() = aMessage;
+    m_hooks.send(aTo, envelope);
+  };
+  memberHooks.hostChanged = [this](const wire::HostRecord& aRecord) {
+    m_hooks.hostChanged(aRecord);
+    m_directory.WatcherChanged(HostId(aRecord.host()));
+    m_services->HostsChanged();
+  };
+  memberHooks.serverChanged = [this](const wire::BackendServerRecord& aRecord) {
+    m_directory.Update(aRecord);
+  };
+  memberHooks.listsVersion = [this] {
+    return m_lists->Current().Version().Value();
+  };
+  memberHooks.peerListsVersion = [this](const HostId& aPeer,
+                                        std::uint64_t aVersion) {
+    m_lists->OnPeerVersion(aPeer, aVersion);
+  };
+  memberHooks.record = m_hooks.record;
+  MembershipOptions memberOptions;
+  memberOptions.self.set_host(settings.host.Value());
+  memberOptions.self.set_incarnation(m_options.incarnation);
+  memberOptions.self.set_role("entry");
+  memberOptions.self.set_region(settings.region.Value());
+  memberOptions.self.set_failure_domain(settings.failureDomain.Value());
+  memberOptions.self.set_message_address(settings.messageAddress);
+  memberOptions.self.set_caller_address(settings.callerAddress);
+  memberOptions.self.set_public_key(settings.keys.publicKey);
+  memberOptions.announcementLifetime = settings.announcementLifetime;
+  for (const PeerSettings& seed : settings.seeds) {
+    memberOptions.seeds.push_back(seed.host);
+  }
+  m_membership = std::make_unique<Membership>(
+    memberOptions, std::move(memberHooks), Random(aRandom.Bits()), aNow);
+}
+
+void EntryNode::OnMessage(const HostId& aFrom, const wire::Envelope& aMessage,
+                          TimePoint aNow)
+{
+  m_now = aNow;
+  switch (aMessage.body_case()) {
+    case wire::Envelope::kGossip:
+      m_membership->OnGossip(aFrom, aMessage.gossip(), aNow);
+      break;
+    case wire::Envelope::kListsPull:
+      m_lists->OnPull(aFrom, aMessage.lists_pull(), aNow);
+      break;
+    case wire::Envelope::kListsPush:
+      m_lists->OnPush(aFrom, aMessage.lists_push(), aNow);
+      break;
+    case wire::Envelope::kControlReply:
+      m_claims->OnReply(aFrom, aMessage.control_reply(), aNow);
+      break;
+    case wire::Envelope::kEvidence:
+      m_services->OnEvidence(aFrom, aMessage.evidence(), aNow);
+      break;
+    case wire::Envelope::kLimits:
+      m_limiter->OnReport(aFrom, aMessage.limits(), aNow);
+      break;
+    default:
+      break;
+  }
+}
+
+void EntryNode::OnAnnouncement(const wire::BackendServerRecord& aRecord,
+                               TimePoint aNow)
+{
+  m_now = aNow;
+  m_membership->Watch(aRecord, aNow);
+}
+
+// Callers of a service are given the hosts that serve it, in an order that
+// rotates so that the first choice is spread evenly.
+AddressAnswer EntryNode::OnAddressQuery(const ServiceName& aService,
+                                        TimePoint aNow)
+{
+  std::vector<HostId> hosts;
+  for (const HostId& host : m_membership->AliveHosts()) {
+    const wire::HostRecord* record = m_membership->Table().FindHost(host);
+    if (record->state() == wire::HostRecord::ALIVE) {
+      hosts.push_back(host);
+    }
+  }
+  hosts = RendezvousTop(aService.Value(), hosts, kHostsPerService);
+  AddressAnswer answer;
+  answer.lifetime = m_options.settings.addressLifetime;
+  if (hosts.empty()) {
+    return answer;
+  }
+  const std::size_t first = m_addressQueries++ % hosts.size();
+  const std::size_t count = std::min(hosts.size(), kAddressesPerAnswer);
+  for (std::size_t i = 0; i < count; ++i) {
+    const HostId& host = hosts[(first + i) % hosts.size()];
+    answer.addresses.push_back(
+      m_membership->Table().FindHost(host)->caller_address());
+  }
+  if (!m_leaving) {
+    m_addressesHeldUntil =
+      std::max(m_addressesHeldUntil, aNow + answer.lifetime);
+  }
+  return answer;
+}
+
+void EntryNode::Leave(TimePoint aNow)
+{
+  if (m_leaving) {
+    return;
+  }
+  m_now = aNow;
+  m_leaving = true;
+  m_membership->Leave(aNow);
+  // Other hosts may name this one until they hear the news, and their answers
+  // are kept for a lifetime after that.
+  m_addressesHeldUntil =
+    std::max(m_addressesHeldUntil,
+             aNow + kSpreadTime + m_options.settings.addressLifetime);
+  m_hooks.record(Event("leaving"));
+}
+
+bool EntryNode::MayExit(TimePoint aNow) const
+{
+  return m_leaving && IsDue(m_addressesHeldUntil, aNow) && m_requests.empty() &&
+         m_claims->Waiting() == 0;
+}
+
+void EntryNode::Tick(TimePoint aNow)
+{
+  m_now = aNow;
+  m_membership->Tick(aNow);
+  m_lists->Tick(aNow);
+  m_claims->Tick(aNow);
+  m_services->Tick(aNow);
+  m_limiter->Tick(aNow);
+  CheckOverdue(aNow);
+  CheckDeadlines(aNow);
+  for (const ServiceName& service : m_services->Services()) {
+    Drain(service, aNow);
+  }
+}
+
+void EntryNode::Refuse(Request& aRequest, CallerOutcome aOutcome,
+                       std::uint32_t aStatus, const std::string& aReason,
+                       std::optional<Duration> aRetryAfter, TimePoint aNow)
+{
+  FinalAnswer answer;
+  answer.request = aRequest.head.id;
+  answer.outcome = aOutcome;
+  answer.status = aStatus;
+  answer.reason = aReason;
+  answer.retryAfter = aRetryAfter;
+  Answer(aRequest, std::move(answer), aNow);
+}
+
+void EntryNode::Answer(Request& aRequest, FinalAnswer aAnswer, TimePoint aNow)
+{
+  CheckInvariant(aAnswer.outcome != CallerOutcome::kNotRun ||
+                   (!aRequest.mayHaveRun && aRequest.attempts.empty()),
+                 "a request that is told not-run did not run");
+  CancelAttempts(aRequest, aNow);
+  ReleaseReservation(aRequest, aNow);
+  switch (aAnswer.outcome) {
+    case CallerOutcome::kAnswered:
+      ++m_counters.answered;
+      break;
+    case CallerOutcome::kNotRun:
+      ++m_counters.notRun;
+      break;
+    case CallerOutcome::kUnknown:
+      ++m_counters.unknown;
+      break;
+  }
+  m_hooks.record(Event("request_finished")
+                   .With("request", aRequest.head.id)
+                   .With("service", aRequest.head.service)
+                   .With("customer", aRequest.customer)
+                   .With("outcome", ToText(aAnswer.outcome))
+                   .With("status", aAnswer.status)
+                   .With("attempts", aRequest.started)
+                   .With("reason", aAnswer.reason));
+  const bool callerGone = aRequest.callerGone;
+  const ServiceName service = aRequest.head.service;
+  const auto gate = m_gates.find(service);
+  if (gate != m_gates.end()) {
+    gate->second.queue.Remove(aRequest.head.id);
+  }
+  m_requests.erase(aRequest.head.id);
+  if (!callerGone) {
+    m_hooks.answer(aAnswer);
+  }
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/entry_node.h
@@ -0,0 +1,233 @@
+// All decisions of one entry host: membership, the lists in force, the routing
+// of requests, limits, retries, and work that must not repeat.
+//
+// A request passes a chain of filters (authenticate, find its route,
+// quarantine, plan limits), waits for a free slot of its service, claims its
+// idempotency key if its route may not be repeated, and is then attempted on
+// backend servers until it has a final answer.
+//
+//   EntryNode node(options, hooks, random, now);
+//   node.OnRequest(head, now);        // hooks.startAttempt(...) follows
+//   node.OnAttemptEnd(end, now);      // hooks.answer(...) follows
+//   node.Tick(now);
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/event.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "entry/claim_client.h"
+#include "entry/lists_follower.h"
+#include "entry/request.h"
+#include "entry/service_plane.h"
+#include "limits/admission_queue.h"
+#include "limits/concurrency_limit.h"
+#include "limits/plan_limiter.h"
+#include "membership/directory.h"
+#include "membership/membership.h"
+#include "settings/settings.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+struct EntryOptions
+{
+  Settings settings;
+  std::uint64_t incarnation = 1; // grows with each start of the host
+};
+
+struct EntryHooks
+{
+  SendHook send;
+  // Returns whether the connection is known to work: new, or used just now.
+  std::function<bool(const AttemptStart&)> startAttempt;
+  std::function<void(AttemptId)> cancelAttempt;
+  std::function<void(const FinalAnswer&)> answer;
+  // A host was heard of or changed; the adapter keeps its address.
+  std::function<void(const wire::HostRecord&)> hostChanged;
+  EventHook record;
+};
+
+// Which entry hosts a caller may use for a service, best first.
+struct AddressAnswer
+{
+  std::vector<std::string> addresses; // IP:port
+  Duration lifetime{};
+};
+
+// Counters since the start, for metrics and tests.
+struct EntryCounters
+{
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t notRun = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t attempts = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t shed = 0;
+  std::uint64_t claims = 0;
+};
+
+class EntryNode
+{
+public:
+  EntryNode(EntryOptions aOptions, EntryHooks aHooks, Random aRandom,
+            TimePoint aNow);
+
+  void OnRequest(const RequestHead& aHead, TimePoint aNow);
+  void OnAttemptEnd(const AttemptEnd& aEnd, TimePoint aNow);
+  // The caller closed its connection before it had an answer.
+  void OnCallerGone(RequestId aRequest, TimePoint aNow);
+  void OnMessage(const HostId& aFrom, const wire::Envelope& aMessage,
+                 TimePoint aNow);
+  // A backend server announced itself, renewed, or said that it leaves.
+  void OnAnnouncement(const wire::BackendServerRecord& aRecord, TimePoint aNow);
+  AddressAnswer OnAddressQuery(const ServiceName& aService, TimePoint aNow);
+  void Tick(TimePoint aNow);
+
+  // Withdraws this host from address answers.
+  void Leave(TimePoint aNow);
+  // Whether every address answer that names this host has expired, and nothing
+  // is in flight.
+  bool MayExit(TimePoint aNow) const;
+  bool IsLeaving() const { return m_leaving; }
+
+  const ListsFollower& ListsInForce() const { return *m_lists; }
+  const Membership& Members() const { return *m_membership; }
+  const Directory& Servers() const { return m_directory; }
+  ServicePlane& Services() { return *m_services; }
+  const EntryCounters& Counters() const { return m_counters; }
+  std::size_t InFlight() const { return m_requests.size(); }
+
+private:
+  enum class Stage
+  {
+    kQueued,
+    kClaiming,
+    kAttempting,
+    kFencing,
+  };
+
+  struct Request
+  {
+    RequestHead head;
+    std::string customer;
+    std::uint32_t priority = 0;
+    bool repeatable = true;
+    Stage stage = Stage::kQueued;
+    TimePoint queuedUntil;
+    std::set<BackendServerId> excluded;
+    std::vector<AttemptId> attempts; // running
+    std::vector<BackendServerId> broken;
+    int started = 0;
+    bool mayHaveRun = false;
+    bool hedged = false;
+    bool forceFresh = false;
+    std::string claimAttempt; // set while this request holds its key
+    std::optional<BackendServerId> reserved;
+    bool callerGone = false;
+  };
+
+  struct Attempt
+  {
+    RequestId request;
+    ServiceName service;
+    BackendServerId server;
+    TimePoint startedAt;
+    bool proven = true;
+    bool overdue = false;
+  };
+
+  // Admission of one service.
+  struct Gate
+  {
+    AdmissionQueue queue{ 1000 };
+    ConcurrencyLimit limit;
+  };
+
+  enum class FilterResult
+  {
+    kContinue,
+    kDone, // the request has its final answer
+  };
+  using Filter = FilterResult (EntryNode::*)(Request&, TimePoint);
+
+  // Filters, in order.
+  FilterResult CheckServing(Request& aRequest, TimePoint aNow);
+  FilterResult Authenticate(Request& aRequest, TimePoint aNow);
+  FilterResult FindRoute(Request& aRequest, TimePoint aNow);
+  FilterResult CheckKey(Request& aRequest, TimePoint aNow);
+  FilterResult CheckQuarantine(Request& aRequest, TimePoint aNow);
+  FilterResult CheckService(Request& aRequest, TimePoint aNow);
+  FilterResult CheckLimits(Request& aRequest, TimePoint aNow);
+
+  // Admission.
+  void Enqueue(Request& aRequest, TimePoint aNow);
+  void Drain(const ServiceName& aService, TimePoint aNow);
+  Duration EstimateWait(const ServiceName& aService);
+  void Begin(Request& aRequest, const BackendServerId& aServer, TimePoint aNow);
+
+  // Claims.
+  void StartClaim(Request& aRequest, TimePoint aNow);
+  void OnClaimResult(RequestId aRequest, const wire::CommandResult* aResult,
+                     TimePoint aNow);
+  void Fence(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow);
+  void ReportFinished(const Request& aRequest, const AttemptEnd& aEnd,
+                      wire::LedgerRecord::State aState, TimePoint aNow);
+  wire::ClaimKey KeyOf(const Request& aRequest) const;
+  void ReleaseReservation(Request& aRequest, TimePoint aNow);
+
+  // Attempts.
+  void StartAttempt(Request& aRequest, const BackendServerId& aServer,
+                    TimePoint aNow);
+  void OnSuccess(Request& aRequest, const AttemptEnd& aEnd, TimePoint aNow);
+  void OnFailure(Request& aRequest, const Attempt& aAttempt,
+                 const AttemptEnd& aEnd, TimePoint aNow);
+  bool Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow);
+  bool OnBrokenConnection(Request& aRequest, const Attempt& aAttempt,
+                          TimePoint aNow);
+  void GiveUp(Request& aRequest, const AttemptEnd* aEnd,
+              const std::string& aReason, TimePoint aNow);
+  void CheckOverdue(TimePoint aNow);
+  void Hedge(Request& aRequest, TimePoint aNow);
+  void CancelAttempts(Request& aRequest, TimePoint aNow);
+  void CheckDeadlines(TimePoint aNow);
+
+  void Refuse(Request& aRequest, CallerOutcome aOutcome, std::uint32_t aStatus,
+              const std::string& aReason, std::optional<Duration> aRetryAfter,
+              TimePoint aNow);
+  // Gives the final answer and forgets the request.
+  void Answer(Request& aRequest, FinalAnswer aAnswer, TimePoint aNow);
+
+  void Connect(Random& aRandom, TimePoint aNow);
+
+  EntryOptions m_options;
+  EntryHooks m_hooks;
+  TimePoint m_now; // time of the call that is running
+  Directory m_directory;
+  std::unique_ptr<Membership> m_membership;
+  std::unique_ptr<ListsFollower> m_lists;
+  std::unique_ptr<ClaimClient> m_claims;
+  std::unique_ptr<ServicePlane> m_services;
+  std::unique_ptr<PlanLimiter> m_limiter;
+  std::unordered_map<RequestId, Request> m_requests;
+  std::unordered_map<AttemptId, Attempt> m_attempts;
+  std::unordered_map<ServiceName, Gate> m_gates;
+  AttemptId m_nextAttempt{ 1 };
+  std::uint64_t m_nextClaim = 1;
+  std::uint64_t m_addressQueries = 0;
+  EntryCounters m_counters;
+  bool m_leaving = false;
+  TimePoint m_addressesHeldUntil;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/lists_follower.h
@@ -0,0 +1,103 @@
+// Keeps the lists of one entry host in force.
+//
+// The host has no disk: after a start it serves only once a version is
+// confirmed. A leader with a lease confirms, directly or relayed by another
+// entry host. When control cannot be reached at all, a majority of the live
+// entry hosts confirms in its place. After that the host keeps serving the
+// newest version it knows, for as long as control is away.
+//
+//   ListsFollower follower(options, hooks, random, now);
+//   follower.OnPush(from, push, now);
+//   if (follower.IsServing()) follower.Current().FindByTokenHash(...);
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/event.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "state/lists.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+struct ListsFollowerOptions
+{
+  HostId self;
+  std::vector<HostId> controlHosts;
+  Duration startInterval = std::chrono::milliseconds(200);
+  Duration pullInterval = std::chrono::seconds(1);
+  // Without any confirmation for this long after a start, peers may confirm.
+  Duration peerFallback = std::chrono::seconds(10);
+};
+
+struct ListsFollowerHooks
+{
+  std::function<void(const HostId&, const wire::ListsPull&)> sendPull;
+  std::function<void(const HostId&, const wire::ListsPush&)> sendPush;
+  // Live entry hosts, this one included.
+  std::function<std::vector<HostId>()> aliveHosts;
+  std::function<void(const std::vector<std::string>&)> groupLeaders;
+  EventHook record;
+};
+
+class ListsFollower
+{
+public:
+  ListsFollower(ListsFollowerOptions aOptions, ListsFollowerHooks aHooks,
+                Random aRandom, TimePoint aNow);
+
+  void Tick(TimePoint aNow);
+  void OnPush(const HostId& aFrom, const wire::ListsPush& aPush,
+              TimePoint aNow);
+  // Another entry host asks for the lists or for a relay to control.
+  void OnPull(const HostId& aFrom, const wire::ListsPull& aPull,
+              TimePoint aNow);
+  // Gossip says that a peer has this version.
+  void OnPeerVersion(const HostId& aPeer, std::uint64_t aVersion);
+
+  bool IsServing() const { return m_serving; }
+  const Lists& Current() const { return m_lists; }
+  // When a leader last confirmed the version; the origin when never.
+  TimePoint ConfirmedAt() const { return m_confirmedAt; }
+
+private:
+  struct Relay
+  {
+    HostId asker;
+    std::uint64_t pullId = 0;
+    TimePoint forgetAt;
+  };
+
+  void Adopt(const wire::ListsPush& aPush);
+  void Serve(const char* aWhy);
+  void PullFromControl(TimePoint aNow);
+  void PullFromPeer();
+  void CountPeerAnswer(const HostId& aPeer, const wire::ListsPush& aPush);
+  wire::ListsPull Pull(bool aConfirm);
+  bool IsControlHost(const HostId& aHost) const;
+
+  ListsFollowerOptions m_options;
+  ListsFollowerHooks m_hooks;
+  Random m_random;
+  Lists m_lists;
+  std::deque<wire::ListsDelta> m_history;
+  bool m_serving = false;
+  TimePoint m_startedAt;
+  TimePoint m_confirmedAt;
+  TimePoint m_pullAt;
+  TimePoint m_answeredAt; // when control last answered
+  HostId m_leader;
+  std::size_t m_nextControl = 0;
+  std::uint64_t m_nextPull = 1;
+  std::map<std::uint64_t, Relay> m_relays;
+  std::map<HostId, std::uint64_t> m_peerAnswers;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/service_plane.cc
@@ -0,0 +1,405 @@
+#include "entry/service_plane.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/rendezvous.h"
+
+namespace fuchsiaramp {
+
+static constexpr Duration kReportInterval = std::chrono::seconds(1);
+static constexpr Duration kUrgentInterval = std::chrono::milliseconds(200);
+static constexpr Duration kVerdictLifetime = std::chrono::seconds(5);
+static constexpr Duration kVerdictRefresh = std::chrono::seconds(1);
+static constexpr Duration kReporterKept = std::chrono::seconds(10);
+// Without a verdict for this long after a report, a host judges by itself.
+static constexpr Duration kFallbackAfter = std::chrono::seconds(4);
+
+static wire::ServerVerdict::State ToWire(HealthState aState)
+{
+  switch (aState) {
+    case HealthState::kTrial:
+      return wire::ServerVerdict::TRIAL;
+    case HealthState::kRamp:
+      return wire::ServerVerdict::RAMP;
+    default:
+      return wire::ServerVerdict::EJECTED;
+  }
+}
+
+static HealthState FromWire(wire::ServerVerdict::State aState)
+{
+  switch (aState) {
+    case wire::ServerVerdict::TRIAL:
+      return HealthState::kTrial;
+    case wire::ServerVerdict::RAMP:
+      return HealthState::kRamp;
+    default:
+      return HealthState::kEjected;
+  }
+}
+
+ServicePlane::ServicePlane(ServicePlaneOptions aOptions,
+                           ServicePlaneHooks aHooks, Random aRandom)
+  : m_options(std::move(aOptions))
+  , m_hooks(std::move(aHooks))
+  , m_random(aRandom)
+{
+}
+
+ServicePlane::Service& ServicePlane::Open(const ServiceName& aName)
+{
+  Service& service = m_services[aName];
+  if (!service.router) {
+    RouterOptions options;
+    options.self = m_options.self;
+    options.region = m_options.region;
+    options.failureDomain = m_options.failureDomain;
+    options.retryBudget = m_options.routing.retryBudget;
+    service.router =
+      std::make_unique<ServiceRouter>(options, Random(m_random.Bits()));
+    service.arbiter = RendezvousFirst(aName.Value(), m_hooks.aliveHosts());
+    service.verdictDueBy = kNever;
+  }
+  return service;
+}
+
+void ServicePlane::UpdateServer(const BackendServer& aServer, TimePoint aNow)
+{
+  Service& service = Open(aServer.service);
+  if (aServer.state == ServerState::kGone) {
+    service.router->RemoveServer(aServer.id);
+  } else {
+    service.router->SetServer(aServer, aNow);
+  }
+  if (service.judge) {
+    service.judge->SetServers(service.router->JudgedServers(), aNow);
+  }
+}
+
+ServiceRouter* ServicePlane::Find(const ServiceName& aService)
+{
+  const auto it = m_services.find(aService);
+  return it == m_services.end() ? nullptr : it->second.router.get();
+}
+
+std::vector<ServiceName> ServicePlane::Services() const
+{
+  std::vector<ServiceName> names;
+  for (const auto& [name, service] : m_services) {
+    names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+bool ServicePlane::IsArbiter(const ServiceName& aService) const
+{
+  const auto it = m_services.find(aService);
+  return it != m_services.end() && it->second.judge != nullptr;
+}
+
+void ServicePlane::HostsChanged()
+{
+  m_hostsChanged = true;
+}
+
+// The new judge starts from the restrictions that this host follows, so that a
+// change of the arbiter brings no sick server back.
+void ServicePlane::StartJudging(Service& aService, TimePoint aNow)
+{
+  JudgeOptions options;
+  options.threshold = m_options.routing.ejectionThreshold;
+  options.floor = m_options.routing.floor;
+  aService.judge = std::make_unique<HealthJudge>(options, m_hooks.record);
+  const std::vector<JudgedServer> servers = aService.router->JudgedServers();
+  aService.judge->SetServers(servers, aNow);
+  std::vector<ServerHealth> known;
+  for (const JudgedServer& server : servers) {
+    if (const ServerHealth* health =
+          aService.router->RestrictionOf(server.id)) {
+      known.push_back(*health);
+    }
+  }
+  aService.judge->Adopt(known, aNow);
+  aService.sentVersion.clear();
+}
+
+void ServicePlane::Tick(TimePoint aNow)
+{
+  m_quarantine.Tick(aNow);
+  const bool hostsChanged = std::exchange(m_hostsChanged, false);
+  std::vector<HostId> hosts;
+  if (hostsChanged) {
+    hosts = m_hooks.aliveHosts();
+  }
+  for (auto& [name, service] : m_services) {
+    if (hostsChanged) {
+      service.arbiter = RendezvousFirst(name.Value(), hosts);
+    }
+    const bool self = service.arbiter == m_options.self;
+    const bool verdictMissing = IsDue(service.verdictDueBy, aNow);
+    if (!service.judge && (self || verdictMissing)) {
+      service.fallback = !self;
+      StartJudging(service, aNow);
+      m_hooks.record(Event("judging_started")
+                       .With("service", name)
+                       .With("fallback", service.fallback ? 1 : 0));
+    } else if (service.judge && !self && !service.fallback) {
+      service.judge.reset();
+    } else if (self) {
+      service.fallback = false;
+    }
+    Report(name, service, aNow);
+    if (service.judge) {
+      TickJudge(name, service, aNow);
+    }
+  }
+}
+
+void ServicePlane::Report(const ServiceName& aName, Service& aService,
+                          TimePoint aNow)
+{
+  ServiceRouter& router = *aService.router;
+  const bool urgent = router.HasBadEvidence() && IsDue(aService.urgentAt, aNow);
+  const bool regular = router.HasEvidence() && IsDue(aService.reportAt, aNow);
+  if (!urgent && !regular) {
+    return;
+  }
+  aService.urgentAt = aNow + kUrgentInterval;
+  aService.reportAt = aNow + kReportInterval;
+  const std::vector<ReportedCounts> counts = router.TakeEvidence();
+  if (aService.judge) {
+    aService.judge->OnReport({ m_options.self, m_options.region }, counts,
+                             aNow);
+    aService.reporters[m_options.self] = aNow + kReporterKept;
+  }
+  if (aService.arbiter == m_options.self || aService.arbiter.IsEmpty()) {
+    return;
+  }
+  wire::Evidence evidence;
+  wire::EvidenceReport* report = evidence.add_reports();
+  report->set_service(aName.Value());
+  for (const ReportedCounts& item : counts) {
+    wire::ServerCounts* out = report->add_counts();
+    out->set_server(item.server.Value());
+    out->set_incarnation(item.incarnation);
+    const double good =
+      item.counts.total - item.counts.failures - item.counts.slow;
+    out->set_successes(static_cast<std::uint32_t>(std::max(0.0, good)));
+    out->set_failures(static_cast<std::uint32_t>(item.counts.failures));
+    out->set_slow(static_cast<std::uint32_t>(item.counts.slow));
+  }
+  m_hooks.send(aService.arbiter, evidence);
+  if (aService.verdictDueBy == kNever) {
+    aService.verdictDueBy = aNow + kFallbackAfter;
+  }
+}
+
+void ServicePlane::OnEvidence(const HostId& aFrom,
+                              const wire::Evidence& aEvidence, TimePoint aNow)
+{
+  for (const wire::EvidenceReport& report : aEvidence.reports()) {
+    OnReport(aFrom, report, aNow);
+  }
+  for (const wire::Verdict& verdict : aEvidence.verdicts()) {
+    OnVerdict(aFrom, verdict, aNow);
+  }
+  for (const wire::PoisonNotice& notice : aEvidence.poison()) {
+    OnPoison(aFrom, notice, aNow);
+  }
+}
+
+void ServicePlane::OnReport(const HostId& aFrom,
+                            const wire::EvidenceReport& aReport, TimePoint aNow)
+{
+  const auto it = m_services.find(ServiceName(aReport.service()));
+  if (it == m_services.end() || !it->second.judge ||
+      it->second.arbiter != m_options.self) {
+    return;
+  }
+  std::vector<ReportedCounts> counts;
+  for (const wire::ServerCounts& item : aReport.counts()) {
+    const double failures = item.failures();
+    const double slow = item.slow();
+    counts.push_back(
+      { BackendServerId(item.server()),
+        item.incarnation(),
+        { item.successes() + failures + slow, failures, slow } });
+  }
+  Service& service = it->second;
+  service.reporters[aFrom] = aNow + kReporterKept;
+  service.judge->OnReport({ aFrom, m_hooks.regionOf(aFrom) }, counts, aNow);
+  if (service.sentVersion.count(aFrom) == 0) {
+    SendVerdict(it->first, service, aFrom, aNow);
+  }
+}
+
+void ServicePlane::TickJudge(const ServiceName& aName, Service& aService,
+                             TimePoint aNow)
+{
+  aService.judge->Tick(aNow);
+  ApplyOwnVerdict(aService, aNow);
+  for (auto it = aService.reporters.begin(); it != aService.reporters.end();) {
+    if (IsDue(it->second, aNow)) {
+      aService.sentVersion.erase(it->first);
+      it = aService.reporters.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  if (aService.arbiter != m_options.self) {
+    return;
+  }
+  const bool refresh = IsDue(aService.refreshAt, aNow);
+  if (refresh) {
+    aService.refreshAt = aNow + kVerdictRefresh;
+  }
+  const std::uint64_t version = aService.judge->Version();
+  for (const auto& [host, until] : aService.reporters) {
+    const auto sent = aService.sentVersion.find(host);
+    const bool stale =
+      sent == aService.sentVersion.end() || sent->second != version;
+    if (host != m_options.self && (refresh || stale)) {
+      SendVerdict(aName, aService, host, aNow);
+    }
+  }
+}
+
+void ServicePlane::ApplyOwnVerdict(Service& aService, TimePoint aNow)
+{
+  aService.router->SetRestrictions(
+    aService.judge->Restricted(aNow),
+    static_cast<std::uint32_t>(aService.reporters.size()),
+    aNow + kVerdictLifetime);
+}
+
+void ServicePlane::SendVerdict(const ServiceName& aName, Service& aService,
+                               const HostId& aTo, TimePoint aNow)
+{
+  aService.sentVersion[aTo] = aService.judge->Version();
+  wire::Evidence evidence;
+  wire::Verdict* verdict = evidence.add_verdicts();
+  verdict->set_service(aName.Value());
+  verdict->set_version(aService.judge->Version());
+  verdict->set_reporters(static_cast<std::uint32_t>(aService.reporters.size()));
+  verdict->set_lifetime_us(kVerdictLifetime.count());
+  for (const ServerHealth& health : aService.judge->Restricted(aNow)) {
+    wire::ServerVerdict* server = verdict->add_servers();
+    server->set_server(health.id.Value());
+    server->set_incarnation(health.incarnation);
+    server->set_state(ToWire(health.state));
+    server->set_weight_permille(
+      static_cast<std::uint32_t>(health.weight * 1000));
+    server->set_cause(health.cause == SickCause::kSlow ? "slow" : "failures");
+  }
+  m_hooks.send(aTo, evidence);
+}
+
+void ServicePlane::OnVerdict(const HostId& aFrom, const wire::Verdict& aVerdict,
+                             TimePoint aNow)
+{
+  const auto it = m_services.find(ServiceName(aVerdict.service()));
+  // Only the arbiter that this host reports to decides for it; during a change
+  // two hosts may believe that they are the arbiter.
+  if (it == m_services.end() || it->second.arbiter != aFrom) {
+    return;
+  }
+  Service& service = it->second;
+  service.verdictDueBy = kNever;
+  if (service.fallback) {
+    service.fallback = false;
+    service.judge.reset();
+  }
+  std::vector<ServerHealth> health;
+  for (const wire::ServerVerdict& server : aVerdict.servers()) {
+    ServerHealth item;
+    item.id = BackendServerId(server.server());
+    item.incarnation = server.incarnation();
+    item.state = FromWire(server.state());
+    item.cause =
+      server.cause() == "slow" ? SickCause::kSlow : SickCause::kFailures;
+    item.weight = server.weight_permille() / 1000.0;
+    item.since = aNow;
+    if (const ServerHealth* known = service.router->RestrictionOf(item.id)) {
+      item.since = known->state == item.state ? known->since : aNow;
+    }
+    health.push_back(item);
+  }
+  service.router->SetRestrictions(health, aVerdict.reporters(),
+                                  aNow + Duration(aVerdict.lifetime_us()));
+}
+
+bool ServicePlane::OnBroken(const ServiceName& aService,
+                            Fingerprint aFingerprint,
+                            const BackendServerId& aServer, TimePoint aNow)
+{
+  const bool quarantined = m_quarantine.OnBroken(aFingerprint, aServer, aNow);
+  if (quarantined) {
+    m_hooks.record(Event("request_quarantined")
+                     .With("service", aService)
+                     .With("fingerprint", aFingerprint));
+    SharePoison(aService, aFingerprint, aNow);
+    return true;
+  }
+  const auto it = m_services.find(aService);
+  if (it != m_services.end() && it->second.arbiter != m_options.self &&
+      !it->second.arbiter.IsEmpty()) {
+    wire::Evidence evidence;
+    wire::PoisonNotice* notice = evidence.add_poison();
+    notice->set_fingerprint(aFingerprint.Value());
+    notice->set_broken_server(aServer.Value());
+    notice->set_service(aService.Value());
+    m_hooks.send(it->second.arbiter, evidence);
+  }
+  return m_quarantine.IsQuarantined(aFingerprint, aNow);
+}
+
+// The arbiter passes the notice on to all hosts that report on the service.
+void ServicePlane::SharePoison(const ServiceName& aService,
+                               Fingerprint aFingerprint, TimePoint aNow)
+{
+  const auto it = m_services.find(aService);
+  if (it == m_services.end()) {
+    return;
+  }
+  wire::Evidence evidence;
+  wire::PoisonNotice* notice = evidence.add_poison();
+  notice->set_fingerprint(aFingerprint.Value());
+  notice->set_service(aService.Value());
+  notice->set_remaining_us((m_quarantine.Until(aFingerprint) - aNow).count());
+  if (it->second.arbiter != m_options.self) {
+    m_hooks.send(it->second.arbiter, evidence);
+    return;
+  }
+  for (const auto& [host, until] : it->second.reporters) {
+    if (host != m_options.self) {
+      m_hooks.send(host, evidence);
+    }
+  }
+}
+
+void ServicePlane::OnPoison(const HostId& aFrom,
+                            const wire::PoisonNotice& aNotice, TimePoint aNow)
+{
+  const ServiceName service(aNotice.service());
+  const Fingerprint fingerprint(aNotice.fingerprint());
+  const auto it = m_services.find(service);
+  const bool arbiter =
+    it != m_services.end() && it->second.arbiter == m_options.self;
+  if (!aNotice.broken_server().empty()) {
+    const bool fresh = m_quarantine.OnBroken(
+      fingerprint, BackendServerId(aNotice.broken_server()), aNow);
+    if (arbiter && fresh) {
+      SharePoison(service, fingerprint, aNow);
+    }
+    return;
+  }
+  const bool known = m_quarantine.IsQuarantined(fingerprint, aNow);
+  m_quarantine.Adopt(fingerprint, aNow + Duration(aNotice.remaining_us()));
+  if (arbiter && !known && aFrom != m_options.self) {
+    SharePoison(service, fingerprint, aNow);
+  }
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/service_plane.h
@@ -0,0 +1,112 @@
+// The services of one entry host: a router for each, the judge of those that
+// this host arbitrates, and the exchange of evidence and verdicts.
+//
+// The arbiter of a service is the live entry host that ranks first by
+// rendezvous hashing. A host that hears no verdict for a while although it
+// reports judges by its own evidence until it does.
+//
+//   plane.UpdateServer(server, now);
+//   ServiceRouter* router = plane.Find(service);
+//   plane.Tick(now);
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "base/event.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/directory.h"
+#include "routing/health_judge.h"
+#include "routing/quarantine.h"
+#include "routing/service_router.h"
+#include "settings/settings.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+struct ServicePlaneOptions
+{
+  HostId self;
+  Region region;
+  FailureDomain failureDomain;
+  RoutingSettings routing;
+};
+
+struct ServicePlaneHooks
+{
+  std::function<void(const HostId&, const wire::Evidence&)> send;
+  std::function<std::vector<HostId>()> aliveHosts;
+  std::function<Region(const HostId&)> regionOf;
+  EventHook record;
+};
+
+class ServicePlane
+{
+public:
+  ServicePlane(ServicePlaneOptions aOptions, ServicePlaneHooks aHooks,
+               Random aRandom);
+
+  void UpdateServer(const BackendServer& aServer, TimePoint aNow);
+  // Null when no backend server of the service ever announced itself.
+  ServiceRouter* Find(const ServiceName& aService);
+  void OnEvidence(const HostId& aFrom, const wire::Evidence& aEvidence,
+                  TimePoint aNow);
+  void Tick(TimePoint aNow);
+  // The set of live hosts changed.
+  void HostsChanged();
+
+  // A connection broke under this request; returns whether it is quarantined.
+  bool OnBroken(const ServiceName& aService, Fingerprint aFingerprint,
+                const BackendServerId& aServer, TimePoint aNow);
+  Quarantine& Poison() { return m_quarantine; }
+
+  std::vector<ServiceName> Services() const;
+  bool IsArbiter(const ServiceName& aService) const;
+
+private:
+  struct Service
+  {
+    std::unique_ptr<ServiceRouter> router;
+    HostId arbiter;
+    // Set while this host judges the service.
+    std::unique_ptr<HealthJudge> judge;
+    std::map<HostId, TimePoint> reporters; // heard from until
+    std::map<HostId, std::uint64_t> sentVersion;
+    TimePoint reportAt;
+    TimePoint urgentAt;
+    TimePoint refreshAt;
+    TimePoint verdictDueBy; // kNever until a report awaits its verdict
+    bool fallback = false;
+  };
+
+  Service& Open(const ServiceName& aName);
+  void StartJudging(Service& aService, TimePoint aNow);
+  void Report(const ServiceName& aName, Service& aService, TimePoint aNow);
+  void TickJudge(const ServiceName& aName, Service& aService, TimePoint aNow);
+  void SendVerdict(const ServiceName& aName, Service& aService,
+                   const HostId& aTo, TimePoint aNow);
+  void OnReport(const HostId& aFrom, const wire::EvidenceReport& aReport,
+                TimePoint aNow);
+  void OnVerdict(const HostId& aFrom, const wire::Verdict& aVerdict,
+                 TimePoint aNow);
+  void OnPoison(const HostId& aFrom, const wire::PoisonNotice& aNotice,
+                TimePoint aNow);
+  void SharePoison(const ServiceName& aService, Fingerprint aFingerprint,
+                   TimePoint aNow);
+  void ApplyOwnVerdict(Service& aService, TimePoint aNow);
+
+  ServicePlaneOptions m_options;
+  ServicePlaneHooks m_hooks;
+  Random m_random;
+  std::unordered_map<ServiceName, Service> m_services;
+  Quarantine m_quarantine;
+  bool m_hostsChanged = true;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/observe/event_log.h
@@ -0,0 +1,43 @@
+// Writes events as lines of key=value pairs through log4cplus.
+//
+// Each line has the host, its incarnation, a sequence number and the causal
+// clock, from which the time line over all processes is built.
+//
+//   EventLog log(host, incarnation, "INFO", clock);
+//   log.Write(Event("leader_elected").With("term", 7));
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+
+#include "base/event.h"
+#include "base/ids.h"
+#include "observe/causal_clock.h"
+
+namespace fuchsiaramp {
+
+// "key=value", quoted when the value needs it.
+std::string FormatField(const std::string& aKey, const std::string& aValue);
+
+class EventLog
+{
+public:
+  // aLevel: DEBUG, INFO, WARN or ERROR. Lines go to standard output.
+  EventLog(HostId aHost, std::uint64_t aIncarnation, const std::string& aLevel,
+           CausalClock& aClock);
+
+  void Write(const Event& aEvent);
+
+private:
+  log4cplus::Initializer m_initializer;
+  log4cplus::Logger m_logger;
+  std::string m_host;
+  std::uint64_t m_incarnation;
+  std::uint64_t m_sequence = 0;
+  CausalClock& m_clock;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/routing/decayed_counts.h
@@ -0,0 +1,62 @@
+// Counts of outcomes that fade with a half-life.
+//
+//   DecayedCounts counts;
+//   counts.Add({ 10, 1, 0 }, now);
+//   double rate = counts.At(now).failures / counts.At(now).total;
+#pragma once
+
+#include <cmath>
+
+#include "base/time.h"
+
+namespace fuchsiaramp {
+
+// Outcomes of requests; slow ones are among the total, not among the failures.
+struct OutcomeCounts
+{
+  double total = 0.0;
+  double failures = 0.0;
+  double slow = 0.0;
+
+  OutcomeCounts& operator+=(const OutcomeCounts& aOther)
+  {
+    total += aOther.total;
+    failures += aOther.failures;
+    slow += aOther.slow;
+    return *this;
+  }
+  OutcomeCounts& operator-=(const OutcomeCounts& aOther)
+  {
+    total -= aOther.total;
+    failures -= aOther.failures;
+    slow -= aOther.slow;
+    return *this;
+  }
+};
+
+class DecayedCounts
+{
+public:
+  static constexpr Duration kHalfLife = std::chrono::seconds(10);
+
+  void Add(const OutcomeCounts& aCounts, TimePoint aNow)
+  {
+    m_counts = At(aNow);
+    m_at = aNow;
+    m_counts += aCounts;
+  }
+
+  OutcomeCounts At(TimePoint aNow) const
+  {
+    const double factor =
+      std::exp2(-ToSeconds(aNow - m_at) / ToSeconds(kHalfLife));
+    return { m_counts.total * factor, m_counts.failures * factor,
+             m_counts.slow * factor };
+  }
+
+private:
+  OutcomeCounts m_counts;
+  TimePoint m_at;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/routing/health_judge.h
@@ -0,0 +1,168 @@
+// Judges the backend servers of one service by the outcomes of real requests,
+// as the arbiter of that service.
+//
+// Entry hosts report counts per server. For each server a cumulative sum of
+// log-likelihood ratios compares its failures and slow answers with those of
+// the rest of the service as the same reporter sees it, leaving out the server
+// that is judged. A sum over the threshold ejects the server, unless the
+// evidence points to the path from some hosts, or the floor would be crossed.
+//
+//   HealthJudge judge(options, record);
+//   judge.SetServers(servers, now);
+//   judge.OnReport(reporter, counts, now);
+//   judge.Tick(now);
+//   for (const ServerHealth& health : judge.Restricted(now)) { ... }
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/event.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "routing/decayed_counts.h"
+
+namespace fuchsiaramp {
+
+struct JudgeOptions
+{
+  double threshold = 8.0; // log-likelihood ratio
+  double floor = 0.6;     // share of slots that ejection leaves in use
+  Duration firstEjection = std::chrono::seconds(8);
+  Duration longestEjection = std::chrono::minutes(5);
+  Duration flapMemory = std::chrono::minutes(10);
+  Duration ramp = std::chrono::seconds(10);
+  // A server that started within this span is not judged by latency.
+  Duration coldStart = std::chrono::seconds(10);
+};
+
+// A server of the service that is announced and not leaving.
+struct JudgedServer
+{
+  BackendServerId id;
+  std::uint64_t incarnation = 0;
+  std::uint32_t slots = 1;
+};
+
+// Who reported: evidence is compared between hosts and between regions.
+struct Reporter
+{
+  HostId host;
+  Region region;
+};
+
+struct ReportedCounts
+{
+  BackendServerId server;
+  std::uint64_t incarnation = 0;
+  OutcomeCounts counts;
+};
+
+enum class HealthState
+{
+  kInUse,
+  kEjected,
+  kTrial,
+  kRamp,
+};
+
+enum class SickCause
+{
+  kNone,
+  kFailures,
+  kSlow,
+};
+
+// A server that is not in full use.
+struct ServerHealth
+{
+  BackendServerId id;
+  std::uint64_t incarnation = 0;
+  HealthState state = HealthState::kInUse;
+  SickCause cause = SickCause::kNone;
+  double weight = 1.0; // share of its usual load
+  TimePoint since;
+};
+
+class HealthJudge
+{
+public:
+  HealthJudge(JudgeOptions aOptions, EventHook aRecord);
+
+  // Replaces the servers; a new incarnation starts without history.
+  void SetServers(const std::vector<JudgedServer>& aServers, TimePoint aNow);
+  void OnReport(const Reporter& aReporter,
+                const std::vector<ReportedCounts>& aCounts, TimePoint aNow);
+  void Tick(TimePoint aNow);
+  // Takes over what another arbiter decided.
+  void Adopt(const std::vector<ServerHealth>& aHealth, TimePoint aNow);
+
+  std::vector<ServerHealth> Restricted(TimePoint aNow) const;
+  // Grows with each change of a state.
+  std::uint64_t Version() const { return m_version; }
+
+private:
+  static constexpr std::size_t kAlternatives = 3;
+
+  struct ServerRecord
+  {
+    JudgedServer server;
+    TimePoint firstSeen;
+    HealthState state = HealthState::kInUse;
+    SickCause cause = SickCause::kNone;
+    TimePoint since;
+    TimePoint until; // end of the ejection or ramp
+    int ejections = 0;
+    TimePoint forgetEjectionsAt;
+    double trialScore = 0.0;
+    double sickness = 0.0; // rate of bad outcomes when it was ejected
+    std::array<double, kAlternatives> failureSums{};
+    double slowSum = 0.0;
+    // Positive evidence per reporter since the sums were last zero.
+    std::map<HostId, double> evidence;
+    std::map<HostId, DecayedCounts> byReporter;
+  };
+
+  struct ReporterRecord
+  {
+    Region region;
+    DecayedCounts total;
+  };
+
+  struct Baseline
+  {
+    double failures = 0.0;
+    double slow = 0.0;
+  };
+
+  Baseline BaselineFor(const HostId& aReporter, const ServerRecord& aServer,
+                       TimePoint aNow) const;
+  void AddEvidence(const HostId& aReporter, ServerRecord& aServer,
+                   const OutcomeCounts& aCounts, TimePoint aNow);
+  void AddTrialEvidence(ServerRecord& aServer, const OutcomeCounts& aCounts);
+  double Score(const ServerRecord& aServer) const;
+  bool IsSuspect(const ServerRecord& aServer) const;
+  bool IsPathTrouble(const ServerRecord& aServer, TimePoint aNow) const;
+  void Consider(ServerRecord& aServer, TimePoint aNow);
+  void Eject(ServerRecord& aServer, TimePoint aNow);
+  void Reinstate(ServerRecord& aServer, TimePoint aNow, const char* aWhy);
+  void ClearEvidence(ServerRecord& aServer);
+  void KeepFloor(TimePoint aNow);
+  bool MakeRoom(const ServerRecord& aCandidate, TimePoint aNow);
+  std::uint64_t TotalSlots() const;
+  std::uint64_t RemovedSlots() const;
+  std::uint64_t RemovableSlots() const;
+  double BadRate(const ServerRecord& aServer, TimePoint aNow) const;
+
+  JudgeOptions m_options;
+  EventHook m_record;
+  std::map<BackendServerId, ServerRecord> m_servers;
+  std::map<HostId, ReporterRecord> m_reporters;
+  DecayedCounts m_all;
+  std::uint64_t m_version = 1;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/routing/service_router.cc
@@ -0,0 +1,335 @@
+#include "routing/service_router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "routing/rendezvous.h"
+
+namespace fuchsiaramp {
+
+static constexpr double kSmoothing = 0.1; // weight of the newest outcome
+static constexpr double kFailurePenalty = 10.0;
+static constexpr double kLoadHalfLifeSeconds = 0.2;
+static constexpr Duration kAvoidRefused = std::chrono::milliseconds(500);
+static constexpr Duration kBrokenBurst = std::chrono::milliseconds(250);
+static constexpr Duration kColdStart = std::chrono::seconds(10);
+static constexpr double kColdStartWeight = 0.25;
+// Trial requests a second to one server over all entry hosts.
+static constexpr double kTrialRate = 4.0;
+static constexpr double kRemoteFrom = 0.95; // load of the best server nearby
+static constexpr double kOtherDomainPenalty = 1.1;
+
+ServiceRouter::ServiceRouter(RouterOptions aOptions, Random aRandom)
+  : m_options(std::move(aOptions))
+  , m_random(aRandom)
+  , m_retries(m_options.retryBudget)
+{
+}
+
+void ServiceRouter::SetServer(const BackendServer& aServer, TimePoint aNow)
+{
+  const auto known = m_servers.find(aServer.id);
+  const bool same = known != m_servers.end() &&
+                    known->second.server.incarnation == aServer.incarnation;
+  ServerView& view = m_servers[aServer.id];
+  if (!same) {
+    const std::uint32_t outstanding = view.outstanding;
+    view = ServerView();
+    view.outstanding = outstanding;
+    view.firstSeen = aNow;
+  }
+  view.server = aServer;
+  UpdateSubset();
+}
+
+void ServiceRouter::RemoveServer(const BackendServerId& aServer)
+{
+  m_servers.erase(aServer);
+  UpdateSubset();
+}
+
+// Each host uses a fixed subset of a large service, so that connections to a
+// server stay within its limit when thousands of hosts exist. Ranking servers
+// by a hash with the host's name spreads the hosts evenly.
+void ServiceRouter::UpdateSubset()
+{
+  if (m_servers.size() <= m_options.subsetSize) {
+    for (auto& [id, view] : m_servers) {
+      view.inSubset = true;
+    }
+    return;
+  }
+  std::vector<BackendServerId> ids;
+  for (auto& [id, view] : m_servers) {
+    view.inSubset = false;
+    ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const BackendServerId& id :
+       RendezvousTop(m_options.self.Value(), ids, m_options.subsetSize)) {
+    m_servers[id].inSubset = true;
+  }
+}
+
+bool ServiceRouter::IsEligible(ServerView& aView, const ChoiceRequest& aRequest,
+                               TimePoint aNow)
+{
+  if (!aView.inSubset || aView.server.state != ServerState::kUp ||
+      !IsDue(aView.avoidUntil, aNow) ||
+      aView.outstanding >= aView.server.slots ||
+      aRequest.excluded.count(aView.server.id) != 0) {
+    return false;
+  }
+  double weight = 1.0;
+  if (aView.restriction) {
+    weight = aView.restriction->state == HealthState::kRamp
+               ? aView.restriction->weight
+               : 0.0;
+  }
+  const Duration age = aNow - aView.firstSeen;
+  if (age < kColdStart) {
+    weight *= kColdStartWeight +
+              (1.0 - kColdStartWeight) * ToSeconds(age) / ToSeconds(kColdStart);
+  }
+  return weight >= 1.0 || m_random.Chance(weight);
+}
+
+std::optional<BackendServerId> ServiceRouter::ChooseTrial(
+  const ChoiceRequest& aRequest, TimePoint aNow)
+{
+  if (!aRequest.repeatable || !aRequest.excluded.empty()) {
+    return std::nullopt;
+  }
+  for (auto& [id, view] : m_servers) {
+    const bool trial = view.inSubset && view.restriction &&
+                       view.restriction->state == HealthState::kTrial &&
+                       view.server.state == ServerState::kUp;
+    if (!trial || !IsDue(view.trialAt, aNow) || view.outstanding > 0) {
+      continue;
+    }
+    const double interval = static_cast<double>(m_reporters) / kTrialRate;
+    view.trialAt = aNow + FromSeconds(interval * (0.5 + m_random.Unit()));
+    return id;
+  }
+  return std::nullopt;
+}
+
+std::optional<BackendServerId> ServiceRouter::Choose(
+  const ChoiceRequest& aRequest, TimePoint aNow)
+{
+  if (const auto trial = ChooseTrial(aRequest, aNow)) {
+    return trial;
+  }
+  std::vector<ServerView*> near;
+  std::vector<ServerView*> far;
+  for (auto& [id, view] : m_servers) {
+    if (IsEligible(view, aRequest, aNow)) {
+      const bool sameRegion = view.server.region == m_options.region;
+      (sameRegion ? near : far).push_back(&view);
+    }
+  }
+  ServerView* best = BestOfTwo(near, aNow);
+  if (best == nullptr || Load(*best, aNow) >= kRemoteFrom) {
+    ServerView* remote = BestOfTwo(far, aNow);
+    const bool better =
+      remote != nullptr &&
+      (best == nullptr || Load(*remote, aNow) < Load(*best, aNow) - 0.5);
+    best = better ? remote : best;
+  }
+  return best == nullptr ? std::nullopt
+                         : std::optional<BackendServerId>(best->server.id);
+}
+
+ServiceRouter::ServerView* ServiceRouter::BestOfTwo(
+  const std::vector<ServerView*>& aViews, TimePoint aNow)
+{
+  if (aViews.empty()) {
+    return nullptr;
+  }
+  ServerView* first = aViews[m_random.Below(aViews.size())];
+  ServerView* second = aViews[m_random.Below(aViews.size())];
+  return Score(*first, aNow) <= Score(*second, aNow) ? first : second;
+}
+
+// Share of the server's slots that are taken, by this host's own requests and,
+// as a hint that ages, by those of others.
+double ServiceRouter::Load(const ServerView& aView, TimePoint aNow) const
+{
+  const double age = ToSeconds(aNow - aView.othersLoadAt);
+  const double others =
+    aView.othersLoad * std::exp2(-age / kLoadHalfLifeSeconds);
+  return (aView.outstanding + others) / aView.server.slots;
+}
+
+double ServiceRouter::Score(const ServerView& aView, TimePoint aNow) const
+{
+  const double free = 1.0 / aView.server.slots;
+  double score = Load(aView, aNow) + free;
+  score *= 1.0 + kFailurePenalty * aView.failureRate;
+  if (aView.server.failureDomain != m_options.failureDomain) {
+    score *= kOtherDomainPenalty;
+  }
+  return score;
+}
+
+void ServiceRouter::OnStarted(const BackendServerId& aServer)
+{
+  ++m_servers[aServer].outstanding;
+  ++m_outstanding;
+}
+
+void ServiceRouter::OnFinished(const BackendServerId& aServer,
+                               const AttemptReport& aReport, TimePoint aNow)
+{
+  m_outstanding -= m_outstanding > 0 ? 1 : 0;
+  const auto it = m_servers.find(aServer);
+  if (it == m_servers.end()) {
+    return;
+  }
+  ServerView& view = it->second;
+  view.outstanding -= view.outstanding > 0 ? 1 : 0;
+  if (aReport.reportedLoad) {
+    const double own = view.outstanding + 1.0;
+    view.othersLoad = std::max(0.0, *aReport.reportedLoad - own);
+    view.othersLoadAt = aNow;
+  }
+  switch (aReport.outcome) {
+    case AttemptOutcome::kSuccess: {
+      view.failureRate *= 1.0 - kSmoothing;
+      const bool slow = aReport.latency > m_latency.SlowThreshold();
+      if (!aReport.countedAsSlow) {
+        view.counts.total += 1.0;
+        view.counts.slow += slow ? 1.0 : 0.0;
+        m_hasBadEvidence = m_hasBadEvidence || slow;
+      }
+      m_latency.Add(aReport.latency);
+      m_hasEvidence = true;
+      break;
+    }
+    case AttemptOutcome::kServerError:
+    case AttemptOutcome::kTimeout:
+      CountFailure(view);
+      break;
+    case AttemptOutcome::kRefused:
+      view.avoidUntil = aNow + kAvoidRefused;
+      CountFailure(view);
+      break;
+    case AttemptOutcome::kShed:
+      // The server is full whatever this host knew; it is not sick.
+      view.othersLoad = view.server.slots;
+      view.othersLoadAt = aNow;
+      break;
+    case AttemptOutcome::kBroken:
+      // Counted by CountBroken once the request itself is cleared.
+      view.failureRate += kSmoothing * (1.0 - view.failureRate);
+      break;
+    case AttemptOutcome::kNotRun:
+    case AttemptOutcome::kNothingWritten:
+    case AttemptOutcome::kSilent:
+    case AttemptOutcome::kCancelled:
+      break;
+  }
+}
+
+void ServiceRouter::CountFailure(ServerView& aView)
+{
+  aView.failureRate += kSmoothing * (1.0 - aView.failureRate);
+  aView.counts.total += 1.0;
+  aView.counts.failures += 1.0;
+  m_hasEvidence = true;
+  m_hasBadEvidence = true;
+}
+
+void ServiceRouter::OnOverdue(const BackendServerId& aServer, TimePoint)
+{
+  const auto it = m_servers.find(aServer);
+  if (it == m_servers.end()) {
+    return;
+  }
+  it->second.counts.total += 1.0;
+  it->second.counts.slow += 1.0;
+  m_hasEvidence = true;
+  m_hasBadEvidence = true;
+}
+
+// One crash breaks all requests that a server is running; together they are one
+// piece of evidence.
+void ServiceRouter::CountBroken(const BackendServerId& aServer, TimePoint aNow)
+{
+  const auto it = m_servers.find(aServer);
+  if (it == m_servers.end() || !IsDue(it->second.brokenCountedUntil, aNow)) {
+    return;
+  }
+  it->second.brokenCountedUntil = aNow + kBrokenBurst;
+  CountFailure(it->second);
+}
+
+void ServiceRouter::SetRestrictions(const std::vector<ServerHealth>& aHealth,
+                                    std::uint32_t aReporters, TimePoint aUntil)
+{
+  m_reporters = std::max(1U, aReporters);
+  m_verdictUntil = aUntil;
+  for (auto& [id, view] : m_servers) {
+    view.restriction.reset();
+  }
+  for (const ServerHealth& health : aHealth) {
+    const auto it = m_servers.find(health.id);
+    if (it != m_servers.end() &&
+        it->second.server.incarnation == health.incarnation) {
+      it->second.restriction = health;
+    }
+  }
+}
+
+std::vector<ReportedCounts> ServiceRouter::TakeEvidence()
+{
+  std::vector<ReportedCounts> evidence;
+  for (auto& [id, view] : m_servers) {
+    const OutcomeCounts& counts = view.counts;
+    if (counts.total != 0.0 || counts.slow != 0.0) {
+      evidence.push_back({ id, view.server.incarnation, counts });
+      view.counts = OutcomeCounts();
+    }
+  }
+  m_hasEvidence = false;
+  m_hasBadEvidence = false;
+  return evidence;
+}
+
+std::vector<JudgedServer> ServiceRouter::JudgedServers() const
+{
+  std::vector<JudgedServer> servers;
+  for (const auto& [id, view] : m_servers) {
+    if (view.server.state == ServerState::kUp) {
+      servers.push_back({ id, view.server.incarnation, view.server.slots });
+    }
+  }
+  return servers;
+}
+
+std::uint64_t ServiceRouter::TotalSlots() const
+{
+  std::uint64_t slots = 0;
+  for (const auto& [id, view] : m_servers) {
+    const bool used = view.server.state == ServerState::kUp && view.inSubset;
+    slots += used ? view.server.slots : 0;
+  }
+  return slots;
+}
+
+const BackendServer* ServiceRouter::Find(const BackendServerId& aServer) const
+{
+  const auto it = m_servers.find(aServer);
+  return it == m_servers.end() ? nullptr : &it->second.server;
+}
+
+const ServerHealth* ServiceRouter::RestrictionOf(
+  const BackendServerId& aServer) const
+{
+  const auto it = m_servers.find(aServer);
+  const bool restricted = it != m_servers.end() && it->second.restriction;
+  return restricted ? &*it->second.restriction : nullptr;
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/routing/service_router.h
@@ -0,0 +1,151 @@
+// Chooses backend servers of one service on one entry host, and counts the
+// evidence that goes to the service's arbiter.
+//
+//   ServiceRouter router(options, random);
+//   router.SetServer(server, now);
+//   if (auto id = router.Choose({ true, {} }, now)) {
+//     router.OnStarted(*id);
+//     ...
+//     router.OnFinished(*id, { AttemptOutcome::kSuccess, latency }, now);
+//   }
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/directory.h"
+#include "routing/health_judge.h"
+#include "routing/latency_tracker.h"
+#include "routing/retry_budget.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+enum class AttemptOutcome
+{
+  kSuccess,        // a whole answer that is no server error
+  kServerError,    // a whole answer with a 5xx status
+  kShed,           // the server refused for overload
+  kNotRun,         // the server said that it did not run the request
+  kRefused,        // no connection could be made
+  kNothingWritten, // the connection failed before a byte was written
+  kBroken,         // the connection broke after bytes were written
+  kTimeout,        // no whole answer in time on a connection known to work
+  kSilent,         // no byte in time on a connection that had been idle
+  kCancelled,      // given up for another reason
+};
+
+struct RouterOptions
+{
+  HostId self;
+  Region region;
+  FailureDomain failureDomain;
+  double retryBudget = 0.1;
+  std::size_t subsetSize = 32; // servers that one entry host uses
+};
+
+struct ChoiceRequest
+{
+  bool repeatable = true;
+  std::set<BackendServerId> excluded; // tried before by this request
+};
+
+struct AttemptReport
+{
+  AttemptOutcome outcome = AttemptOutcome::kSuccess;
+  Duration latency{};
+  // Requests that the server said it is running; empty when it said nothing.
+  std::optional<std::uint32_t> reportedLoad;
+  bool countedAsSlow = false; // OnOverdue was called for the attempt
+};
+
+class ServiceRouter
+{
+public:
+  ServiceRouter(RouterOptions aOptions, Random aRandom);
+
+  void SetServer(const BackendServer& aServer, TimePoint aNow);
+  void RemoveServer(const BackendServerId& aServer);
+
+  // A server with a free slot; empty when none is free now.
+  std::optional<BackendServerId> Choose(const ChoiceRequest& aRequest,
+                                        TimePoint aNow);
+  void OnStarted(const BackendServerId& aServer);
+  void OnFinished(const BackendServerId& aServer, const AttemptReport& aReport,
+                  TimePoint aNow);
+  // The attempt already takes longer than a slow answer.
+  void OnOverdue(const BackendServerId& aServer, TimePoint aNow);
+  // A broken connection turned out not to be the request's own fault.
+  void CountBroken(const BackendServerId& aServer, TimePoint aNow);
+
+  // Restrictions by the arbiter; they hold until aUntil.
+  void SetRestrictions(const std::vector<ServerHealth>& aHealth,
+                       std::uint32_t aReporters, TimePoint aUntil);
+  bool HasRestrictions(TimePoint aNow) const { return aNow < m_verdictUntil; }
+
+  // Counts since the last call.
+  std::vector<ReportedCounts> TakeEvidence();
+  bool HasEvidence() const { return m_hasEvidence; }
+  // Bad outcomes since the last call: the report should not wait.
+  bool HasBadEvidence() const { return m_hasBadEvidence; }
+
+  std::vector<JudgedServer> JudgedServers() const;
+  Duration SlowThreshold() const { return m_latency.SlowThreshold(); }
+  Duration LatencyQuantile(double aShare) const
+  {
+    return m_latency.Quantile(aShare);
+  }
+  RetryBudget& Retries() { return m_retries; }
+  bool HasServers() const { return !m_servers.empty(); }
+  std::uint64_t TotalSlots() const;
+  std::uint64_t Outstanding() const { return m_outstanding; }
+  const BackendServer* Find(const BackendServerId& aServer) const;
+  // What this host holds against a server; null when it is in full use.
+  const ServerHealth* RestrictionOf(const BackendServerId& aServer) const;
+
+private:
+  struct ServerView
+  {
+    BackendServer server;
+    TimePoint firstSeen;
+    bool inSubset = true;
+    std::uint32_t outstanding = 0;
+    double failureRate = 0.0; // smoothed, this host's own requests
+    double othersLoad = 0.0;  // requests of other hosts, from reported load
+    TimePoint othersLoadAt;
+    TimePoint avoidUntil;
+    TimePoint brokenCountedUntil;
+    TimePoint trialAt;
+    std::optional<ServerHealth> restriction;
+    OutcomeCounts counts;
+  };
+
+  bool IsEligible(ServerView& aView, const ChoiceRequest& aRequest,
+                  TimePoint aNow);
+  std::optional<BackendServerId> ChooseTrial(const ChoiceRequest& aRequest,
+                                             TimePoint aNow);
+  ServerView* BestOfTwo(const std::vector<ServerView*>& aViews, TimePoint aNow);
+  double Load(const ServerView& aView, TimePoint aNow) const;
+  double Score(const ServerView& aView, TimePoint aNow) const;
+  void CountFailure(ServerView& aView);
+  void UpdateSubset();
+
+  RouterOptions m_options;
+  Random m_random;
+  std::unordered_map<BackendServerId, ServerView> m_servers;
+  LatencyTracker m_latency;
+  RetryBudget m_retries;
+  std::uint64_t m_outstanding = 0;
+  std::uint32_t m_reporters = 1;
+  TimePoint m_verdictUntil;
+  bool m_hasEvidence = false;
+  bool m_hasBadEvidence = false;
+};
+
+} // namespace fuchsiaramp
--- a/packages/wire/freshness.cc
+++ b/packages/wire/freshness.cc
@@ -5,6 +5,7 @@
 namespace fuchsiaramp {
 
 static constexpr std::uint64_t kWindowBits = 64;
+static constexpr Duration kDelayWindow = std::chrono::minutes(5);
 
 bool FreshnessFilter::Accept(const wire::Envelope& aMessage, TimePoint aNow)
 {
@@ -14,13 +15,26 @@
     return false;
   }
   if (aMessage.incarnation() > sender.incarnation) {
-    sender = Sender{ aMessage.incarnation(), 0, 0, delay };
+    sender =
+      Sender{ aMessage.incarnation(), 0, 0, delay, delay, aNow + kDelayWindow };
   }
   if (!MarkSeen(sender, aMessage.sequence())) {
     return false;
   }
+  const std::int64_t smallest =
+    std::min({ sender.smallestDelay, sender.previousSmallest, delay });
+  if (delay - smallest > aMessage.ttl_us()) {
+    return false;
+  }
+  // The window moves on only with fresh messages, so that a long partition
+  // does not make the messages queued in it look fresh.
+  if (IsDue(sender.windowEnds, aNow)) {
+    sender.previousSmallest = sender.smallestDelay;
+    sender.smallestDelay = delay;
+    sender.windowEnds = aNow + kDelayWindow;
+  }
   sender.smallestDelay = std::min(sender.smallestDelay, delay);
-  return delay - sender.smallestDelay <= aMessage.ttl_us();
+  return true;
 }
 
 // Sequences outside the window count as seen: a replay must not pass, and a
