--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -218,7 +218,7 @@
   FinalAnswer answer;
   answer.request = aRequest.head.id;
   answer.reason = aReason;
-  answer.retryAfter = kRetrySoon;
+  answer.retryAfter = aRetryAfter;
   if (!aRequest.mayHaveRun) {
     if (aRequest.claimAttempt.empty()) {
       Answer(aRequest, std::move(answer), aNow);
--- a/packages/observe/metrics.h
+++ b/packages/observe/metrics.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <sstream>
 #include <string>
 
 #include <boost/accumulators/accumulators.hpp>
