--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -213,7 +213,8 @@
 }
 
 void EntryNode::GiveUp(Request& aRequest, const AttemptEnd* aEnd,
-                       const std::string& aReason, TimePoint aNow)
+                       const std::string& aReason, Duration aRetryAfter,
+                       TimePoint aNow)
 {
   FinalAnswer answer;
   answer.request = aRequest.head.id;
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -195,11 +195,8 @@
   bool Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow);
   bool OnBrokenConnection(Request& aRequest, const Attempt& aAttempt,
                           TimePoint aNow);
-  void GiveUp(Request& aRequest,
-              const AttemptEnd* aEnd,
-              const std::string& aReason,
-              Duration aRetryAfter,
-              TimePoint aNow);
+  void GiveUp(Request& aRequest, const AttemptEnd* aEnd,
+              const std::string& aReason, Duration aRetryAfter, TimePoint aNow);
   void CheckOverdue(TimePoint aNow);
   void Hedge(Request& aRequest, TimePoint aNow);
   void CancelAttempts(Request& aRequest, TimePoint aNow);
