--- a/packages/base/digest.cc
+++ b/packages/base/digest.cc
@@ -8,10 +8,12 @@
 
 namespace fuchsiaramp {
 
-std::string Sha256Hex(std::string_view aData)
+std::string
+Sha256Hex(std::string_view aData)
 {
   std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(reinterpret_cast<const unsigned char*>(aData.data()), aData.size(),
+  SHA256(reinterpret_cast<const unsigned char*>(aData.data()),
+         aData.size(),
          digest.data());
   static constexpr char kDigits[] = "0123456789abcdef";
   std::string text;
@@ -23,12 +25,14 @@
   return text;
 }
 
-std::uint64_t Hash64(std::string_view aData, std::uint64_t aSeed)
+std::uint64_t
+Hash64(std::string_view aData, std::uint64_t aSeed)
 {
   return XXH3_64bits_withSeed(aData.data(), aData.size(), aSeed);
 }
 
-bool EqualConstantTime(std::string_view aLeft, std::string_view aRight)
+bool
+EqualConstantTime(std::string_view aLeft, std::string_view aRight)
 {
   return aLeft.size() == aRight.size() &&
          CRYPTO_memcmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
--- a/packages/base/digest.h
+++ b/packages/base/digest.h
@@ -11,12 +11,15 @@
 namespace fuchsiaramp {
 
 // Lower-case hexadecimal SHA-256, 64 characters.
-std::string Sha256Hex(std::string_view aData);
+std::string
+Sha256Hex(std::string_view aData);
 
 // 64-bit non-cryptographic hash.
-std::uint64_t Hash64(std::string_view aData, std::uint64_t aSeed = 0);
+std::uint64_t
+Hash64(std::string_view aData, std::uint64_t aSeed = 0);
 
 // Compares without leaking the position of the first difference.
-bool EqualConstantTime(std::string_view aLeft, std::string_view aRight);
+bool
+EqualConstantTime(std::string_view aLeft, std::string_view aRight);
 
 } // namespace fuchsiaramp
--- a/packages/base/error.cc
+++ b/packages/base/error.cc
@@ -42,7 +42,8 @@
 
 } // namespace internal
 
-std::error_code make_error_code(ErrorCode aCode)
+std::error_code
+make_error_code(ErrorCode aCode)
 {
   static const internal::Category kCategory;
   return { static_cast<int>(aCode), kCategory };
--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -23,7 +23,8 @@
   kUnreachable,      // no connection could be made
 };
 
-std::error_code make_error_code(ErrorCode aCode);
+std::error_code
+make_error_code(ErrorCode aCode);
 
 } // namespace fuchsiaramp
 
--- a/packages/base/findings.cc
+++ b/packages/base/findings.cc
@@ -9,12 +9,14 @@
 {
 }
 
-void Findings::Add(Place aPlace, std::string aText)
+void
+Findings::Add(Place aPlace, std::string aText)
 {
   m_findings.push_back({ aPlace, std::move(aText) });
 }
 
-std::string Findings::Text() const
+std::string
+Findings::Text() const
 {
   std::string text;
   for (const Finding& finding : m_findings) {
--- a/packages/base/invariant.cc
+++ b/packages/base/invariant.cc
@@ -7,7 +7,8 @@
 namespace fuchsiaramp {
 namespace internal {
 
-static InvariantHandler& Handler()
+static InvariantHandler&
+Handler()
 {
   static InvariantHandler handler = [](const std::string& aText) {
     std::cerr << "event=invariant_violated text=\"" << aText << "\"\n";
@@ -18,12 +19,14 @@
 
 } // namespace internal
 
-void SetInvariantHandler(InvariantHandler aHandler)
+void
+SetInvariantHandler(InvariantHandler aHandler)
 {
   internal::Handler() = std::move(aHandler);
 }
 
-void CheckInvariant(bool aHolds, const char* aText)
+void
+CheckInvariant(bool aHolds, const char* aText)
 {
   if (!aHolds) {
     internal::Handler()(aText);
--- a/packages/base/invariant.h
+++ b/packages/base/invariant.h
@@ -15,9 +15,11 @@
 using InvariantHandler = std::function<void(const std::string& aText)>;
 
 // Replaces the handler; the default one writes the text and aborts.
-void SetInvariantHandler(InvariantHandler aHandler);
+void
+SetInvariantHandler(InvariantHandler aHandler);
 
 // Calls the handler when aHolds is false.
-void CheckInvariant(bool aHolds, const char* aText);
+void
+CheckInvariant(bool aHolds, const char* aText);
 
 } // namespace fuchsiaramp
--- a/packages/base/time.h
+++ b/packages/base/time.h
@@ -30,28 +30,33 @@
 inline constexpr TimePoint kNever = TimePoint::max();
 
 // Whether aDeadline has been reached at aNow.
-constexpr bool IsDue(TimePoint aDeadline, TimePoint aNow)
+constexpr bool
+IsDue(TimePoint aDeadline, TimePoint aNow)
 {
   return aDeadline <= aNow;
 }
 
 // Microseconds since the clock's origin.
-constexpr std::int64_t ToMicros(TimePoint aTime)
+constexpr std::int64_t
+ToMicros(TimePoint aTime)
 {
   return aTime.time_since_epoch().count();
 }
 
-constexpr TimePoint FromMicros(std::int64_t aMicros)
+constexpr TimePoint
+FromMicros(std::int64_t aMicros)
 {
   return TimePoint(Duration(aMicros));
 }
 
-constexpr double ToSeconds(Duration aSpan)
+constexpr double
+ToSeconds(Duration aSpan)
 {
   return static_cast<double>(aSpan.count()) / 1e6;
 }
 
-constexpr Duration FromSeconds(double aSeconds)
+constexpr Duration
+FromSeconds(double aSeconds)
 {
   return Duration(static_cast<Duration::rep>(aSeconds * 1e6));
 }
--- a/packages/consensus/bootstrap.cc
+++ b/packages/consensus/bootstrap.cc
@@ -17,17 +17,21 @@
 
 // Replies carry the disk id of the asker, so that a reply to the disk that this
 // host had before does not count.
-void Bootstrap::OnReply(const HostId& aFrom, const wire::RaftMessage& aReply,
-                        TimePoint aNow)
+void
+Bootstrap::OnReply(const HostId& aFrom,
+                   const wire::RaftMessage& aReply,
+                   TimePoint aNow)
 {
   if (aReply.to_disk() != m_self.diskId) {
     return;
   }
-  m_reports[aFrom] = { aReply.from_disk(), aReply.blank(),
+  m_reports[aFrom] = { aReply.from_disk(),
+                       aReply.blank(),
                        aNow + kReportLifetime };
 }
 
-bool Bootstrap::IsUnanimous(TimePoint aNow) const
+bool
+Bootstrap::IsUnanimous(TimePoint aNow) const
 {
   return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const HostId& aHost) {
     if (aHost == m_self.host) {
@@ -39,7 +43,8 @@
   });
 }
 
-wire::Configuration Bootstrap::InitialConfiguration() const
+wire::Configuration
+Bootstrap::InitialConfiguration() const
 {
   std::vector<HostId> hosts = m_hosts;
   std::sort(hosts.begin(), hosts.end());
@@ -54,7 +59,8 @@
   return configuration;
 }
 
-std::uint64_t Bootstrap::ClusterIdOf(const wire::Configuration& aConfiguration)
+std::uint64_t
+Bootstrap::ClusterIdOf(const wire::Configuration& aConfiguration)
 {
   std::string text;
   for (const wire::Member& member : aConfiguration.members()) {
--- a/packages/consensus/bootstrap.h
+++ b/packages/consensus/bootstrap.h
@@ -26,7 +26,8 @@
   // aHosts are the control hosts of the settings; aSelf is one of them.
   Bootstrap(MemberId aSelf, std::vector<HostId> aHosts);
 
-  void OnReply(const HostId& aFrom, const wire::RaftMessage& aReply,
+  void OnReply(const HostId& aFrom,
+               const wire::RaftMessage& aReply,
                TimePoint aNow);
   bool IsUnanimous(TimePoint aNow) const;
   wire::Configuration InitialConfiguration() const;
--- a/packages/consensus/configuration.cc
+++ b/packages/consensus/configuration.cc
@@ -4,25 +4,29 @@
 
 namespace fuchsiaramp {
 
-std::string ToText(const MemberId& aMember)
+std::string
+ToText(const MemberId& aMember)
 {
   return aMember.host.Value() + '/' + std::to_string(aMember.diskId);
 }
 
-MemberId IdOf(const wire::Member& aMember)
+MemberId
+IdOf(const wire::Member& aMember)
 {
   return { HostId(aMember.host()), aMember.disk_id() };
 }
 
-bool IsMember(const wire::Configuration& aConfiguration,
-              const MemberId& aMember)
+bool
+IsMember(const wire::Configuration& aConfiguration, const MemberId& aMember)
 {
   return std::any_of(
-    aConfiguration.members().begin(), aConfiguration.members().end(),
+    aConfiguration.members().begin(),
+    aConfiguration.members().end(),
     [&](const wire::Member& aOther) { return IdOf(aOther) == aMember; });
 }
 
-bool IsVoter(const wire::Configuration& aConfiguration, const MemberId& aMember)
+bool
+IsVoter(const wire::Configuration& aConfiguration, const MemberId& aMember)
 {
   return std::any_of(aConfiguration.members().begin(),
                      aConfiguration.members().end(),
@@ -31,17 +35,19 @@
                      });
 }
 
-std::size_t Quorum(const wire::Configuration& aConfiguration)
+std::size_t
+Quorum(const wire::Configuration& aConfiguration)
 {
-  const auto voters = std::count_if(
-    aConfiguration.members().begin(), aConfiguration.members().end(),
-    [](const wire::Member& aMember) { return aMember.voter(); });
+  const auto voters =
+    std::count_if(aConfiguration.members().begin(),
+                  aConfiguration.members().end(),
+                  [](const wire::Member& aMember) { return aMember.voter(); });
   return static_cast<std::size_t>(voters) / 2 + 1;
 }
 
-std::uint64_t QuorumValue(
-  const wire::Configuration& aConfiguration,
-  const std::function<std::uint64_t(const MemberId&)>& aValue)
+std::uint64_t
+QuorumValue(const wire::Configuration& aConfiguration,
+            const std::function<std::uint64_t(const MemberId&)>& aValue)
 {
   std::vector<std::uint64_t> values;
   for (const wire::Member& member : aConfiguration.members()) {
--- a/packages/consensus/configuration.h
+++ b/packages/consensus/configuration.h
@@ -28,21 +28,24 @@
 };
 
 // "host/disk id", the form that is stored for votes.
-std::string ToText(const MemberId& aMember);
+std::string
+ToText(const MemberId& aMember);
 
-MemberId IdOf(const wire::Member& aMember);
+MemberId
+IdOf(const wire::Member& aMember);
 
-bool IsMember(const wire::Configuration& aConfiguration,
-              const MemberId& aMember);
-bool IsVoter(const wire::Configuration& aConfiguration,
-             const MemberId& aMember);
+bool
+IsMember(const wire::Configuration& aConfiguration, const MemberId& aMember);
+bool
+IsVoter(const wire::Configuration& aConfiguration, const MemberId& aMember);
 
 // Number of voters that form a majority.
-std::size_t Quorum(const wire::Configuration& aConfiguration);
+std::size_t
+Quorum(const wire::Configuration& aConfiguration);
 
 // The largest value that a majority of the voters has reached.
-std::uint64_t QuorumValue(
-  const wire::Configuration& aConfiguration,
-  const std::function<std::uint64_t(const MemberId&)>& aValue);
+std::uint64_t
+QuorumValue(const wire::Configuration& aConfiguration,
+            const std::function<std::uint64_t(const MemberId&)>& aValue);
 
 } // namespace fuchsiaramp
--- a/packages/consensus/log.cc
+++ b/packages/consensus/log.cc
@@ -7,7 +7,8 @@
 
 namespace fuchsiaramp {
 
-Log::Log(std::uint64_t aSnapshotIndex, std::uint64_t aSnapshotTerm,
+Log::Log(std::uint64_t aSnapshotIndex,
+         std::uint64_t aSnapshotTerm,
          const std::vector<wire::LogEntry>& aEntries)
   : m_snapshotIndex(aSnapshotIndex)
   , m_snapshotTerm(aSnapshotTerm)
@@ -17,22 +18,26 @@
   }
 }
 
-std::uint64_t Log::FirstIndex() const
+std::uint64_t
+Log::FirstIndex() const
 {
   return m_entries.empty() ? m_snapshotIndex + 1 : m_entries.front().index();
 }
 
-std::uint64_t Log::LastIndex() const
+std::uint64_t
+Log::LastIndex() const
 {
   return m_entries.empty() ? m_snapshotIndex : m_entries.back().index();
 }
 
-std::uint64_t Log::LastTerm() const
+std::uint64_t
+Log::LastTerm() const
 {
   return m_entries.empty() ? m_snapshotTerm : m_entries.back().term();
 }
 
-std::optional<std::uint64_t> Log::TermAt(std::uint64_t aIndex) const
+std::optional<std::uint64_t>
+Log::TermAt(std::uint64_t aIndex) const
 {
   if (aIndex == m_snapshotIndex) {
     return m_snapshotTerm;
@@ -43,14 +48,16 @@
   return At(aIndex).term();
 }
 
-const wire::LogEntry& Log::At(std::uint64_t aIndex) const
+const wire::LogEntry&
+Log::At(std::uint64_t aIndex) const
 {
   CheckInvariant(aIndex >= FirstIndex() && aIndex <= LastIndex(),
                  "an entry that is read is held by the log");
   return m_entries[aIndex - FirstIndex()];
 }
 
-std::vector<wire::LogEntry> Log::From(std::uint64_t aIndex) const
+std::vector<wire::LogEntry>
+Log::From(std::uint64_t aIndex) const
 {
   std::vector<wire::LogEntry> entries;
   const std::uint64_t first = std::max(aIndex, FirstIndex());
@@ -60,7 +67,8 @@
   return entries;
 }
 
-void Log::Append(wire::LogEntry aEntry)
+void
+Log::Append(wire::LogEntry aEntry)
 {
   CheckInvariant(m_entries.empty() ? aEntry.index() <= m_snapshotIndex + 1
                                    : aEntry.index() == LastIndex() + 1,
@@ -68,7 +76,8 @@
   m_entries.push_back(std::move(aEntry));
 }
 
-void Log::TruncateFrom(std::uint64_t aIndex)
+void
+Log::TruncateFrom(std::uint64_t aIndex)
 {
   CheckInvariant(aIndex > m_snapshotIndex,
                  "entries covered by a snapshot are never truncated");
@@ -77,8 +86,8 @@
   }
 }
 
-void Log::Compact(std::uint64_t aIndex, std::uint64_t aTerm,
-                  std::uint64_t aKeepFrom)
+void
+Log::Compact(std::uint64_t aIndex, std::uint64_t aTerm, std::uint64_t aKeepFrom)
 {
   m_snapshotIndex = aIndex;
   m_snapshotTerm = aTerm;
@@ -88,7 +97,8 @@
   }
 }
 
-void Log::Reset(std::uint64_t aIndex, std::uint64_t aTerm)
+void
+Log::Reset(std::uint64_t aIndex, std::uint64_t aTerm)
 {
   m_entries.clear();
   m_snapshotIndex = aIndex;
--- a/packages/consensus/log.h
+++ b/packages/consensus/log.h
@@ -19,7 +19,8 @@
 class Log
 {
 public:
-  Log(std::uint64_t aSnapshotIndex, std::uint64_t aSnapshotTerm,
+  Log(std::uint64_t aSnapshotIndex,
+      std::uint64_t aSnapshotTerm,
       const std::vector<wire::LogEntry>& aEntries);
 
   std::uint64_t SnapshotIndex() const { return m_snapshotIndex; }
@@ -37,7 +38,8 @@
   void Append(wire::LogEntry aEntry);
   void TruncateFrom(std::uint64_t aIndex);
   // Records a snapshot at aIndex and drops entries before aKeepFrom.
-  void Compact(std::uint64_t aIndex, std::uint64_t aTerm,
+  void Compact(std::uint64_t aIndex,
+               std::uint64_t aTerm,
                std::uint64_t aKeepFrom);
   // Drops everything in favour of a snapshot received from the leader.
   void Reset(std::uint64_t aIndex, std::uint64_t aTerm);
--- a/packages/consensus/node.cc
+++ b/packages/consensus/node.cc
@@ -10,13 +10,17 @@
 
 static constexpr Duration kProbeInterval = std::chrono::milliseconds(300);
 
-Node::Node(NodeOptions aOptions, StoredState aStored, NodeHooks aHooks,
-           Random aRandom, TimePoint aNow)
+Node::Node(NodeOptions aOptions,
+           StoredState aStored,
+           NodeHooks aHooks,
+           Random aRandom,
+           TimePoint aNow)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
   , m_random(aRandom)
   , m_hardState(std::move(aStored.hardState))
-  , m_log(aStored.snapshotMeta.index(), aStored.snapshotMeta.term(),
+  , m_log(aStored.snapshotMeta.index(),
+          aStored.snapshotMeta.term(),
           aStored.entries)
   , m_snapshotData(std::make_shared<std::string>(std::move(aStored.snapshot)))
   , m_snapshotMeta(std::move(aStored.snapshotMeta))
@@ -36,13 +40,16 @@
   }
 }
 
-MemberId Node::Self() const
+MemberId
+Node::Self() const
 {
   return { m_options.self, m_hardState.disk_id() };
 }
 
-void Node::Step(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                TimePoint aNow)
+void
+Node::Step(const HostId& aFrom,
+           const wire::RaftMessage& aMessage,
+           TimePoint aNow)
 {
   if (m_stopped) {
     return;
@@ -92,7 +99,8 @@
   }
 }
 
-void Node::Tick(TimePoint aNow)
+void
+Node::Tick(TimePoint aNow)
 {
   if (m_stopped) {
     return;
@@ -142,7 +150,8 @@
   }
 }
 
-void Node::Propose(ProposalId aId, std::string aCommand)
+void
+Node::Propose(ProposalId aId, std::string aCommand)
 {
   if (m_stopped || !IsLeader() || m_transferring) {
     m_hooks.finished(aId, ProposalOutcome::kNotLeader, "");
@@ -158,7 +167,8 @@
   m_pending[m_log.LastIndex()] = { Term(), aId };
 }
 
-void Node::Flush(TimePoint aNow)
+void
+Node::Flush(TimePoint aNow)
 {
   if (m_stopped) {
     return;
@@ -180,7 +190,8 @@
   ApplyCommitted();
 }
 
-bool Node::Persist()
+bool
+Node::Persist()
 {
   if (!m_hardStateDirty && m_unsyncedFrom == 0) {
     return true;
@@ -199,7 +210,8 @@
   return true;
 }
 
-void Node::Stop(std::error_code aError)
+void
+Node::Stop(std::error_code aError)
 {
   m_stopped = true;
   m_out.clear();
@@ -208,7 +220,8 @@
   m_hooks.fatal(aError);
 }
 
-bool Node::HasLease(TimePoint aNow) const
+bool
+Node::HasLease(TimePoint aNow) const
 {
   if (m_stopped || m_role != NodeRole::kLeader || m_transferring) {
     return false;
@@ -228,7 +241,8 @@
 }
 
 // The latest time such that a majority acked messages sent then or later.
-std::uint64_t Node::QuorumSendTime() const
+std::uint64_t
+Node::QuorumSendTime() const
 {
   return QuorumValue(m_configuration, [this](const MemberId& aMember) {
     if (aMember == Self()) {
@@ -241,7 +255,8 @@
   });
 }
 
-wire::RaftMessage Node::Message(wire::RaftMessage::Kind aKind) const
+wire::RaftMessage
+Node::Message(wire::RaftMessage::Kind aKind) const
 {
   wire::RaftMessage message;
   message.set_kind(aKind);
@@ -253,8 +268,8 @@
   return message;
 }
 
-void Node::Send(const HostId& aTo, std::uint64_t aDisk,
-                wire::RaftMessage aMessage)
+void
+Node::Send(const HostId& aTo, std::uint64_t aDisk, wire::RaftMessage aMessage)
 {
   aMessage.set_to_disk(aDisk);
   m_out.push_back({ aTo, std::move(aMessage) });
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -76,10 +76,14 @@
 class Node
 {
 public:
-  Node(NodeOptions aOptions, StoredState aStored, NodeHooks aHooks,
-       Random aRandom, TimePoint aNow);
+  Node(NodeOptions aOptions,
+       StoredState aStored,
+       NodeHooks aHooks,
+       Random aRandom,
+       TimePoint aNow);
 
-  void Step(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void Step(const HostId& aFrom,
+            const wire::RaftMessage& aMessage,
             TimePoint aNow);
   void Tick(TimePoint aNow);
   void Propose(ProposalId aId, std::string aCommand);
@@ -142,13 +146,17 @@
   void StartPreVote(TimePoint aNow);
   void StartElection(TimePoint aNow, bool aTransfer);
   void CountVote(const MemberId& aFrom, TimePoint aNow);
-  void OnPreVote(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnPreVote(const HostId& aFrom,
+                 const wire::RaftMessage& aMessage,
                  TimePoint aNow);
-  void OnVote(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnVote(const HostId& aFrom,
+              const wire::RaftMessage& aMessage,
               TimePoint aNow);
-  void OnVoteReply(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnVoteReply(const HostId& aFrom,
+                   const wire::RaftMessage& aMessage,
                    TimePoint aNow);
-  void BecomeFollower(std::uint64_t aTerm, const HostId& aLeader,
+  void BecomeFollower(std::uint64_t aTerm,
+                      const HostId& aLeader,
                       TimePoint aNow);
   void BecomeLeader(TimePoint aNow);
   bool HasRecentLeader(TimePoint aNow) const;
@@ -158,19 +166,24 @@
 
   // Replication.
   void SendAppend(const MemberId& aTo, Progress& aProgress, TimePoint aNow);
-  void SendSnapshotChunk(const MemberId& aTo, Progress& aProgress,
+  void SendSnapshotChunk(const MemberId& aTo,
+                         Progress& aProgress,
                          TimePoint aNow);
   void BroadcastAppends(TimePoint aNow);
-  void OnAppend(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnAppend(const HostId& aFrom,
+                const wire::RaftMessage& aMessage,
                 TimePoint aNow);
   std::uint64_t ConflictHint(std::uint64_t aIndex) const;
   void MergeEntries(const wire::RaftMessage& aMessage);
-  void OnAppendReply(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnAppendReply(const HostId& aFrom,
+                     const wire::RaftMessage& aMessage,
                      TimePoint aNow);
-  void OnSnapshot(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnSnapshot(const HostId& aFrom,
+                  const wire::RaftMessage& aMessage,
                   TimePoint aNow);
   void InstallSnapshot();
-  void OnSnapshotReply(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnSnapshotReply(const HostId& aFrom,
+                       const wire::RaftMessage& aMessage,
                        TimePoint aNow);
   void AppendLocal(wire::LogEntry aEntry);
   void AdvanceCommit();
@@ -179,9 +192,11 @@
   void FailPending();
 
   // Members.
-  void OnBlankProbe(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnBlankProbe(const HostId& aFrom,
+                    const wire::RaftMessage& aMessage,
                     TimePoint aNow);
-  void OnBlankReply(const HostId& aFrom, const wire::RaftMessage& aMessage,
+  void OnBlankReply(const HostId& aFrom,
+                    const wire::RaftMessage& aMessage,
                     TimePoint aNow);
   void FormGroup(const wire::Configuration& aConfiguration, TimePoint aNow);
   void ManageMembers(TimePoint aNow);
--- a/packages/consensus/node_election.cc
+++ b/packages/consensus/node_election.cc
@@ -5,7 +5,8 @@
 
 namespace fuchsiaramp {
 
-void Node::ResetElectionDeadline(TimePoint aNow)
+void
+Node::ResetElectionDeadline(TimePoint aNow)
 {
   const auto span =
     static_cast<std::uint64_t>(m_options.electionTimeout.count());
@@ -13,7 +14,8 @@
     aNow + m_options.electionTimeout + Duration(m_random.Below(span));
 }
 
-void Node::SetTerm(std::uint64_t aTerm)
+void
+Node::SetTerm(std::uint64_t aTerm)
 {
   CheckInvariant(aTerm >= Term(), "the term only grows");
   if (aTerm > Term()) {
@@ -23,8 +25,8 @@
   }
 }
 
-void Node::BecomeFollower(std::uint64_t aTerm, const HostId& aLeader,
-                          TimePoint aNow)
+void
+Node::BecomeFollower(std::uint64_t aTerm, const HostId& aLeader, TimePoint aNow)
 {
   const bool led = m_role == NodeRole::kLeader;
   SetTerm(aTerm);
@@ -42,7 +44,8 @@
 }
 
 // The current leader counts as recent for itself while a majority answers.
-bool Node::HasRecentLeader(TimePoint aNow) const
+bool
+Node::HasRecentLeader(TimePoint aNow) const
 {
   if (m_role == NodeRole::kLeader) {
     return HasLiveQuorum(m_configuration, aNow);
@@ -50,7 +53,8 @@
   return !IsDue(m_leaderContactUntil, aNow);
 }
 
-bool Node::IsUpToDate(const wire::RaftMessage& aMessage) const
+bool
+Node::IsUpToDate(const wire::RaftMessage& aMessage) const
 {
   if (aMessage.log_term() != m_log.LastTerm()) {
     return aMessage.log_term() > m_log.LastTerm();
@@ -60,7 +64,8 @@
 
 // Pre-votes change no term, so a member that hears nobody cannot disturb a
 // working group when its messages come through again.
-void Node::StartPreVote(TimePoint aNow)
+void
+Node::StartPreVote(TimePoint aNow)
 {
   m_role = NodeRole::kPreCandidate;
   m_leader = HostId();
@@ -78,7 +83,8 @@
   CountVote(Self(), aNow);
 }
 
-void Node::StartElection(TimePoint aNow, bool aTransfer)
+void
+Node::StartElection(TimePoint aNow, bool aTransfer)
 {
   m_role = NodeRole::kCandidate;
   m_leader = HostId();
@@ -100,7 +106,8 @@
   CountVote(Self(), aNow);
 }
 
-void Node::CountVote(const MemberId& aFrom, TimePoint aNow)
+void
+Node::CountVote(const MemberId& aFrom, TimePoint aNow)
 {
   if (!IsVoter(m_configuration, aFrom)) {
     return;
@@ -116,7 +123,8 @@
   }
 }
 
-void Node::BecomeLeader(TimePoint aNow)
+void
+Node::BecomeLeader(TimePoint aNow)
 {
   m_role = NodeRole::kLeader;
   m_leader = m_options.self;
@@ -137,8 +145,10 @@
                    .With("last_index", m_log.LastIndex()));
 }
 
-void Node::OnPreVote(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                     TimePoint aNow)
+void
+Node::OnPreVote(const HostId& aFrom,
+                const wire::RaftMessage& aMessage,
+                TimePoint aNow)
 {
   wire::RaftMessage reply = Message(wire::RaftMessage::PRE_VOTE_REPLY);
   const bool granted =
@@ -150,8 +160,10 @@
   Send(aFrom, aMessage.from_disk(), reply);
 }
 
-void Node::OnVote(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                  TimePoint aNow)
+void
+Node::OnVote(const HostId& aFrom,
+             const wire::RaftMessage& aMessage,
+             TimePoint aNow)
 {
   const bool transfer = aMessage.granted();
   if (!transfer && HasRecentLeader(aNow)) {
@@ -175,8 +187,10 @@
   Send(aFrom, aMessage.from_disk(), reply);
 }
 
-void Node::OnVoteReply(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                       TimePoint aNow)
+void
+Node::OnVoteReply(const HostId& aFrom,
+                  const wire::RaftMessage& aMessage,
+                  TimePoint aNow)
 {
   const bool preVote = aMessage.kind() == wire::RaftMessage::PRE_VOTE_REPLY;
   if (!aMessage.granted()) {
@@ -193,7 +207,8 @@
   }
 }
 
-void Node::TransferLeadership(TimePoint aNow)
+void
+Node::TransferLeadership(TimePoint aNow)
 {
   if (!IsLeader()) {
     return;
--- a/packages/consensus/node_members.cc
+++ b/packages/consensus/node_members.cc
@@ -11,8 +11,10 @@
 // A learner may become a voter when it lags by no more than this, in entries.
 static constexpr std::uint64_t kCaughtUpLag = 64;
 
-void Node::OnBlankProbe(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                        TimePoint aNow)
+void
+Node::OnBlankProbe(const HostId& aFrom,
+                   const wire::RaftMessage& aMessage,
+                   TimePoint aNow)
 {
   m_blankReports[aFrom] = { aMessage.from_disk(), aNow + kBlankReportLifetime };
   wire::RaftMessage reply = Message(wire::RaftMessage::BLANK_REPLY);
@@ -24,8 +26,10 @@
   Send(aFrom, aMessage.from_disk(), reply);
 }
 
-void Node::OnBlankReply(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                        TimePoint aNow)
+void
+Node::OnBlankReply(const HostId& aFrom,
+                   const wire::RaftMessage& aMessage,
+                   TimePoint aNow)
 {
   m_bootstrap.OnReply(aFrom, aMessage, aNow);
   const wire::Configuration& initial = aMessage.snapshot().configuration();
@@ -35,7 +39,8 @@
   }
 }
 
-void Node::FormGroup(const wire::Configuration& aConfiguration, TimePoint aNow)
+void
+Node::FormGroup(const wire::Configuration& aConfiguration, TimePoint aNow)
 {
   CheckInvariant(IsBlank(), "only a blank disk starts a new group");
   m_hardState.set_cluster_id(Bootstrap::ClusterIdOf(aConfiguration));
@@ -65,7 +70,8 @@
 // Members change without an operator: a host of the settings that reports a
 // blank disk becomes a learner, then replaces its former self as a voter, one
 // committed step at a time.
-void Node::ManageMembers(TimePoint aNow)
+void
+Node::ManageMembers(TimePoint aNow)
 {
   const bool settled = m_configurationIndex <= m_commit;
   const bool committedInTerm = m_log.TermAt(m_commit) == Term();
@@ -78,12 +84,14 @@
   RemoveUnnamedHost(aNow);
 }
 
-bool Node::AddReplacedHost(TimePoint aNow)
+bool
+Node::AddReplacedHost(TimePoint aNow)
 {
   for (const auto& [host, report] : m_blankReports) {
     const MemberId joining{ host, report.diskId };
-    const bool named = std::find(m_options.hosts.begin(), m_options.hosts.end(),
-                                 host) != m_options.hosts.end();
+    const bool named =
+      std::find(m_options.hosts.begin(), m_options.hosts.end(), host) !=
+      m_options.hosts.end();
     if (!named || IsDue(report.validUntil, aNow) ||
         IsMember(m_configuration, joining)) {
       continue;
@@ -104,7 +112,8 @@
   return false;
 }
 
-bool Node::RemoveOrPromote(TimePoint aNow)
+bool
+Node::RemoveOrPromote(TimePoint aNow)
 {
   for (const wire::Member& learner : m_configuration.members()) {
     const auto progress = m_progress.find(IdOf(learner));
@@ -137,12 +146,14 @@
   return false;
 }
 
-bool Node::RemoveUnnamedHost(TimePoint aNow)
+bool
+Node::RemoveUnnamedHost(TimePoint aNow)
 {
   for (const wire::Member& candidate : m_configuration.members()) {
     const bool named = std::any_of(
-      m_options.hosts.begin(), m_options.hosts.end(),
-      [&](const HostId& aHost) { return aHost.Value() == candidate.host(); });
+      m_options.hosts.begin(), m_options.hosts.end(), [&](const HostId& aHost) {
+        return aHost.Value() == candidate.host();
+      });
     if (named) {
       continue;
     }
@@ -160,8 +171,9 @@
   return false;
 }
 
-bool Node::HasLiveQuorum(const wire::Configuration& aConfiguration,
-                         TimePoint aNow) const
+bool
+Node::HasLiveQuorum(const wire::Configuration& aConfiguration,
+                    TimePoint aNow) const
 {
   std::size_t live = 0;
   for (const wire::Member& member : aConfiguration.members()) {
@@ -177,8 +189,9 @@
   return live >= Quorum(aConfiguration);
 }
 
-void Node::ProposeConfiguration(const wire::Configuration& aConfiguration,
-                                const char* aWhy)
+void
+Node::ProposeConfiguration(const wire::Configuration& aConfiguration,
+                           const char* aWhy)
 {
   wire::LogEntry entry;
   *entry.mutable_configuration() = aConfiguration;
@@ -191,7 +204,8 @@
 }
 
 // The newest configuration in the log is in force, committed or not.
-void Node::RecomputeConfiguration()
+void
+Node::RecomputeConfiguration()
 {
   m_configuration = m_snapshotMeta.configuration();
   m_configurationIndex = m_snapshotMeta.index();
@@ -204,7 +218,8 @@
   }
 }
 
-void Node::SyncProgress()
+void
+Node::SyncProgress()
 {
   std::map<MemberId, Progress> progress;
   for (const wire::Member& member : m_configuration.members()) {
--- a/packages/consensus/node_replication.cc
+++ b/packages/consensus/node_replication.cc
@@ -9,7 +9,8 @@
 static constexpr std::uint64_t kMaxInFlight = 8192; // entries per member
 static constexpr Duration kChunkRetry = std::chrono::milliseconds(500);
 
-void Node::AppendLocal(wire::LogEntry aEntry)
+void
+Node::AppendLocal(wire::LogEntry aEntry)
 {
   const std::uint64_t index = m_log.LastIndex() + 1;
   aEntry.set_index(index);
@@ -25,7 +26,8 @@
   m_broadcast = true;
 }
 
-void Node::BroadcastAppends(TimePoint aNow)
+void
+Node::BroadcastAppends(TimePoint aNow)
 {
   m_broadcast = false;
   for (auto& [member, progress] : m_progress) {
@@ -39,7 +41,8 @@
   }
 }
 
-void Node::SendAppend(const MemberId& aTo, Progress& aProgress, TimePoint aNow)
+void
+Node::SendAppend(const MemberId& aTo, Progress& aProgress, TimePoint aNow)
 {
   const std::uint64_t previous = aProgress.next - 1;
   const auto previousTerm = m_log.TermAt(previous);
@@ -65,8 +68,10 @@
   Send(aTo.host, aTo.diskId, std::move(message));
 }
 
-void Node::OnAppend(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                    TimePoint aNow)
+void
+Node::OnAppend(const HostId& aFrom,
+               const wire::RaftMessage& aMessage,
+               TimePoint aNow)
 {
   wire::RaftMessage reply = Message(wire::RaftMessage::APPEND_REPLY);
   reply.set_sent_at_us(aMessage.sent_at_us());
@@ -97,7 +102,8 @@
 }
 
 // Skips all entries of the conflicting term at once.
-std::uint64_t Node::ConflictHint(std::uint64_t aIndex) const
+std::uint64_t
+Node::ConflictHint(std::uint64_t aIndex) const
 {
   if (aIndex > m_log.LastIndex()) {
     return m_log.LastIndex();
@@ -110,7 +116,8 @@
   return hint;
 }
 
-void Node::MergeEntries(const wire::RaftMessage& aMessage)
+void
+Node::MergeEntries(const wire::RaftMessage& aMessage)
 {
   bool configurationChanged = false;
   for (const wire::LogEntry& entry : aMessage.entries()) {
@@ -136,8 +143,10 @@
   }
 }
 
-void Node::OnAppendReply(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                         TimePoint aNow)
+void
+Node::OnAppendReply(const HostId& aFrom,
+                    const wire::RaftMessage& aMessage,
+                    TimePoint aNow)
 {
   if (aMessage.term() > Term()) {
     BecomeFollower(aMessage.term(), HostId(), aNow);
@@ -164,8 +173,10 @@
   SendAppend(it->first, progress, aNow);
 }
 
-void Node::SendSnapshotChunk(const MemberId& aTo, Progress& aProgress,
-                             TimePoint aNow)
+void
+Node::SendSnapshotChunk(const MemberId& aTo,
+                        Progress& aProgress,
+                        TimePoint aNow)
 {
   const std::uint64_t offset =
     std::min<std::uint64_t>(*aProgress.snapshotOffset, m_snapshotData->size());
@@ -181,8 +192,10 @@
   Send(aTo.host, aTo.diskId, std::move(message));
 }
 
-void Node::OnSnapshot(const HostId& aFrom, const wire::RaftMessage& aMessage,
-                      TimePoint aNow)
+void
+Node::OnSnapshot(const HostId& aFrom,
+                 const wire::RaftMessage& aMessage,
+                 TimePoint aNow)
 {
   wire::RaftMessage reply = Message(wire::RaftMessage::SNAPSHOT_REPLY);
   reply.set_sent_at_us(aMessage.sent_at_us());
@@ -215,7 +228,8 @@
   Send(aFrom, aMessage.from_disk(), reply);
 }
 
-void Node::InstallSnapshot()
+void
+Node::InstallSnapshot()
 {
   const wire::SnapshotMeta meta = m_incoming->meta;
   m_snapshotData = std::make_shared<std::string>(std::move(m_incoming->data));
@@ -246,8 +260,10 @@
                    .With("bytes", m_snapshotData->size()));
 }
 
-void Node::OnSnapshotReply(const HostId& aFrom,
-                           const wire::RaftMessage& aMessage, TimePoint aNow)
+void
+Node::OnSnapshotReply(const HostId& aFrom,
+                      const wire::RaftMessage& aMessage,
+                      TimePoint aNow)
 {
   if (aMessage.term() > Term()) {
     BecomeFollower(aMessage.term(), HostId(), aNow);
@@ -276,7 +292,8 @@
   SendSnapshotChunk(it->first, progress, aNow);
 }
 
-void Node::AdvanceCommit()
+void
+Node::AdvanceCommit()
 {
   const std::uint64_t reached =
     QuorumValue(m_configuration, [this](const MemberId& aMember) {
@@ -292,7 +309,8 @@
   }
 }
 
-void Node::ApplyCommitted()
+void
+Node::ApplyCommitted()
 {
   while (m_applied < m_commit && !m_stopped) {
     const std::uint64_t index = m_applied + 1;
@@ -327,7 +345,8 @@
   }
 }
 
-void Node::TakeSnapshot()
+void
+Node::TakeSnapshot()
 {
   wire::SnapshotMeta meta;
   meta.set_index(m_applied);
@@ -358,7 +377,8 @@
                    .With("bytes", m_snapshotData->size()));
 }
 
-void Node::FailPending()
+void
+Node::FailPending()
 {
   std::map<std::uint64_t, Pending> pending;
   pending.swap(m_pending);
--- a/packages/consensus/storage.h
+++ b/packages/consensus/storage.h
@@ -29,9 +29,10 @@
                                 const std::vector<wire::LogEntry>& aEntries)>
     append;
   // Replaces the snapshot and the whole log by aKept.
-  std::function<std::error_code(
-    const wire::HardState& aHardState, const wire::SnapshotMeta& aMeta,
-    const std::string& aSnapshot, const std::vector<wire::LogEntry>& aKept)>
+  std::function<std::error_code(const wire::HardState& aHardState,
+                                const wire::SnapshotMeta& aMeta,
+                                const std::string& aSnapshot,
+                                const std::vector<wire::LogEntry>& aKept)>
     saveSnapshot;
 };
 
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -6,8 +6,8 @@
 
 namespace fuchsiaramp {
 
-wire::CommandResult::Code CodeOf(ProposalOutcome aOutcome,
-                                 const wire::CommandResult& aResult)
+wire::CommandResult::Code
+CodeOf(ProposalOutcome aOutcome, const wire::CommandResult& aResult)
 {
   switch (aOutcome) {
     case ProposalOutcome::kApplied:
@@ -24,18 +24,25 @@
 
 ControlNode::ControlNode(ControlOptions aOptions,
                          std::vector<GroupStorage> aStorage,
-                         ControlHooks aHooks, Random aRandom, TimePoint aNow)
+                         ControlHooks aHooks,
+                         Random aRandom,
+                         TimePoint aNow)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
 {
   for (std::size_t i = 0; i < aStorage.size(); ++i) {
-    StartGroup(static_cast<std::uint32_t>(i), std::move(aStorage[i]),
-               Random(aRandom.Bits()), aNow);
+    StartGroup(static_cast<std::uint32_t>(i),
+               std::move(aStorage[i]),
+               Random(aRandom.Bits()),
+               aNow);
   }
 }
 
-void ControlNode::StartGroup(std::uint32_t aGroup, GroupStorage aStorage,
-                             Random aRandom, TimePoint aNow)
+void
+ControlNode::StartGroup(std::uint32_t aGroup,
+                        GroupStorage aStorage,
+                        Random aRandom,
+                        TimePoint aNow)
 {
   m_groups.push_back(
     std::make_unique<Group>(Group{ GroupState(m_options.ledger), nullptr }));
@@ -60,7 +67,8 @@
   hooks.restore = [group](const std::string& aSnapshot) {
     group->state.Restore(aSnapshot);
   };
-  hooks.finished = [this](ProposalId aId, ProposalOutcome aOutcome,
+  hooks.finished = [this](ProposalId aId,
+                          ProposalOutcome aOutcome,
                           const std::string& aResult) {
     const auto it = m_waiting.find(aId);
     if (it == m_waiting.end()) {
@@ -75,29 +83,35 @@
   };
   hooks.fatal = m_hooks.fatal;
   hooks.record = m_hooks.record;
-  group->node =
-    std::make_unique<Node>(std::move(options), std::move(aStorage.stored),
-                           std::move(hooks), aRandom, aNow);
+  group->node = std::make_unique<Node>(std::move(options),
+                                       std::move(aStorage.stored),
+                                       std::move(hooks),
+                                       aRandom,
+                                       aNow);
 }
 
-const Node& ControlNode::GroupNode(std::size_t aGroup) const
+const Node&
+ControlNode::GroupNode(std::size_t aGroup) const
 {
   return *m_groups.at(aGroup)->node;
 }
 
-const GroupState& ControlNode::State(std::size_t aGroup) const
+const GroupState&
+ControlNode::State(std::size_t aGroup) const
 {
   return m_groups.at(aGroup)->state;
 }
 
-void ControlNode::OnMessage(const HostId& aFrom, const wire::Envelope& aMessage,
-                            TimePoint aNow)
+void
+ControlNode::OnMessage(const HostId& aFrom,
+                       const wire::Envelope& aMessage,
+                       TimePoint aNow)
 {
   switch (aMessage.body_case()) {
     case wire::Envelope::kRaft:
       if (aMessage.raft().group() < m_groups.size()) {
-        m_groups[aMessage.raft().group()]->node->Step(aFrom, aMessage.raft(),
-                                                      aNow);
+        m_groups[aMessage.raft().group()]->node->Step(
+          aFrom, aMessage.raft(), aNow);
       }
       break;
     case wire::Envelope::kControlRequest:
@@ -111,29 +125,34 @@
   }
 }
 
-void ControlNode::Tick(TimePoint aNow)
+void
+ControlNode::Tick(TimePoint aNow)
 {
   for (const auto& group : m_groups) {
     group->node->Tick(aNow);
   }
 }
 
-void ControlNode::Flush(TimePoint aNow)
+void
+ControlNode::Flush(TimePoint aNow)
 {
   for (const auto& group : m_groups) {
     group->node->Flush(aNow);
   }
 }
 
-void ControlNode::Leave(TimePoint aNow)
+void
+ControlNode::Leave(TimePoint aNow)
 {
   for (const auto& group : m_groups) {
     group->node->TransferLeadership(aNow);
   }
 }
 
-void ControlNode::Propose(std::uint32_t aGroup, wire::Command aCommand,
-                          ResultHook aDone)
+void
+ControlNode::Propose(std::uint32_t aGroup,
+                     wire::Command aCommand,
+                     ResultHook aDone)
 {
   aCommand.set_leader_time_us(m_hooks.wallClock());
   const ProposalId id = m_nextProposal;
@@ -142,8 +161,9 @@
   m_groups[aGroup]->node->Propose(id, aCommand.SerializeAsString());
 }
 
-void ControlNode::OnRequest(const HostId& aFrom,
-                            const wire::ControlRequest& aRequest)
+void
+ControlNode::OnRequest(const HostId& aFrom,
+                       const wire::ControlRequest& aRequest)
 {
   const std::uint32_t group = aRequest.group();
   // The lists are changed by operators alone.
@@ -153,7 +173,8 @@
     return;
   }
   const std::uint64_t requestId = aRequest.request_id();
-  Propose(group, aRequest.command(),
+  Propose(group,
+          aRequest.command(),
           [this, aFrom, group, requestId](ProposalOutcome,
                                           const wire::CommandResult& aResult) {
             wire::Envelope envelope;
@@ -166,8 +187,10 @@
           });
 }
 
-void ControlNode::OnListsPull(const HostId& aFrom, const wire::ListsPull& aPull,
-                              TimePoint aNow)
+void
+ControlNode::OnListsPull(const HostId& aFrom,
+                         const wire::ListsPull& aPull,
+                         TimePoint aNow)
 {
   const Group& group = *m_groups[kListsGroup];
   const HostId asking =
@@ -191,8 +214,10 @@
   m_hooks.send(aFrom, envelope);
 }
 
-void ControlNode::ChangeLists(const ListsChange& aChange, TimePoint aNow,
-                              ChangeReplyHook aReply)
+void
+ControlNode::ChangeLists(const ListsChange& aChange,
+                         TimePoint aNow,
+                         ChangeReplyHook aReply)
 {
   const Group& group = *m_groups[kListsGroup];
   ListsChangeReply reply;
@@ -222,7 +247,8 @@
   if (current.Version().Value() == aChange.expectedVersion) {
     *put->mutable_delta() = Difference(current, content);
   }
-  Propose(kListsGroup, std::move(command),
+  Propose(kListsGroup,
+          std::move(command),
           [aReply](ProposalOutcome, const wire::CommandResult& aResult) {
             ListsChangeReply done;
             done.result = aResult;
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -84,10 +84,14 @@
   using ChangeReplyHook = std::function<void(const ListsChangeReply&)>;
 
   // aStorage has one item per group, the lists group first.
-  ControlNode(ControlOptions aOptions, std::vector<GroupStorage> aStorage,
-              ControlHooks aHooks, Random aRandom, TimePoint aNow);
-
-  void OnMessage(const HostId& aFrom, const wire::Envelope& aMessage,
+  ControlNode(ControlOptions aOptions,
+              std::vector<GroupStorage> aStorage,
+              ControlHooks aHooks,
+              Random aRandom,
+              TimePoint aNow);
+
+  void OnMessage(const HostId& aFrom,
+                 const wire::Envelope& aMessage,
                  TimePoint aNow);
   void Tick(TimePoint aNow);
   void Flush(TimePoint aNow);
@@ -95,7 +99,8 @@
   void Leave(TimePoint aNow);
 
   // Replies once the change is committed, refused or its fate is unknown.
-  void ChangeLists(const ListsChange& aChange, TimePoint aNow,
+  void ChangeLists(const ListsChange& aChange,
+                   TimePoint aNow,
                    ChangeReplyHook aReply);
 
   std::size_t GroupCount() const { return m_groups.size(); }
@@ -116,11 +121,14 @@
   using ResultHook =
     std::function<void(ProposalOutcome, const wire::CommandResult&)>;
 
-  void StartGroup(std::uint32_t aGroup, GroupStorage aStorage, Random aRandom,
+  void StartGroup(std::uint32_t aGroup,
+                  GroupStorage aStorage,
+                  Random aRandom,
                   TimePoint aNow);
   void Propose(std::uint32_t aGroup, wire::Command aCommand, ResultHook aDone);
   void OnRequest(const HostId& aFrom, const wire::ControlRequest& aRequest);
-  void OnListsPull(const HostId& aFrom, const wire::ListsPull& aPull,
+  void OnListsPull(const HostId& aFrom,
+                   const wire::ListsPull& aPull,
                    TimePoint aNow);
 
   const ControlOptions m_options;
@@ -132,7 +140,7 @@
 };
 
 // The result code that an entry host or operator sees for an outcome.
-wire::CommandResult::Code CodeOf(ProposalOutcome aOutcome,
-                                 const wire::CommandResult& aResult);
+wire::CommandResult::Code
+CodeOf(ProposalOutcome aOutcome, const wire::CommandResult& aResult);
 
 } // namespace fuchsiaramp
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -26,10 +26,10 @@
         group.hooks.append = [](const auto&, const auto&) {
           return std::error_code();
         };
-        group.hooks.saveSnapshot = [](const auto&, const auto&, const auto&,
-                                      const auto&) {
-          return std::error_code();
-        };
+        group.hooks.saveSnapshot =
+          [](const auto&, const auto&, const auto&, const auto&) {
+            return std::error_code();
+          };
       }
       ControlHooks hooks;
       hooks.send = [this, host](const HostId& aTo,
@@ -77,12 +77,14 @@
     return nullptr;
   }
 
-  ListsChangeReply Put(const std::string& aDocument, std::uint64_t aExpected,
+  ListsChangeReply Put(const std::string& aDocument,
+                       std::uint64_t aExpected,
                        const std::string& aChange)
   {
     std::optional<ListsChangeReply> reply;
     Leader(0)->ChangeLists(
-      { aDocument, aExpected, aChange, "op" }, m_now,
+      { aDocument, aExpected, aChange, "op" },
+      m_now,
       [&](const ListsChangeReply& aReply) { reply = aReply; });
     Run(std::chrono::milliseconds(300));
     BOOST_REQUIRE(reply.has_value());
--- a/packages/disk/fake_files.cc
+++ b/packages/disk/fake_files.cc
@@ -4,7 +4,8 @@
 
 namespace fuchsiaramp {
 
-std::shared_ptr<FakeFiles::File>& FakeFiles::Open(const std::string& aName)
+std::shared_ptr<FakeFiles::File>&
+FakeFiles::Open(const std::string& aName)
 {
   std::shared_ptr<File>& file = m_names[aName];
   if (!file) {
@@ -13,7 +14,8 @@
   return file;
 }
 
-FileHooks FakeFiles::Hooks()
+FileHooks
+FakeFiles::Hooks()
 {
   FileHooks hooks;
   hooks.list = [this] {
@@ -65,7 +67,8 @@
   return hooks;
 }
 
-void FakeFiles::Crash(Random& aRandom)
+void
+FakeFiles::Crash(Random& aRandom)
 {
   m_names = m_durableNames;
   m_syncFails = false;
@@ -77,14 +80,16 @@
   }
 }
 
-void FakeFiles::Wipe()
+void
+FakeFiles::Wipe()
 {
   m_names.clear();
   m_durableNames.clear();
   m_syncFails = false;
 }
 
-bool FakeFiles::FlipBit(Random& aRandom)
+bool
+FakeFiles::FlipBit(Random& aRandom)
 {
   std::vector<std::shared_ptr<File>> filled;
   for (const auto& [name, file] : m_durableNames) {
--- a/packages/disk/posix_files.cc
+++ b/packages/disk/posix_files.cc
@@ -13,7 +13,8 @@
 namespace fuchsiaramp {
 namespace internal {
 
-static std::error_code LastError()
+static std::error_code
+LastError()
 {
   return { errno, std::generic_category() };
 }
@@ -54,8 +55,8 @@
     aData.clear();
     char buffer[1 << 16];
     while (true) {
-      const ssize_t count = ::pread(descriptor, buffer, sizeof(buffer),
-                                    static_cast<off_t>(aData.size()));
+      const ssize_t count = ::pread(
+        descriptor, buffer, sizeof(buffer), static_cast<off_t>(aData.size()));
       if (count < 0 && errno == EINTR) {
         continue;
       }
@@ -150,8 +151,8 @@
       aDescriptor = it->second;
       return {};
     }
-    aDescriptor = ::open(Path(aName).c_str(),
-                         O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    aDescriptor = ::open(
+      Path(aName).c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (aDescriptor < 0) {
       return LastError();
     }
@@ -174,7 +175,8 @@
 
 } // namespace internal
 
-FileHooks OpenFolder(const std::string& aPath, std::error_code& aError)
+FileHooks
+OpenFolder(const std::string& aPath, std::error_code& aError)
 {
   std::filesystem::create_directories(aPath, aError);
   if (aError) {
--- a/packages/disk/posix_files.h
+++ b/packages/disk/posix_files.h
@@ -12,6 +12,7 @@
 
 // Creates the folder when it does not exist. The hooks share one open file per
 // name and close it on removal.
-FileHooks OpenFolder(const std::string& aPath, std::error_code& aError);
+FileHooks
+OpenFolder(const std::string& aPath, std::error_code& aError);
 
 } // namespace fuchsiaramp
--- a/packages/disk/segment_log.cc
+++ b/packages/disk/segment_log.cc
@@ -16,14 +16,16 @@
 static constexpr std::uint64_t kHeaderSeed = 0x68656164;
 static constexpr std::string_view kGenerationPrefix = "generation-";
 
-static void PutNumber(std::string& aOut, std::uint64_t aValue, int aBytes)
+static void
+PutNumber(std::string& aOut, std::uint64_t aValue, int aBytes)
 {
   for (int i = 0; i < aBytes; ++i) {
     aOut += static_cast<char>(aValue >> (8 * i));
   }
 }
 
-static std::uint64_t GetNumber(std::string_view aData, int aBytes)
+static std::uint64_t
+GetNumber(std::string_view aData, int aBytes)
 {
   std::uint64_t value = 0;
   for (int i = 0; i < aBytes; ++i) {
@@ -32,29 +34,34 @@
   return value;
 }
 
-static std::uint64_t HeaderChecksum(std::string_view aHeader)
+static std::uint64_t
+HeaderChecksum(std::string_view aHeader)
 {
   return Hash64(aHeader.substr(0, 5), kHeaderSeed) & 0xFFFFFF;
 }
 
-static std::string SegmentName(std::uint64_t aGeneration)
+static std::string
+SegmentName(std::uint64_t aGeneration)
 {
   return "segment-" + std::to_string(aGeneration);
 }
 
-static std::string SnapshotName(std::uint64_t aGeneration)
+static std::string
+SnapshotName(std::uint64_t aGeneration)
 {
   return "snapshot-" + std::to_string(aGeneration);
 }
 
 // An empty marker file names the generation in force; it is renamed from the
 // earlier marker only after both files of the generation are synced.
-static std::string MarkerName(std::uint64_t aGeneration)
+static std::string
+MarkerName(std::uint64_t aGeneration)
 {
   return std::string(kGenerationPrefix) + std::to_string(aGeneration);
 }
 
-SegmentLog::SegmentLog(FileHooks aFiles, Random aRandom,
+SegmentLog::SegmentLog(FileHooks aFiles,
+                       Random aRandom,
                        std::uint64_t aMaxBytes)
   : m_files(std::move(aFiles))
   , m_random(aRandom)
@@ -62,7 +69,8 @@
 {
 }
 
-StorageHooks SegmentLog::Hooks()
+StorageHooks
+SegmentLog::Hooks()
 {
   StorageHooks hooks;
   hooks.append = [this](const wire::HardState& aHardState,
@@ -78,8 +86,10 @@
   return hooks;
 }
 
-void SegmentLog::AppendRecord(std::string& aOut, RecordKind aKind,
-                              const std::string& aPayload)
+void
+SegmentLog::AppendRecord(std::string& aOut,
+                         RecordKind aKind,
+                         const std::string& aPayload)
 {
   std::string header;
   PutNumber(header, aPayload.size(), 4);
@@ -90,9 +100,11 @@
   aOut += aPayload;
 }
 
-std::error_code SegmentLog::ReadRecord(std::string_view aData,
-                                       std::size_t& aOffset, Record& aRecord,
-                                       bool& aAtEnd)
+std::error_code
+SegmentLog::ReadRecord(std::string_view aData,
+                       std::size_t& aOffset,
+                       Record& aRecord,
+                       bool& aAtEnd)
 {
   aAtEnd = true;
   const std::string_view rest = aData.substr(aOffset);
@@ -116,14 +128,16 @@
   return {};
 }
 
-std::error_code SegmentLog::Open(StoredState& aStored)
+std::error_code
+SegmentLog::Open(StoredState& aStored)
 {
   bool found = false;
   for (const std::string& name : m_files.list()) {
     if (name.compare(0, kGenerationPrefix.size(), kGenerationPrefix) == 0) {
       std::uint64_t generation = 0;
       std::from_chars(name.data() + kGenerationPrefix.size(),
-                      name.data() + name.size(), generation);
+                      name.data() + name.size(),
+                      generation);
       m_generation = std::max(m_generation, generation);
       found = true;
     }
@@ -146,14 +160,16 @@
   return RemoveOtherFiles();
 }
 
-std::error_code SegmentLog::InitializeDisk(StoredState& aStored)
+std::error_code
+SegmentLog::InitializeDisk(StoredState& aStored)
 {
   aStored = StoredState();
   aStored.hardState.set_disk_id(std::max<std::uint64_t>(m_random.Bits(), 1));
   return SaveSnapshot(aStored.hardState, aStored.snapshotMeta, "", {});
 }
 
-std::error_code SegmentLog::ReadSnapshot(StoredState& aStored)
+std::error_code
+SegmentLog::ReadSnapshot(StoredState& aStored)
 {
   std::string data;
   if (std::error_code error = m_files.read(SnapshotName(m_generation), data)) {
@@ -182,8 +198,8 @@
   return whole ? std::error_code() : make_error_code(ErrorCode::kCorruptLog);
 }
 
-std::error_code SegmentLog::ReadSegment(StoredState& aStored,
-                                        std::size_t& aValidSize)
+std::error_code
+SegmentLog::ReadSegment(StoredState& aStored, std::size_t& aValidSize)
 {
   std::string data;
   if (std::error_code error = m_files.read(SegmentName(m_generation), data)) {
@@ -219,8 +235,9 @@
            : make_error_code(ErrorCode::kCorruptLog);
 }
 
-std::error_code SegmentLog::Append(const wire::HardState& aHardState,
-                                   const std::vector<wire::LogEntry>& aEntries)
+std::error_code
+SegmentLog::Append(const wire::HardState& aHardState,
+                   const std::vector<wire::LogEntry>& aEntries)
 {
   std::string data;
   for (const wire::LogEntry& entry : aEntries) {
@@ -238,17 +255,19 @@
   return m_files.sync(name);
 }
 
-std::error_code SegmentLog::SaveSnapshot(
-  const wire::HardState& aHardState, const wire::SnapshotMeta& aMeta,
-  const std::string& aSnapshot, const std::vector<wire::LogEntry>& aKept)
+std::error_code
+SegmentLog::SaveSnapshot(const wire::HardState& aHardState,
+                         const wire::SnapshotMeta& aMeta,
+                         const std::string& aSnapshot,
+                         const std::vector<wire::LogEntry>& aKept)
 {
   static constexpr std::size_t kChunkBytes = 1 << 20;
   const std::uint64_t generation = m_generation + 1;
   std::string snapshot;
   AppendRecord(snapshot, RecordKind::kSnapshotMeta, aMeta.SerializeAsString());
   for (std::size_t at = 0; at < aSnapshot.size(); at += kChunkBytes) {
-    AppendRecord(snapshot, RecordKind::kSnapshotData,
-                 aSnapshot.substr(at, kChunkBytes));
+    AppendRecord(
+      snapshot, RecordKind::kSnapshotData, aSnapshot.substr(at, kChunkBytes));
   }
   std::string segment;
   AppendRecord(segment, RecordKind::kHardState, aHardState.SerializeAsString());
@@ -283,8 +302,8 @@
   return RemoveOtherFiles();
 }
 
-std::error_code SegmentLog::WriteFile(const std::string& aName,
-                                      const std::string& aData)
+std::error_code
+SegmentLog::WriteFile(const std::string& aName, const std::string& aData)
 {
   // A file of this name can only be left over from a save that was cut short.
   if (std::error_code error = m_files.truncate(aName, 0)) {
@@ -296,7 +315,8 @@
   return m_files.sync(aName);
 }
 
-std::error_code SegmentLog::RemoveOtherFiles()
+std::error_code
+SegmentLog::RemoveOtherFiles()
 {
   for (const std::string& name : m_files.list()) {
     const bool current = name == SegmentName(m_generation) ||
--- a/packages/disk/segment_log.h
+++ b/packages/disk/segment_log.h
@@ -48,12 +48,14 @@
     std::string_view payload;
   };
 
-  static void AppendRecord(std::string& aOut, RecordKind aKind,
+  static void AppendRecord(std::string& aOut,
+                           RecordKind aKind,
                            const std::string& aPayload);
   // Reads the record at aOffset and advances it. At the end of the data or at
   // a record that was cut short, aOffset stays and aAtEnd is set.
   static std::error_code ReadRecord(std::string_view aData,
-                                    std::size_t& aOffset, Record& aRecord,
+                                    std::size_t& aOffset,
+                                    Record& aRecord,
                                     bool& aAtEnd);
 
   std::error_code ReadSnapshot(StoredState& aStored);
--- a/packages/disk/segment_log_test.cc
+++ b/packages/disk/segment_log_test.cc
@@ -9,7 +9,8 @@
 
 static constexpr std::uint64_t kMaxBytes = 1 << 20;
 
-static wire::LogEntry Entry(std::uint64_t aIndex, std::uint64_t aTerm)
+static wire::LogEntry
+Entry(std::uint64_t aIndex, std::uint64_t aTerm)
 {
   wire::LogEntry entry;
   entry.set_index(aIndex);
--- a/packages/entry/claim_client.cc
+++ b/packages/entry/claim_client.cc
@@ -16,7 +16,8 @@
 {
 }
 
-void ClaimClient::SetGroupLeaders(const std::vector<std::string>& aLeaders)
+void
+ClaimClient::SetGroupLeaders(const std::vector<std::string>& aLeaders)
 {
   m_leaders.resize(aLeaders.size());
   for (std::size_t i = 0; i < aLeaders.size(); ++i) {
@@ -26,7 +27,8 @@
   }
 }
 
-std::uint32_t ClaimClient::GroupOf(const wire::ClaimKey& aKey) const
+std::uint32_t
+ClaimClient::GroupOf(const wire::ClaimKey& aKey) const
 {
   const std::string text =
     aKey.customer() + '\n' + aKey.service() + '\n' + aKey.key();
@@ -34,20 +36,25 @@
   return static_cast<std::uint32_t>(1 + Hash64(text) % shards);
 }
 
-std::uint32_t ClaimClient::GroupOf(const wire::Command& aCommand) const
+std::uint32_t
+ClaimClient::GroupOf(const wire::Command& aCommand) const
 {
   return GroupOf(aCommand.has_claim() ? aCommand.claim().key()
                                       : aCommand.finish().key());
 }
 
-bool ClaimClient::IsReachable(const wire::ClaimKey& aKey, TimePoint) const
+bool
+ClaimClient::IsReachable(const wire::ClaimKey& aKey, TimePoint) const
 {
   return m_leaders.size() > 1 && !m_leaders[GroupOf(aKey)].IsEmpty() &&
          m_waiting.size() < kMaxWaiting;
 }
 
-void ClaimClient::Submit(wire::Command aCommand, TimePoint aDeadline,
-                         TimePoint aNow, DoneHook aDone)
+void
+ClaimClient::Submit(wire::Command aCommand,
+                    TimePoint aDeadline,
+                    TimePoint aNow,
+                    DoneHook aDone)
 {
   const std::uint64_t id = m_nextId++;
   Call& call = m_waiting[id];
@@ -58,7 +65,8 @@
   Send(id, call, aNow);
 }
 
-void ClaimClient::Send(std::uint64_t aId, Call& aCall, TimePoint aNow)
+void
+ClaimClient::Send(std::uint64_t aId, Call& aCall, TimePoint aNow)
 {
   aCall.resendAt = aNow + kResend;
   wire::Envelope envelope;
@@ -69,13 +77,16 @@
   m_send(m_leaders[aCall.group], envelope);
 }
 
-void ClaimClient::TryNextHost(std::uint32_t aGroup)
+void
+ClaimClient::TryNextHost(std::uint32_t aGroup)
 {
   m_leaders[aGroup] = m_controlHosts[m_nextHost++ % m_controlHosts.size()];
 }
 
-void ClaimClient::OnReply(const HostId& aFrom, const wire::ControlReply& aReply,
-                          TimePoint aNow)
+void
+ClaimClient::OnReply(const HostId& aFrom,
+                     const wire::ControlReply& aReply,
+                     TimePoint aNow)
 {
   const auto it = m_waiting.find(aReply.request_id());
   if (it == m_waiting.end()) {
@@ -103,7 +114,8 @@
   done(&aReply.result());
 }
 
-void ClaimClient::Tick(TimePoint aNow)
+void
+ClaimClient::Tick(TimePoint aNow)
 {
   std::vector<DoneHook> expired;
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
--- a/packages/entry/claim_client.h
+++ b/packages/entry/claim_client.h
@@ -33,9 +33,12 @@
   // Whether a leader of the key's shard is known and has not been silent.
   bool IsReachable(const wire::ClaimKey& aKey, TimePoint aNow) const;
 
-  void Submit(wire::Command aCommand, TimePoint aDeadline, TimePoint aNow,
+  void Submit(wire::Command aCommand,
+              TimePoint aDeadline,
+              TimePoint aNow,
               DoneHook aDone);
-  void OnReply(const HostId& aFrom, const wire::ControlReply& aReply,
+  void OnReply(const HostId& aFrom,
+               const wire::ControlReply& aReply,
                TimePoint aNow);
   void Tick(TimePoint aNow);
   std::size_t Waiting() const { return m_waiting.size(); }
--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -9,8 +9,10 @@
 static constexpr int kMaxAttempts = 4; // of one request
 static constexpr Duration kRetrySoon = std::chrono::seconds(1);
 
-void EntryNode::StartAttempt(Request& aRequest, const BackendServerId& aServer,
-                             TimePoint aNow)
+void
+EntryNode::StartAttempt(Request& aRequest,
+                        const BackendServerId& aServer,
+                        TimePoint aNow)
 {
   ServiceRouter* router = m_services->Find(aRequest.head.service);
   const BackendServer* server = router->Find(aServer);
@@ -58,7 +60,8 @@
   m_attempts[start.id].proven = m_hooks.startAttempt(start);
 }
 
-void EntryNode::OnAttemptEnd(const AttemptEnd& aEnd, TimePoint aNow)
+void
+EntryNode::OnAttemptEnd(const AttemptEnd& aEnd, TimePoint aNow)
 {
   m_now = aNow;
   const auto it = m_attempts.find(aEnd.id);
@@ -99,8 +102,8 @@
   Drain(attempt.service, aNow);
 }
 
-void EntryNode::OnSuccess(Request& aRequest, const AttemptEnd& aEnd,
-                          TimePoint aNow)
+void
+EntryNode::OnSuccess(Request& aRequest, const AttemptEnd& aEnd, TimePoint aNow)
 {
   // Servers whose connection broke under this request were at fault, since
   // another server could run it.
@@ -124,7 +127,8 @@
 }
 
 // Whether the outcome proves that the work did not run.
-static bool ProvesNotRun(AttemptOutcome aOutcome)
+static bool
+ProvesNotRun(AttemptOutcome aOutcome)
 {
   return aOutcome == AttemptOutcome::kRefused ||
          aOutcome == AttemptOutcome::kNothingWritten ||
@@ -132,8 +136,11 @@
          aOutcome == AttemptOutcome::kShed;
 }
 
-void EntryNode::OnFailure(Request& aRequest, const Attempt& aAttempt,
-                          const AttemptEnd& aEnd, TimePoint aNow)
+void
+EntryNode::OnFailure(Request& aRequest,
+                     const Attempt& aAttempt,
+                     const AttemptEnd& aEnd,
+                     TimePoint aNow)
 {
   const bool proven = ProvesNotRun(aEnd.outcome);
   aRequest.mayHaveRun = aRequest.mayHaveRun || !proven;
@@ -153,13 +160,18 @@
       return;
     }
   }
-  GiveUp(aRequest, &aEnd, "the backend servers failed the request", kRetrySoon,
+  GiveUp(aRequest,
+         &aEnd,
+         "the backend servers failed the request",
+         kRetrySoon,
          aNow);
 }
 
 // Returns whether the request has its final answer.
-bool EntryNode::OnBrokenConnection(Request& aRequest, const Attempt& aAttempt,
-                                   TimePoint aNow)
+bool
+EntryNode::OnBrokenConnection(Request& aRequest,
+                              const Attempt& aAttempt,
+                              TimePoint aNow)
 {
   aRequest.broken.push_back(aAttempt.server);
   const bool quarantined = m_services->OnBroken(
@@ -170,14 +182,18 @@
   if (!aRequest.claimAttempt.empty()) {
     ReportFinished(aRequest, {}, wire::LedgerRecord::UNKNOWN, aNow);
   }
-  Refuse(aRequest, CallerOutcome::kUnknown, 422,
+  Refuse(aRequest,
+         CallerOutcome::kUnknown,
+         422,
          "this request broke the connection of every backend server that ran "
          "it; change it before sending it again",
-         m_services->Poison().Until(aRequest.head.fingerprint) - aNow, aNow);
+         m_services->Poison().Until(aRequest.head.fingerprint) - aNow,
+         aNow);
   return true;
 }
 
-bool EntryNode::Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow)
+bool
+EntryNode::Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow)
 {
   ServiceRouter* router = m_services->Find(aRequest.head.service);
   if (aRequest.started >= kMaxAttempts || IsDue(aRequest.head.deadline, aNow) ||
@@ -206,15 +222,21 @@
     return false;
   }
   if (dropped) {
-    GiveUp(m_requests.at(*dropped), nullptr, "the service is full", kRetrySoon,
+    GiveUp(m_requests.at(*dropped),
+           nullptr,
+           "the service is full",
+           kRetrySoon,
            aNow);
   }
   return true;
 }
 
-void EntryNode::GiveUp(Request& aRequest, const AttemptEnd* aEnd,
-                       const std::string& aReason, Duration aRetryAfter,
-                       TimePoint aNow)
+void
+EntryNode::GiveUp(Request& aRequest,
+                  const AttemptEnd* aEnd,
+                  const std::string& aReason,
+                  Duration aRetryAfter,
+                  TimePoint aNow)
 {
   FinalAnswer answer;
   answer.request = aRequest.head.id;
@@ -229,8 +251,10 @@
     return;
   }
   if (!aRequest.claimAttempt.empty()) {
-    ReportFinished(aRequest, aEnd == nullptr ? AttemptEnd() : *aEnd,
-                   wire::LedgerRecord::UNKNOWN, aNow);
+    ReportFinished(aRequest,
+                   aEnd == nullptr ? AttemptEnd() : *aEnd,
+                   wire::LedgerRecord::UNKNOWN,
+                   aNow);
   }
   answer.outcome = CallerOutcome::kUnknown;
   answer.status = 502;
@@ -247,7 +271,8 @@
 
 // An attempt that takes longer than a slow answer is evidence at once. A second
 // attempt elsewhere then spares the caller the wait.
-void EntryNode::CheckOverdue(TimePoint aNow)
+void
+EntryNode::CheckOverdue(TimePoint aNow)
 {
   std::vector<RequestId> late;
   for (auto& [id, attempt] : m_attempts) {
@@ -271,7 +296,8 @@
   }
 }
 
-void EntryNode::Hedge(Request& aRequest, TimePoint aNow)
+void
+EntryNode::Hedge(Request& aRequest, TimePoint aNow)
 {
   if (!aRequest.repeatable || aRequest.hedged ||
       aRequest.started >= kMaxAttempts || aRequest.callerGone) {
@@ -288,7 +314,8 @@
   StartAttempt(aRequest, *server, aNow);
 }
 
-void EntryNode::CancelAttempts(Request& aRequest, TimePoint aNow)
+void
+EntryNode::CancelAttempts(Request& aRequest, TimePoint aNow)
 {
   for (AttemptId id : aRequest.attempts) {
     const auto it = m_attempts.find(id);
@@ -305,7 +332,8 @@
   aRequest.attempts.clear();
 }
 
-void EntryNode::CheckDeadlines(TimePoint aNow)
+void
+EntryNode::CheckDeadlines(TimePoint aNow)
 {
   std::vector<RequestId> late;
   for (const auto& [id, request] : m_requests) {
@@ -319,12 +347,16 @@
     request.mayHaveRun = true;
     AttemptEnd end;
     end.outcome = AttemptOutcome::kTimeout;
-    GiveUp(request, &end, "no answer by the deadline of the request",
-           kRetrySoon, aNow);
+    GiveUp(request,
+           &end,
+           "no answer by the deadline of the request",
+           kRetrySoon,
+           aNow);
   }
 }
 
-void EntryNode::OnCallerGone(RequestId aRequest, TimePoint aNow)
+void
+EntryNode::OnCallerGone(RequestId aRequest, TimePoint aNow)
 {
   m_now = aNow;
   const auto it = m_requests.find(aRequest);
@@ -337,8 +369,8 @@
   const bool claimed = !request.claimAttempt.empty();
   if (request.repeatable || (request.stage == Stage::kQueued && !claimed)) {
     request.mayHaveRun = true;
-    GiveUp(request, nullptr, "the caller closed its connection", kRetrySoon,
-           aNow);
+    GiveUp(
+      request, nullptr, "the caller closed its connection", kRetrySoon, aNow);
   }
 }
 
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -15,7 +15,8 @@
 static constexpr Duration kReportTimeout = std::chrono::minutes(10);
 static constexpr std::size_t kMaxKeyLength = 200; // bytes
 
-void EntryNode::OnRequest(const RequestHead& aHead, TimePoint aNow)
+void
+EntryNode::OnRequest(const RequestHead& aHead, TimePoint aNow)
 {
   m_now = aNow;
   ++m_counters.requests;
@@ -35,35 +36,43 @@
   Enqueue(request, aNow);
 }
 
-EntryNode::FilterResult EntryNode::CheckServing(Request& aRequest,
-                                                TimePoint aNow)
+EntryNode::FilterResult
+EntryNode::CheckServing(Request& aRequest, TimePoint aNow)
 {
   if (m_lists->IsServing()) {
     return FilterResult::kContinue;
   }
-  Refuse(aRequest, CallerOutcome::kNotRun, 503,
+  Refuse(aRequest,
+         CallerOutcome::kNotRun,
+         503,
          "this host has no confirmed lists yet; use another entry host",
-         kRetrySoon, aNow);
+         kRetrySoon,
+         aNow);
   return FilterResult::kDone;
 }
 
-EntryNode::FilterResult EntryNode::Authenticate(Request& aRequest,
-                                                TimePoint aNow)
+EntryNode::FilterResult
+EntryNode::Authenticate(Request& aRequest, TimePoint aNow)
 {
   const std::string hash = Sha256Hex(aRequest.head.token);
   const wire::Customer* customer = m_lists->Current().FindByTokenHash(hash);
   const bool known = !aRequest.head.token.empty() && customer != nullptr &&
                      EqualConstantTime(customer->token_hash(), hash);
   if (!known) {
-    Refuse(aRequest, CallerOutcome::kNotRun, 401,
-           "the bearer token is missing or unknown", std::nullopt, aNow);
+    Refuse(aRequest,
+           CallerOutcome::kNotRun,
+           401,
+           "the bearer token is missing or unknown",
+           std::nullopt,
+           aNow);
     return FilterResult::kDone;
   }
   aRequest.customer = customer->id();
   return FilterResult::kContinue;
 }
 
-EntryNode::FilterResult EntryNode::FindRoute(Request& aRequest, TimePoint aNow)
+EntryNode::FilterResult
+EntryNode::FindRoute(Request& aRequest, TimePoint aNow)
 {
   const Lists& lists = m_lists->Current();
   const wire::Customer* customer =
@@ -71,9 +80,12 @@
   const wire::Route* route =
     lists.FindRoute(*customer, aRequest.head.service, aRequest.head.path);
   if (route == nullptr) {
-    Refuse(aRequest, CallerOutcome::kNotRun, 403,
+    Refuse(aRequest,
+           CallerOutcome::kNotRun,
+           403,
            "the customer's plan has no route for this service and path",
-           std::nullopt, aNow);
+           std::nullopt,
+           aNow);
     return FilterResult::kDone;
   }
   aRequest.repeatable = route->repeatable();
@@ -81,46 +93,57 @@
   return FilterResult::kContinue;
 }
 
-EntryNode::FilterResult EntryNode::CheckKey(Request& aRequest, TimePoint aNow)
+EntryNode::FilterResult
+EntryNode::CheckKey(Request& aRequest, TimePoint aNow)
 {
   const std::string& key = aRequest.head.key.Value();
   if (!aRequest.repeatable && (key.empty() || key.size() > kMaxKeyLength)) {
-    Refuse(aRequest, CallerOutcome::kNotRun, 400,
+    Refuse(aRequest,
+           CallerOutcome::kNotRun,
+           400,
            "a request of this route needs an Idempotency-Key of 1 to 200 bytes",
-           std::nullopt, aNow);
+           std::nullopt,
+           aNow);
     return FilterResult::kDone;
   }
   return FilterResult::kContinue;
 }
 
-EntryNode::FilterResult EntryNode::CheckQuarantine(Request& aRequest,
-                                                   TimePoint aNow)
+EntryNode::FilterResult
+EntryNode::CheckQuarantine(Request& aRequest, TimePoint aNow)
 {
   Quarantine& poison = m_services->Poison();
   if (!poison.IsQuarantined(aRequest.head.fingerprint, aNow)) {
     return FilterResult::kContinue;
   }
-  Refuse(aRequest, CallerOutcome::kNotRun, 422,
+  Refuse(aRequest,
+         CallerOutcome::kNotRun,
+         422,
          "this request broke the connection of every backend server that ran "
          "it; change it before sending it again",
-         poison.Until(aRequest.head.fingerprint) - aNow, aNow);
+         poison.Until(aRequest.head.fingerprint) - aNow,
+         aNow);
   return FilterResult::kDone;
 }
 
-EntryNode::FilterResult EntryNode::CheckService(Request& aRequest,
-                                                TimePoint aNow)
+EntryNode::FilterResult
+EntryNode::CheckService(Request& aRequest, TimePoint aNow)
 {
   const ServiceRouter* router = m_services->Find(aRequest.head.service);
   if (router != nullptr && router->HasServers()) {
     return FilterResult::kContinue;
   }
-  Refuse(aRequest, CallerOutcome::kNotRun, 503,
-         "no backend server of the service is announced", kRetrySoon, aNow);
+  Refuse(aRequest,
+         CallerOutcome::kNotRun,
+         503,
+         "no backend server of the service is announced",
+         kRetrySoon,
+         aNow);
   return FilterResult::kDone;
 }
 
-EntryNode::FilterResult EntryNode::CheckLimits(Request& aRequest,
-                                               TimePoint aNow)
+EntryNode::FilterResult
+EntryNode::CheckLimits(Request& aRequest, TimePoint aNow)
 {
   const Lists& lists = m_lists->Current();
   const wire::Customer* customer =
@@ -139,13 +162,17 @@
   if (exceeded.empty()) {
     return FilterResult::kContinue;
   }
-  Refuse(aRequest, CallerOutcome::kNotRun, 429,
+  Refuse(aRequest,
+         CallerOutcome::kNotRun,
+         429,
          "the limit of the plan is reached",
-         m_limiter->NextAt(exceeded, aNow) - aNow, aNow);
+         m_limiter->NextAt(exceeded, aNow) - aNow,
+         aNow);
   return FilterResult::kDone;
 }
 
-void EntryNode::Enqueue(Request& aRequest, TimePoint aNow)
+void
+EntryNode::Enqueue(Request& aRequest, TimePoint aNow)
 {
   const RequestId id = aRequest.head.id;
   const ServiceName service = aRequest.head.service;
@@ -158,32 +185,42 @@
   const Duration wait = EstimateWait(service);
   if (!gate.queue.empty() && aNow + wait > aRequest.queuedUntil) {
     ++m_counters.shed;
-    Refuse(aRequest, CallerOutcome::kNotRun, 503, "the service is full",
-           std::max(kRetrySoon, wait), aNow);
+    Refuse(aRequest,
+           CallerOutcome::kNotRun,
+           503,
+           "the service is full",
+           std::max(kRetrySoon, wait),
+           aNow);
     return;
   }
   const auto dropped =
     gate.queue.Push(id, aRequest.priority, aRequest.queuedUntil);
   if (dropped) {
     ++m_counters.shed;
-    Refuse(m_requests.at(*dropped), CallerOutcome::kNotRun, 503,
-           "the service is full", std::max(kRetrySoon, wait), aNow);
+    Refuse(m_requests.at(*dropped),
+           CallerOutcome::kNotRun,
+           503,
+           "the service is full",
+           std::max(kRetrySoon, wait),
+           aNow);
   }
   Drain(service, aNow);
 }
 
 // From the queue's length, the usual latency and the attempts that may run.
-Duration EntryNode::EstimateWait(const ServiceName& aService)
+Duration
+EntryNode::EstimateWait(const ServiceName& aService)
 {
   const Gate& gate = m_gates[aService];
   const ServiceRouter* router = m_services->Find(aService);
-  const double running = std::clamp(static_cast<double>(router->Outstanding()),
-                                    1.0, gate.limit.Limit());
+  const double running = std::clamp(
+    static_cast<double>(router->Outstanding()), 1.0, gate.limit.Limit());
   const double usual = ToSeconds(router->LatencyQuantile(0.5));
   return FromSeconds(static_cast<double>(gate.queue.size()) * usual / running);
 }
 
-void EntryNode::Drain(const ServiceName& aService, TimePoint aNow)
+void
+EntryNode::Drain(const ServiceName& aService, TimePoint aNow)
 {
   const auto it = m_gates.find(aService);
   if (it == m_gates.end()) {
@@ -192,9 +229,11 @@
   Gate& gate = it->second;
   for (RequestId late : gate.queue.TakeExpired(aNow)) {
     ++m_counters.shed;
-    GiveUp(m_requests.at(late), nullptr,
+    GiveUp(m_requests.at(late),
+           nullptr,
            "no slot of the service was free in time",
-           std::max(kRetrySoon, EstimateWait(aService)), aNow);
+           std::max(kRetrySoon, EstimateWait(aService)),
+           aNow);
   }
   ServiceRouter* router = m_services->Find(aService);
   while (!gate.queue.empty() &&
@@ -213,8 +252,10 @@
 
 // A slot is taken before the claim, so that a key is claimed only when its work
 // can start at once.
-void EntryNode::Begin(Request& aRequest, const BackendServerId& aServer,
-                      TimePoint aNow)
+void
+EntryNode::Begin(Request& aRequest,
+                 const BackendServerId& aServer,
+                 TimePoint aNow)
 {
   if (aRequest.repeatable || !aRequest.claimAttempt.empty()) {
     StartAttempt(aRequest, aServer, aNow);
@@ -225,7 +266,8 @@
   StartClaim(aRequest, aNow);
 }
 
-void EntryNode::ReleaseReservation(Request& aRequest, TimePoint aNow)
+void
+EntryNode::ReleaseReservation(Request& aRequest, TimePoint aNow)
 {
   if (!aRequest.reserved) {
     return;
@@ -237,7 +279,8 @@
   aRequest.reserved.reset();
 }
 
-wire::ClaimKey EntryNode::KeyOf(const Request& aRequest) const
+wire::ClaimKey
+EntryNode::KeyOf(const Request& aRequest) const
 {
   wire::ClaimKey key;
   key.set_customer(aRequest.customer);
@@ -246,12 +289,16 @@
   return key;
 }
 
-void EntryNode::StartClaim(Request& aRequest, TimePoint aNow)
+void
+EntryNode::StartClaim(Request& aRequest, TimePoint aNow)
 {
   const wire::ClaimKey key = KeyOf(aRequest);
   if (!m_claims->IsReachable(key, aNow)) {
-    Refuse(aRequest, CallerOutcome::kNotRun, 503,
-           "the ledger cannot be reached; nothing was started", kRetrySoon,
+    Refuse(aRequest,
+           CallerOutcome::kNotRun,
+           503,
+           "the ledger cannot be reached; nothing was started",
+           kRetrySoon,
            aNow);
     return;
   }
@@ -268,15 +315,18 @@
   const TimePoint deadline =
     std::min(aRequest.head.deadline, aNow + kClaimTimeout);
   const RequestId id = aRequest.head.id;
-  m_claims->Submit(std::move(command), deadline, aNow,
+  m_claims->Submit(std::move(command),
+                   deadline,
+                   aNow,
                    [this, id](const wire::CommandResult* aResult) {
                      OnClaimResult(id, aResult, m_now);
                    });
 }
 
-void EntryNode::OnClaimResult(RequestId aRequest,
-                              const wire::CommandResult* aResult,
-                              TimePoint aNow)
+void
+EntryNode::OnClaimResult(RequestId aRequest,
+                         const wire::CommandResult* aResult,
+                         TimePoint aNow)
 {
   const auto it = m_requests.find(aRequest);
   if (it == m_requests.end()) {
@@ -330,8 +380,8 @@
 // Ends the claim of a request that never ran, so that a resend can be granted
 // the key, before the caller hears not-run. Without the ledger's answer the
 // caller hears unknown, since a resend may still meet the old claim.
-void EntryNode::Fence(Request& aRequest, const FinalAnswer& aAnswer,
-                      TimePoint aNow)
+void
+EntryNode::Fence(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow)
 {
   CheckInvariant(!aRequest.mayHaveRun, "only work that did not run is fenced");
   ReleaseReservation(aRequest, aNow);
@@ -342,7 +392,9 @@
   finish->set_attempt(aRequest.claimAttempt);
   finish->set_state(wire::LedgerRecord::NOT_RUN);
   const RequestId id = aRequest.head.id;
-  m_claims->Submit(std::move(command), aNow + kFenceTimeout, aNow,
+  m_claims->Submit(std::move(command),
+                   aNow + kFenceTimeout,
+                   aNow,
                    [this, id, aAnswer](const wire::CommandResult* aResult) {
                      const auto it = m_requests.find(id);
                      if (it == m_requests.end()) {
@@ -357,8 +409,11 @@
                    });
 }
 
-void EntryNode::ReportFinished(const Request& aRequest, const AttemptEnd& aEnd,
-                               wire::LedgerRecord::State aState, TimePoint aNow)
+void
+EntryNode::ReportFinished(const Request& aRequest,
+                          const AttemptEnd& aEnd,
+                          wire::LedgerRecord::State aState,
+                          TimePoint aNow)
 {
   wire::Command command;
   wire::Finish* finish = command.mutable_finish();
@@ -370,7 +425,9 @@
   finish->set_answer_kept(aEnd.body.has_value());
   finish->set_answer(aEnd.body.value_or(""));
   // The caller need not wait: a resend that comes first hears unknown.
-  m_claims->Submit(std::move(command), aNow + kReportTimeout, aNow,
+  m_claims->Submit(std::move(command),
+                   aNow + kReportTimeout,
+                   aNow,
                    [](const wire::CommandResult*) {});
 }
 
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -15,7 +15,9 @@
 // Entry hosts that share the callers of one service.
 static constexpr std::size_t kHostsPerService = 24;
 
-EntryNode::EntryNode(EntryOptions aOptions, EntryHooks aHooks, Random aRandom,
+EntryNode::EntryNode(EntryOptions aOptions,
+                     EntryHooks aHooks,
+                     Random aRandom,
                      TimePoint aNow)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
@@ -35,7 +37,8 @@
 }
 
 // Builds the parts and wires their hooks to each other and to the adapter.
-void EntryNode::Connect(Random& aRandom, TimePoint aNow)
+void
+EntryNode::Connect(Random& aRandom, TimePoint aNow)
 {
   const Settings& settings = m_options.settings;
   std::vector<HostId> controlHosts;
@@ -56,10 +59,13 @@
     return record == nullptr ? Region() : Region(record->region());
   };
   planeHooks.record = m_hooks.record;
-  m_services = std::make_unique<ServicePlane>(
-    ServicePlaneOptions{ settings.host, settings.region, settings.failureDomain,
-                         settings.routing },
-    std::move(planeHooks), Random(aRandom.Bits()));
+  m_services =
+    std::make_unique<ServicePlane>(ServicePlaneOptions{ settings.host,
+                                                        settings.region,
+                                                        settings.failureDomain,
+                                                        settings.routing },
+                                   std::move(planeHooks),
+                                   Random(aRandom.Bits()));
 
   ListsFollowerHooks listsHooks;
   listsHooks.sendPull = [this](const HostId& aTo,
@@ -82,8 +88,8 @@
   ListsFollowerOptions listsOptions;
   listsOptions.self = settings.host;
   listsOptions.controlHosts = controlHosts;
-  m_lists = std::make_unique<ListsFollower>(listsOptions, std::move(listsHooks),
-                                            Random(aRandom.Bits()), aNow);
+  m_lists = std::make_unique<ListsFollower>(
+    listsOptions, std::move(listsHooks), Random(aRandom.Bits()), aNow);
 
   m_claims = std::make_unique<ClaimClient>(controlHosts, m_hooks.send);
 
@@ -137,8 +143,10 @@
     memberOptions, std::move(memberHooks), Random(aRandom.Bits()), aNow);
 }
 
-void EntryNode::OnMessage(const HostId& aFrom, const wire::Envelope& aMessage,
-                          TimePoint aNow)
+void
+EntryNode::OnMessage(const HostId& aFrom,
+                     const wire::Envelope& aMessage,
+                     TimePoint aNow)
 {
   m_now = aNow;
   switch (aMessage.body_case()) {
@@ -165,8 +173,9 @@
   }
 }
 
-void EntryNode::OnAnnouncement(const wire::BackendServerRecord& aRecord,
-                               TimePoint aNow)
+void
+EntryNode::OnAnnouncement(const wire::BackendServerRecord& aRecord,
+                          TimePoint aNow)
 {
   m_now = aNow;
   m_membership->Watch(aRecord, aNow);
@@ -174,8 +183,8 @@
 
 // Callers of a service are given the hosts that serve it, in an order that
 // rotates so that the first choice is spread evenly.
-AddressAnswer EntryNode::OnAddressQuery(const ServiceName& aService,
-                                        TimePoint aNow)
+AddressAnswer
+EntryNode::OnAddressQuery(const ServiceName& aService, TimePoint aNow)
 {
   std::vector<HostId> hosts;
   for (const HostId& host : m_membership->AliveHosts()) {
@@ -204,7 +213,8 @@
   return answer;
 }
 
-void EntryNode::Leave(TimePoint aNow)
+void
+EntryNode::Leave(TimePoint aNow)
 {
   if (m_leaving) {
     return;
@@ -220,13 +230,15 @@
   m_hooks.record(Event("leaving"));
 }
 
-bool EntryNode::MayExit(TimePoint aNow) const
+bool
+EntryNode::MayExit(TimePoint aNow) const
 {
   return m_leaving && IsDue(m_addressesHeldUntil, aNow) && m_requests.empty() &&
          m_claims->Waiting() == 0;
 }
 
-void EntryNode::Tick(TimePoint aNow)
+void
+EntryNode::Tick(TimePoint aNow)
 {
   m_now = aNow;
   m_membership->Tick(aNow);
@@ -236,14 +248,24 @@
   m_limiter->Tick(aNow);
   CheckOverdue(aNow);
   CheckDeadlines(aNow);
-  for (const ServiceName& service : m_services->Services()) {
+  std::vector<ServiceName> waiting;
+  for (const auto& [service, gate] : m_gates) {
+    if (!gate.queue.empty()) {
+      waiting.push_back(service);
+    }
+  }
+  for (const ServiceName& service : waiting) {
     Drain(service, aNow);
   }
 }
 
-void EntryNode::Refuse(Request& aRequest, CallerOutcome aOutcome,
-                       std::uint32_t aStatus, const std::string& aReason,
-                       std::optional<Duration> aRetryAfter, TimePoint aNow)
+void
+EntryNode::Refuse(Request& aRequest,
+                  CallerOutcome aOutcome,
+                  std::uint32_t aStatus,
+                  const std::string& aReason,
+                  std::optional<Duration> aRetryAfter,
+                  TimePoint aNow)
 {
   FinalAnswer answer;
   answer.request = aRequest.head.id;
@@ -254,7 +276,8 @@
   Answer(aRequest, std::move(answer), aNow);
 }
 
-void EntryNode::Answer(Request& aRequest, FinalAnswer aAnswer, TimePoint aNow)
+void
+EntryNode::Answer(Request& aRequest, FinalAnswer aAnswer, TimePoint aNow)
 {
   CheckInvariant(aAnswer.outcome != CallerOutcome::kNotRun ||
                    (!aRequest.mayHaveRun && aRequest.attempts.empty()),
@@ -280,16 +303,13 @@
                    .With("status", aAnswer.status)
                    .With("attempts", aRequest.started)
                    .With("reason", aAnswer.reason));
-  const bool callerGone = aRequest.callerGone;
   const ServiceName service = aRequest.head.service;
   const auto gate = m_gates.find(service);
   if (gate != m_gates.end()) {
     gate->second.queue.Remove(aRequest.head.id);
   }
   m_requests.erase(aRequest.head.id);
-  if (!callerGone) {
-    m_hooks.answer(aAnswer);
-  }
+  m_hooks.answer(aAnswer);
 }
 
 } // namespace fuchsiaramp
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -80,14 +80,17 @@
 class EntryNode
 {
 public:
-  EntryNode(EntryOptions aOptions, EntryHooks aHooks, Random aRandom,
+  EntryNode(EntryOptions aOptions,
+            EntryHooks aHooks,
+            Random aRandom,
             TimePoint aNow);
 
   void OnRequest(const RequestHead& aHead, TimePoint aNow);
   void OnAttemptEnd(const AttemptEnd& aEnd, TimePoint aNow);
   // The caller closed its connection before it had an answer.
   void OnCallerGone(RequestId aRequest, TimePoint aNow);
-  void OnMessage(const HostId& aFrom, const wire::Envelope& aMessage,
+  void OnMessage(const HostId& aFrom,
+                 const wire::Envelope& aMessage,
                  TimePoint aNow);
   // A backend server announced itself, renewed, or said that it leaves.
   void OnAnnouncement(const wire::BackendServerRecord& aRecord, TimePoint aNow);
@@ -178,32 +181,45 @@
 
   // Claims.
   void StartClaim(Request& aRequest, TimePoint aNow);
-  void OnClaimResult(RequestId aRequest, const wire::CommandResult* aResult,
+  void OnClaimResult(RequestId aRequest,
+                     const wire::CommandResult* aResult,
                      TimePoint aNow);
   void Fence(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow);
-  void ReportFinished(const Request& aRequest, const AttemptEnd& aEnd,
-                      wire::LedgerRecord::State aState, TimePoint aNow);
+  void ReportFinished(const Request& aRequest,
+                      const AttemptEnd& aEnd,
+                      wire::LedgerRecord::State aState,
+                      TimePoint aNow);
   wire::ClaimKey KeyOf(const Request& aRequest) const;
   void ReleaseReservation(Request& aRequest, TimePoint aNow);
 
   // Attempts.
-  void StartAttempt(Request& aRequest, const BackendServerId& aServer,
+  void StartAttempt(Request& aRequest,
+                    const BackendServerId& aServer,
                     TimePoint aNow);
   void OnSuccess(Request& aRequest, const AttemptEnd& aEnd, TimePoint aNow);
-  void OnFailure(Request& aRequest, const Attempt& aAttempt,
-                 const AttemptEnd& aEnd, TimePoint aNow);
+  void OnFailure(Request& aRequest,
+                 const Attempt& aAttempt,
+                 const AttemptEnd& aEnd,
+                 TimePoint aNow);
   bool Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow);
-  bool OnBrokenConnection(Request& aRequest, const Attempt& aAttempt,
+  bool OnBrokenConnection(Request& aRequest,
+                          const Attempt& aAttempt,
                           TimePoint aNow);
-  void GiveUp(Request& aRequest, const AttemptEnd* aEnd,
-              const std::string& aReason, Duration aRetryAfter, TimePoint aNow);
+  void GiveUp(Request& aRequest,
+              const AttemptEnd* aEnd,
+              const std::string& aReason,
+              Duration aRetryAfter,
+              TimePoint aNow);
   void CheckOverdue(TimePoint aNow);
   void Hedge(Request& aRequest, TimePoint aNow);
   void CancelAttempts(Request& aRequest, TimePoint aNow);
   void CheckDeadlines(TimePoint aNow);
 
-  void Refuse(Request& aRequest, CallerOutcome aOutcome, std::uint32_t aStatus,
-              const std::string& aReason, std::optional<Duration> aRetryAfter,
+  void Refuse(Request& aRequest,
+              CallerOutcome aOutcome,
+              std::uint32_t aStatus,
+              const std::string& aReason,
+              std::optional<Duration> aRetryAfter,
               TimePoint aNow);
   // Gives the final answer and forgets the request.
   void Answer(Request& aRequest, FinalAnswer aAnswer, TimePoint aNow);
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -12,7 +12,8 @@
 static constexpr Duration kLeaderSilence = std::chrono::seconds(2);
 
 ListsFollower::ListsFollower(ListsFollowerOptions aOptions,
-                             ListsFollowerHooks aHooks, Random aRandom,
+                             ListsFollowerHooks aHooks,
+                             Random aRandom,
                              TimePoint aNow)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
@@ -23,7 +24,8 @@
 {
 }
 
-wire::ListsPull ListsFollower::Pull(bool aConfirm)
+wire::ListsPull
+ListsFollower::Pull(bool aConfirm)
 {
   wire::ListsPull pull;
   pull.set_have_version(m_lists.Version().Value());
@@ -32,7 +34,8 @@
   return pull;
 }
 
-void ListsFollower::Tick(TimePoint aNow)
+void
+ListsFollower::Tick(TimePoint aNow)
 {
   for (auto it = m_relays.begin(); it != m_relays.end();) {
     it = IsDue(it->second.forgetAt, aNow) ? m_relays.erase(it) : ++it;
@@ -49,7 +52,8 @@
   }
 }
 
-void ListsFollower::PullFromControl(TimePoint aNow)
+void
+ListsFollower::PullFromControl(TimePoint aNow)
 {
   const bool leaderSilent = IsDue(m_answeredAt + kLeaderSilence, aNow);
   if (m_serving && !m_leader.IsEmpty() && !leaderSilent) {
@@ -68,7 +72,8 @@
 
 // A peer relays the pull to control, so that a host with a one-way cut to
 // control is not held back, and answers with what it has itself.
-void ListsFollower::PullFromPeer()
+void
+ListsFollower::PullFromPeer()
 {
   std::vector<HostId> peers = m_hooks.aliveHosts();
   peers.erase(std::remove(peers.begin(), peers.end(), m_options.self),
@@ -84,14 +89,18 @@
   }
 }
 
-bool ListsFollower::IsControlHost(const HostId& aHost) const
+bool
+ListsFollower::IsControlHost(const HostId& aHost) const
 {
-  return std::find(m_options.controlHosts.begin(), m_options.controlHosts.end(),
+  return std::find(m_options.controlHosts.begin(),
+                   m_options.controlHosts.end(),
                    aHost) != m_options.controlHosts.end();
 }
 
-void ListsFollower::OnPush(const HostId& aFrom, const wire::ListsPush& aPush,
-                           TimePoint aNow)
+void
+ListsFollower::OnPush(const HostId& aFrom,
+                      const wire::ListsPush& aPush,
+                      TimePoint aNow)
 {
   const auto relay = m_relays.find(aPush.pull_id());
   if (relay != m_relays.end() && IsControlHost(aFrom)) {
@@ -129,15 +138,17 @@
   }
 }
 
-void ListsFollower::CountPeerAnswer(const HostId& aPeer,
-                                    const wire::ListsPush& aPush)
+void
+ListsFollower::CountPeerAnswer(const HostId& aPeer,
+                               const wire::ListsPush& aPush)
 {
   if (m_lists.Version().Value() >= aPush.current_version()) {
     m_peerAnswers[aPeer] = aPush.current_version();
   }
 }
 
-void ListsFollower::Adopt(const wire::ListsPush& aPush)
+void
+ListsFollower::Adopt(const wire::ListsPush& aPush)
 {
   for (const wire::ListsDelta& delta : aPush.deltas()) {
     const std::uint64_t before = m_lists.Version().Value();
@@ -158,7 +169,8 @@
   }
 }
 
-void ListsFollower::Serve(const char* aWhy)
+void
+ListsFollower::Serve(const char* aWhy)
 {
   if (m_serving) {
     return;
@@ -169,8 +181,10 @@
                    .With("version", m_lists.Version()));
 }
 
-void ListsFollower::OnPull(const HostId& aFrom, const wire::ListsPull& aPull,
-                           TimePoint aNow)
+void
+ListsFollower::OnPull(const HostId& aFrom,
+                      const wire::ListsPull& aPull,
+                      TimePoint aNow)
 {
   wire::ListsPush push;
   push.set_pull_id(aPull.pull_id());
@@ -200,7 +214,8 @@
   m_hooks.sendPull(m_leader, relayed);
 }
 
-void ListsFollower::OnPeerVersion(const HostId& aPeer, std::uint64_t aVersion)
+void
+ListsFollower::OnPeerVersion(const HostId& aPeer, std::uint64_t aVersion)
 {
   if (aVersion > m_lists.Version().Value()) {
     m_hooks.sendPull(aPeer, Pull(false));
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -50,14 +50,18 @@
 class ListsFollower
 {
 public:
-  ListsFollower(ListsFollowerOptions aOptions, ListsFollowerHooks aHooks,
-                Random aRandom, TimePoint aNow);
+  ListsFollower(ListsFollowerOptions aOptions,
+                ListsFollowerHooks aHooks,
+                Random aRandom,
+                TimePoint aNow);
 
   void Tick(TimePoint aNow);
-  void OnPush(const HostId& aFrom, const wire::ListsPush& aPush,
+  void OnPush(const HostId& aFrom,
+              const wire::ListsPush& aPush,
               TimePoint aNow);
   // Another entry host asks for the lists or for a relay to control.
-  void OnPull(const HostId& aFrom, const wire::ListsPull& aPull,
+  void OnPull(const HostId& aFrom,
+              const wire::ListsPull& aPull,
               TimePoint aNow);
   // Gossip says that a peer has this version.
   void OnPeerVersion(const HostId& aPeer, std::uint64_t aVersion);
--- a/packages/entry/request.cc
+++ b/packages/entry/request.cc
@@ -2,7 +2,8 @@
 
 namespace fuchsiaramp {
 
-const char* ToText(CallerOutcome aOutcome)
+const char*
+ToText(CallerOutcome aOutcome)
 {
   switch (aOutcome) {
     case CallerOutcome::kAnswered:
--- a/packages/entry/request.h
+++ b/packages/entry/request.h
@@ -21,7 +21,8 @@
 };
 
 // "answered", "not-run" or "unknown".
-const char* ToText(CallerOutcome aOutcome);
+const char*
+ToText(CallerOutcome aOutcome);
 
 // A caller's request, whole.
 struct RequestHead
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -15,7 +15,8 @@
 // Without a verdict for this long after a report, a host judges by itself.
 static constexpr Duration kFallbackAfter = std::chrono::seconds(4);
 
-static wire::ServerVerdict::State ToWire(HealthState aState)
+static wire::ServerVerdict::State
+ToWire(HealthState aState)
 {
   switch (aState) {
     case HealthState::kTrial:
@@ -27,7 +28,8 @@
   }
 }
 
-static HealthState FromWire(wire::ServerVerdict::State aState)
+static HealthState
+FromWire(wire::ServerVerdict::State aState)
 {
   switch (aState) {
     case wire::ServerVerdict::TRIAL:
@@ -40,14 +42,16 @@
 }
 
 ServicePlane::ServicePlane(ServicePlaneOptions aOptions,
-                           ServicePlaneHooks aHooks, Random aRandom)
+                           ServicePlaneHooks aHooks,
+                           Random aRandom)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
   , m_random(aRandom)
 {
 }
 
-ServicePlane::Service& ServicePlane::Open(const ServiceName& aName)
+ServicePlane::Service&
+ServicePlane::Open(const ServiceName& aName)
 {
   Service& service = m_services[aName];
   if (!service.router) {
@@ -64,7 +68,8 @@
   return service;
 }
 
-void ServicePlane::UpdateServer(const BackendServer& aServer, TimePoint aNow)
+void
+ServicePlane::UpdateServer(const BackendServer& aServer, TimePoint aNow)
 {
   Service& service = Open(aServer.service);
   if (aServer.state == ServerState::kGone) {
@@ -77,13 +82,15 @@
   }
 }
 
-ServiceRouter* ServicePlane::Find(const ServiceName& aService)
+ServiceRouter*
+ServicePlane::Find(const ServiceName& aService)
 {
   const auto it = m_services.find(aService);
   return it == m_services.end() ? nullptr : it->second.router.get();
 }
 
-std::vector<ServiceName> ServicePlane::Services() const
+std::vector<ServiceName>
+ServicePlane::Services() const
 {
   std::vector<ServiceName> names;
   for (const auto& [name, service] : m_services) {
@@ -93,20 +100,23 @@
   return names;
 }
 
-bool ServicePlane::IsArbiter(const ServiceName& aService) const
+bool
+ServicePlane::IsArbiter(const ServiceName& aService) const
 {
   const auto it = m_services.find(aService);
   return it != m_services.end() && it->second.judge != nullptr;
 }
 
-void ServicePlane::HostsChanged()
+void
+ServicePlane::HostsChanged()
 {
   m_hostsChanged = true;
 }
 
 // The new judge starts from the restrictions that this host follows, so that a
 // change of the arbiter brings no sick server back.
-void ServicePlane::StartJudging(Service& aService, TimePoint aNow)
+void
+ServicePlane::StartJudging(Service& aService, TimePoint aNow)
 {
   JudgeOptions options;
   options.threshold = m_options.routing.ejectionThreshold;
@@ -125,7 +135,8 @@
   aService.sentVersion.clear();
 }
 
-void ServicePlane::Tick(TimePoint aNow)
+void
+ServicePlane::Tick(TimePoint aNow)
 {
   m_quarantine.Tick(aNow);
   const bool hostsChanged = std::exchange(m_hostsChanged, false);
@@ -157,8 +168,10 @@
   }
 }
 
-void ServicePlane::Report(const ServiceName& aName, Service& aService,
-                          TimePoint aNow)
+void
+ServicePlane::Report(const ServiceName& aName,
+                     Service& aService,
+                     TimePoint aNow)
 {
   ServiceRouter& router = *aService.router;
   const bool urgent = router.HasBadEvidence() && IsDue(aService.urgentAt, aNow);
@@ -170,8 +183,8 @@
   aService.reportAt = aNow + kReportInterval;
   const std::vector<ReportedCounts> counts = router.TakeEvidence();
   if (aService.judge) {
-    aService.judge->OnReport({ m_options.self, m_options.region }, counts,
-                             aNow);
+    aService.judge->OnReport(
+      { m_options.self, m_options.region }, counts, aNow);
     aService.reporters[m_options.self] = aNow + kReporterKept;
   }
   if (aService.arbiter == m_options.self || aService.arbiter.IsEmpty()) {
@@ -196,8 +209,10 @@
   }
 }
 
-void ServicePlane::OnEvidence(const HostId& aFrom,
-                              const wire::Evidence& aEvidence, TimePoint aNow)
+void
+ServicePlane::OnEvidence(const HostId& aFrom,
+                         const wire::Evidence& aEvidence,
+                         TimePoint aNow)
 {
   for (const wire::EvidenceReport& report : aEvidence.reports()) {
     OnReport(aFrom, report, aNow);
@@ -210,8 +225,10 @@
   }
 }
 
-void ServicePlane::OnReport(const HostId& aFrom,
-                            const wire::EvidenceReport& aReport, TimePoint aNow)
+void
+ServicePlane::OnReport(const HostId& aFrom,
+                       const wire::EvidenceReport& aReport,
+                       TimePoint aNow)
 {
   const auto it = m_services.find(ServiceName(aReport.service()));
   if (it == m_services.end() || !it->second.judge ||
@@ -235,8 +252,10 @@
   }
 }
 
-void ServicePlane::TickJudge(const ServiceName& aName, Service& aService,
-                             TimePoint aNow)
+void
+ServicePlane::TickJudge(const ServiceName& aName,
+                        Service& aService,
+                        TimePoint aNow)
 {
   aService.judge->Tick(aNow);
   ApplyOwnVerdict(aService, aNow);
@@ -266,7 +285,8 @@
   }
 }
 
-void ServicePlane::ApplyOwnVerdict(Service& aService, TimePoint aNow)
+void
+ServicePlane::ApplyOwnVerdict(Service& aService, TimePoint aNow)
 {
   aService.router->SetRestrictions(
     aService.judge->Restricted(aNow),
@@ -274,8 +294,11 @@
     aNow + kVerdictLifetime);
 }
 
-void ServicePlane::SendVerdict(const ServiceName& aName, Service& aService,
-                               const HostId& aTo, TimePoint aNow)
+void
+ServicePlane::SendVerdict(const ServiceName& aName,
+                          Service& aService,
+                          const HostId& aTo,
+                          TimePoint aNow)
 {
   aService.sentVersion[aTo] = aService.judge->Version();
   wire::Evidence evidence;
@@ -296,8 +319,10 @@
   m_hooks.send(aTo, evidence);
 }
 
-void ServicePlane::OnVerdict(const HostId& aFrom, const wire::Verdict& aVerdict,
-                             TimePoint aNow)
+void
+ServicePlane::OnVerdict(const HostId& aFrom,
+                        const wire::Verdict& aVerdict,
+                        TimePoint aNow)
 {
   const auto it = m_services.find(ServiceName(aVerdict.service()));
   // Only the arbiter that this host reports to decides for it; during a change
@@ -326,13 +351,15 @@
     }
     health.push_back(item);
   }
-  service.router->SetRestrictions(health, aVerdict.reporters(),
-                                  aNow + Duration(aVerdict.lifetime_us()));
+  service.router->SetRestrictions(
+    health, aVerdict.reporters(), aNow + Duration(aVerdict.lifetime_us()));
 }
 
-bool ServicePlane::OnBroken(const ServiceName& aService,
-                            Fingerprint aFingerprint,
-                            const BackendServerId& aServer, TimePoint aNow)
+bool
+ServicePlane::OnBroken(const ServiceName& aService,
+                       Fingerprint aFingerprint,
+                       const BackendServerId& aServer,
+                       TimePoint aNow)
 {
   const bool quarantined = m_quarantine.OnBroken(aFingerprint, aServer, aNow);
   if (quarantined) {
@@ -356,8 +383,10 @@
 }
 
 // The arbiter passes the notice on to all hosts that report on the service.
-void ServicePlane::SharePoison(const ServiceName& aService,
-                               Fingerprint aFingerprint, TimePoint aNow)
+void
+ServicePlane::SharePoison(const ServiceName& aService,
+                          Fingerprint aFingerprint,
+                          TimePoint aNow)
 {
   const auto it = m_services.find(aService);
   if (it == m_services.end()) {
@@ -379,8 +408,10 @@
   }
 }
 
-void ServicePlane::OnPoison(const HostId& aFrom,
-                            const wire::PoisonNotice& aNotice, TimePoint aNow)
+void
+ServicePlane::OnPoison(const HostId& aFrom,
+                       const wire::PoisonNotice& aNotice,
+                       TimePoint aNow)
 {
   const ServiceName service(aNotice.service());
   const Fingerprint fingerprint(aNotice.fingerprint());
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -49,21 +49,25 @@
 class ServicePlane
 {
 public:
-  ServicePlane(ServicePlaneOptions aOptions, ServicePlaneHooks aHooks,
+  ServicePlane(ServicePlaneOptions aOptions,
+               ServicePlaneHooks aHooks,
                Random aRandom);
 
   void UpdateServer(const BackendServer& aServer, TimePoint aNow);
   // Null when no backend server of the service ever announced itself.
   ServiceRouter* Find(const ServiceName& aService);
-  void OnEvidence(const HostId& aFrom, const wire::Evidence& aEvidence,
+  void OnEvidence(const HostId& aFrom,
+                  const wire::Evidence& aEvidence,
                   TimePoint aNow);
   void Tick(TimePoint aNow);
   // The set of live hosts changed.
   void HostsChanged();
 
   // A connection broke under this request; returns whether it is quarantined.
-  bool OnBroken(const ServiceName& aService, Fingerprint aFingerprint,
-                const BackendServerId& aServer, TimePoint aNow);
+  bool OnBroken(const ServiceName& aService,
+                Fingerprint aFingerprint,
+                const BackendServerId& aServer,
+                TimePoint aNow);
   Quarantine& Poison() { return m_quarantine; }
 
   std::vector<ServiceName> Services() const;
@@ -89,15 +93,21 @@
   void StartJudging(Service& aService, TimePoint aNow);
   void Report(const ServiceName& aName, Service& aService, TimePoint aNow);
   void TickJudge(const ServiceName& aName, Service& aService, TimePoint aNow);
-  void SendVerdict(const ServiceName& aName, Service& aService,
-                   const HostId& aTo, TimePoint aNow);
-  void OnReport(const HostId& aFrom, const wire::EvidenceReport& aReport,
+  void SendVerdict(const ServiceName& aName,
+                   Service& aService,
+                   const HostId& aTo,
+                   TimePoint aNow);
+  void OnReport(const HostId& aFrom,
+                const wire::EvidenceReport& aReport,
                 TimePoint aNow);
-  void OnVerdict(const HostId& aFrom, const wire::Verdict& aVerdict,
+  void OnVerdict(const HostId& aFrom,
+                 const wire::Verdict& aVerdict,
                  TimePoint aNow);
-  void OnPoison(const HostId& aFrom, const wire::PoisonNotice& aNotice,
+  void OnPoison(const HostId& aFrom,
+                const wire::PoisonNotice& aNotice,
                 TimePoint aNow);
-  void SharePoison(const ServiceName& aService, Fingerprint aFingerprint,
+  void SharePoison(const ServiceName& aService,
+                   Fingerprint aFingerprint,
                    TimePoint aNow);
   void ApplyOwnVerdict(Service& aService, TimePoint aNow);
 
--- a/packages/limits/admission_queue.h
+++ b/packages/limits/admission_queue.h
@@ -31,7 +31,8 @@
   }
 
   // Returns the request that does not fit; it may be the new one.
-  std::optional<RequestId> Push(RequestId aRequest, std::uint32_t aPriority,
+  std::optional<RequestId> Push(RequestId aRequest,
+                                std::uint32_t aPriority,
                                 TimePoint aDeadline)
   {
     const Key key{ aPriority, aDeadline, aRequest };
--- a/packages/limits/plan_limiter.cc
+++ b/packages/limits/plan_limiter.cc
@@ -23,26 +23,31 @@
 {
 }
 
-double PlanLimiter::FallbackRate(double aLimit) const
+double
+PlanLimiter::FallbackRate(double aLimit) const
 {
   const std::size_t hosts =
     std::max<std::size_t>(1, m_hooks.aliveHosts().size());
   return aLimit / static_cast<double>(hosts);
 }
 
-bool PlanLimiter::TryTake(const std::string& aScope, double aLimit,
-                          TimePoint aNow)
+bool
+PlanLimiter::TryTake(const std::string& aScope, double aLimit, TimePoint aNow)
 {
   if (aLimit <= 0.0) {
     return true;
   }
   auto it = m_scopes.find(aScope);
   if (it == m_scopes.end()) {
-    it =
-      m_scopes
-        .emplace(aScope, Scope{ aLimit, TokenBucket(FallbackRate(aLimit), aNow),
-                                0, 0.0, TimePoint(), aNow })
-        .first;
+    it = m_scopes
+           .emplace(aScope,
+                    Scope{ aLimit,
+                           TokenBucket(FallbackRate(aLimit), aNow),
+                           0,
+                           0.0,
+                           TimePoint(),
+                           aNow })
+           .first;
   }
   Scope& scope = it->second;
   if (scope.limit != aLimit) {
@@ -54,13 +59,15 @@
   return scope.bucket.TryTake(aNow);
 }
 
-TimePoint PlanLimiter::NextAt(const std::string& aScope, TimePoint aNow)
+TimePoint
+PlanLimiter::NextAt(const std::string& aScope, TimePoint aNow)
 {
   const auto it = m_scopes.find(aScope);
   return it == m_scopes.end() ? aNow : it->second.bucket.NextAt(aNow);
 }
 
-void PlanLimiter::Tick(TimePoint aNow)
+void
+PlanLimiter::Tick(TimePoint aNow)
 {
   if (!IsDue(m_reportAt, aNow)) {
     return;
@@ -98,8 +105,10 @@
   }
 }
 
-void PlanLimiter::OnReport(const HostId& aFrom,
-                           const wire::LimitReport& aReport, TimePoint aNow)
+void
+PlanLimiter::OnReport(const HostId& aFrom,
+                      const wire::LimitReport& aReport,
+                      TimePoint aNow)
 {
   for (const wire::LimitShare& share : aReport.shares()) {
     const auto it = m_scopes.find(share.scope());
@@ -123,8 +132,11 @@
   }
 }
 
-void PlanLimiter::Allocate(const HostId& aFrom, const wire::LimitUsage& aUsage,
-                           wire::LimitReport& aReply, TimePoint aNow)
+void
+PlanLimiter::Allocate(const HostId& aFrom,
+                      const wire::LimitUsage& aUsage,
+                      wire::LimitReport& aReply,
+                      TimePoint aNow)
 {
   Allocation& allocation = m_allocations[aUsage.scope()];
   allocation.limit = static_cast<double>(aUsage.limit_milli()) / 1000.0;
--- a/packages/limits/plan_limiter.h
+++ b/packages/limits/plan_limiter.h
@@ -38,7 +38,8 @@
   bool TryTake(const std::string& aScope, double aLimit, TimePoint aNow);
   // When a request of the scope may be accepted again.
   TimePoint NextAt(const std::string& aScope, TimePoint aNow);
-  void OnReport(const HostId& aFrom, const wire::LimitReport& aReport,
+  void OnReport(const HostId& aFrom,
+                const wire::LimitReport& aReport,
                 TimePoint aNow);
   void Tick(TimePoint aNow);
   std::size_t ScopeCount() const { return m_scopes.size(); }
@@ -66,8 +67,10 @@
     std::unordered_map<HostId, Demand> demands;
   };
 
-  void Allocate(const HostId& aFrom, const wire::LimitUsage& aUsage,
-                wire::LimitReport& aReply, TimePoint aNow);
+  void Allocate(const HostId& aFrom,
+                const wire::LimitUsage& aUsage,
+                wire::LimitReport& aReply,
+                TimePoint aNow);
   double FallbackRate(double aLimit) const;
 
   HostId m_self;
--- a/packages/membership/directory.cc
+++ b/packages/membership/directory.cc
@@ -11,14 +11,16 @@
 {
 }
 
-void Directory::Update(const wire::BackendServerRecord& aRecord)
+void
+Directory::Update(const wire::BackendServerRecord& aRecord)
 {
   const BackendServerId id(aRecord.id());
   m_watches[id][aRecord.watcher()] = aRecord;
   Evaluate(id);
 }
 
-void Directory::WatcherChanged(const HostId& aWatcher)
+void
+Directory::WatcherChanged(const HostId& aWatcher)
 {
   std::vector<BackendServerId> affected;
   for (const auto& [id, watches] : m_watches) {
@@ -31,7 +33,8 @@
   }
 }
 
-void Directory::MarkLeaving(const BackendServerId& aServer)
+void
+Directory::MarkLeaving(const BackendServerId& aServer)
 {
   const auto it = m_servers.find(aServer);
   if (it != m_servers.end()) {
@@ -40,13 +43,15 @@
   }
 }
 
-const BackendServer* Directory::Find(const BackendServerId& aServer) const
+const BackendServer*
+Directory::Find(const BackendServerId& aServer) const
 {
   const auto it = m_servers.find(aServer);
   return it == m_servers.end() ? nullptr : &it->second;
 }
 
-void Directory::Evaluate(const BackendServerId& aServer)
+void
+Directory::Evaluate(const BackendServerId& aServer)
 {
   const wire::BackendServerRecord* newest = nullptr;
   for (const auto& [watcher, record] : m_watches[aServer]) {
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -9,14 +9,17 @@
 static constexpr int kSyncRecordsPerMessage = 400;
 static constexpr double kTransmissionFactor = 3.0;
 
-static bool IsLive(const wire::HostRecord& aRecord)
+static bool
+IsLive(const wire::HostRecord& aRecord)
 {
   return aRecord.state() == wire::HostRecord::ALIVE ||
          aRecord.state() == wire::HostRecord::SUSPECT;
 }
 
-Membership::Membership(MembershipOptions aOptions, MembershipHooks aHooks,
-                       Random aRandom, TimePoint aNow)
+Membership::Membership(MembershipOptions aOptions,
+                       MembershipHooks aHooks,
+                       Random aRandom,
+                       TimePoint aNow)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
   , m_random(aRandom)
@@ -28,7 +31,8 @@
   m_hostUpdates[m_options.self.host()] = {};
 }
 
-void Membership::Tick(TimePoint aNow)
+void
+Membership::Tick(TimePoint aNow)
 {
   CheckProbe(aNow);
   CheckSuspects(aNow);
@@ -43,7 +47,8 @@
   }
 }
 
-void Membership::StartProbe(TimePoint aNow)
+void
+Membership::StartProbe(TimePoint aNow)
 {
   const bool alone = AliveHosts().size() <= 1;
   if (alone) {
@@ -73,8 +78,9 @@
     return;
   }
   const std::uint64_t id = m_nextProbe++;
-  m_probes[id] = { target, aNow + m_options.probeTimeout,
-                   aNow + m_options.probeInterval, false };
+  m_probes[id] = {
+    target, aNow + m_options.probeTimeout, aNow + m_options.probeInterval, false
+  };
   wire::Gossip ping;
   ping.set_kind(wire::Gossip::PING);
   ping.set_probe_id(id);
@@ -82,7 +88,8 @@
   Send(target, std::move(ping));
 }
 
-void Membership::CheckProbe(TimePoint aNow)
+void
+Membership::CheckProbe(TimePoint aNow)
 {
   for (auto it = m_probes.begin(); it != m_probes.end();) {
     Probe& probe = it->second;
@@ -107,7 +114,8 @@
   }
 }
 
-void Membership::Suspect(const HostId& aHost, TimePoint aNow)
+void
+Membership::Suspect(const HostId& aHost, TimePoint aNow)
 {
   const wire::HostRecord* known = m_table.FindHost(aHost);
   if (known == nullptr || known->state() != wire::HostRecord::ALIVE) {
@@ -118,7 +126,8 @@
   MergeHost(suspect, aNow);
 }
 
-void Membership::CheckSuspects(TimePoint aNow)
+void
+Membership::CheckSuspects(TimePoint aNow)
 {
   std::vector<wire::HostRecord> dead;
   for (const auto& [host, deadline] : m_suspectUntil) {
@@ -143,7 +152,8 @@
   }
 }
 
-void Membership::CheckWatches(TimePoint aNow)
+void
+Membership::CheckWatches(TimePoint aNow)
 {
   for (auto it = m_watches.begin(); it != m_watches.end();) {
     if (!IsDue(it->second.lapsesAt, aNow)) {
@@ -158,7 +168,8 @@
   }
 }
 
-void Membership::Watch(wire::BackendServerRecord aAnnouncement, TimePoint aNow)
+void
+Membership::Watch(wire::BackendServerRecord aAnnouncement, TimePoint aNow)
 {
   aAnnouncement.set_watcher(m_options.self.host());
   WatchState& watch = m_watches[aAnnouncement.id()];
@@ -181,7 +192,8 @@
   }
 }
 
-void Membership::Publish(const wire::BackendServerRecord& aRecord)
+void
+Membership::Publish(const wire::BackendServerRecord& aRecord)
 {
   wire::BackendServerRecord record = aRecord;
   record.set_watcher_incarnation(m_options.self.incarnation());
@@ -189,7 +201,8 @@
   MergeServer(record);
 }
 
-void Membership::Leave(TimePoint aNow)
+void
+Membership::Leave(TimePoint aNow)
 {
   wire::HostRecord record = m_options.self;
   record.set_revision(record.revision() + 1);
@@ -198,7 +211,8 @@
   MergeHost(record, aNow);
 }
 
-bool Membership::MergeHost(const wire::HostRecord& aRecord, TimePoint aNow)
+bool
+Membership::MergeHost(const wire::HostRecord& aRecord, TimePoint aNow)
 {
   const bool self = aRecord.host() == m_options.self.host();
   if (self && (aRecord.incarnation() > m_options.self.incarnation() ||
@@ -232,7 +246,8 @@
 // Others believe something about this host that is not so; a higher revision
 // overrides it. A higher incarnation means that this host's clock went back
 // across a restart.
-void Membership::Refute(const wire::HostRecord& aClaim)
+void
+Membership::Refute(const wire::HostRecord& aClaim)
 {
   wire::HostRecord& self = m_options.self;
   if (aClaim.incarnation() < self.incarnation()) {
@@ -252,7 +267,8 @@
   m_hooks.record(Event("suspicion_refuted").With("revision", self.revision()));
 }
 
-void Membership::MergeServer(const wire::BackendServerRecord& aRecord)
+void
+Membership::MergeServer(const wire::BackendServerRecord& aRecord)
 {
   if (!m_table.Merge(aRecord)) {
     return;
@@ -261,8 +277,10 @@
   m_hooks.serverChanged(aRecord);
 }
 
-void Membership::OnGossip(const HostId& aFrom, const wire::Gossip& aGossip,
-                          TimePoint aNow)
+void
+Membership::OnGossip(const HostId& aFrom,
+                     const wire::Gossip& aGossip,
+                     TimePoint aNow)
 {
   MergeAll(aFrom, aGossip, aNow);
   switch (aGossip.kind()) {
@@ -305,8 +323,10 @@
   }
 }
 
-void Membership::MergeAll(const HostId& aFrom, const wire::Gossip& aGossip,
-                          TimePoint aNow)
+void
+Membership::MergeAll(const HostId& aFrom,
+                     const wire::Gossip& aGossip,
+                     TimePoint aNow)
 {
   for (const wire::HostRecord& record : aGossip.hosts()) {
     MergeHost(record, aNow);
@@ -319,7 +339,8 @@
   }
 }
 
-void Membership::RequestSync(const HostId& aPeer, TimePoint aNow)
+void
+Membership::RequestSync(const HostId& aPeer, TimePoint aNow)
 {
   if (!IsDue(m_syncAt, aNow)) {
     return;
@@ -333,14 +354,15 @@
   Send(aPeer, std::move(request));
 }
 
-void Membership::AnswerSync(const HostId& aPeer, const wire::Gossip& aRequest)
+void
+Membership::AnswerSync(const HostId& aPeer, const wire::Gossip& aRequest)
 {
   if (aRequest.digests_size() != static_cast<int>(kDigestBuckets)) {
     return;
   }
   BucketDigests other{};
-  std::copy(aRequest.digests().begin(), aRequest.digests().end(),
-            other.begin());
+  std::copy(
+    aRequest.digests().begin(), aRequest.digests().end(), other.begin());
   std::vector<wire::HostRecord> hosts;
   std::vector<wire::BackendServerRecord> servers;
   m_table.CollectDifferent(other, hosts, servers);
@@ -360,7 +382,8 @@
   m_hooks.send(aPeer, sync);
 }
 
-void Membership::Spread(TimePoint)
+void
+Membership::Spread(TimePoint)
 {
   if (m_hostUpdates.empty() && m_serverUpdates.empty()) {
     return;
@@ -372,7 +395,8 @@
   }
 }
 
-int Membership::MaxTransmissions() const
+int
+Membership::MaxTransmissions() const
 {
   const double hosts = static_cast<double>(m_table.Hosts().size()) + 1;
   return static_cast<int>(std::ceil(kTransmissionFactor * std::log2(hosts))) +
@@ -381,7 +405,8 @@
 
 // Adds the news that were sent the fewest times, and forgets news that were
 // sent often enough to have reached everybody.
-void Membership::Attach(wire::Gossip& aGossip)
+void
+Membership::Attach(wire::Gossip& aGossip)
 {
   const auto pick = [this](auto& aUpdates, const auto& aAdd) {
     std::vector<std::pair<int, std::string>> order;
@@ -414,7 +439,8 @@
   });
 }
 
-void Membership::Send(const HostId& aTo, wire::Gossip aGossip)
+void
+Membership::Send(const HostId& aTo, wire::Gossip aGossip)
 {
   Attach(aGossip);
   aGossip.set_lists_version(m_hooks.listsVersion());
@@ -422,7 +448,8 @@
   m_hooks.send(aTo, aGossip);
 }
 
-std::vector<HostId> Membership::AliveHosts() const
+std::vector<HostId>
+Membership::AliveHosts() const
 {
   std::vector<HostId> hosts;
   for (const auto& [host, record] : m_table.Hosts()) {
@@ -434,17 +461,19 @@
   return hosts;
 }
 
-bool Membership::IsAlive(const HostId& aHost) const
+bool
+Membership::IsAlive(const HostId& aHost) const
 {
   const wire::HostRecord* record = m_table.FindHost(aHost);
   return record != nullptr && IsLive(*record);
 }
 
-std::vector<HostId> Membership::RandomPeers(std::size_t aCount,
-                                            const HostId& aExcept)
+std::vector<HostId>
+Membership::RandomPeers(std::size_t aCount, const HostId& aExcept)
 {
   std::vector<HostId> peers = AliveHosts();
-  peers.erase(std::remove_if(peers.begin(), peers.end(),
+  peers.erase(std::remove_if(peers.begin(),
+                             peers.end(),
                              [&](const HostId& aHost) {
                                return aHost == aExcept ||
                                       aHost.Value() == m_options.self.host();
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -57,10 +57,13 @@
 class Membership
 {
 public:
-  Membership(MembershipOptions aOptions, MembershipHooks aHooks, Random aRandom,
+  Membership(MembershipOptions aOptions,
+             MembershipHooks aHooks,
+             Random aRandom,
              TimePoint aNow);
 
-  void OnGossip(const HostId& aFrom, const wire::Gossip& aGossip,
+  void OnGossip(const HostId& aFrom,
+                const wire::Gossip& aGossip,
                 TimePoint aNow);
   void Tick(TimePoint aNow);
 
@@ -104,7 +107,8 @@
   bool MergeHost(const wire::HostRecord& aRecord, TimePoint aNow);
   void MergeServer(const wire::BackendServerRecord& aRecord);
   void Refute(const wire::HostRecord& aClaim);
-  void MergeAll(const HostId& aFrom, const wire::Gossip& aGossip,
+  void MergeAll(const HostId& aFrom,
+                const wire::Gossip& aGossip,
                 TimePoint aNow);
   void RequestSync(const HostId& aPeer, TimePoint aNow);
   void AnswerSync(const HostId& aPeer, const wire::Gossip& aRequest);
--- a/packages/membership/record_table.cc
+++ b/packages/membership/record_table.cc
@@ -9,15 +9,17 @@
 // Of two records of the same incarnation and revision, the later state wins:
 // suspicion is raised by others without a new revision.
 template<class Record>
-static bool IsNewer(const Record& aRecord, const Record& aKnown)
+static bool
+IsNewer(const Record& aRecord, const Record& aKnown)
 {
-  return std::make_tuple(aRecord.incarnation(), aRecord.revision(),
-                         int(aRecord.state())) >
-         std::make_tuple(aKnown.incarnation(), aKnown.revision(),
-                         int(aKnown.state()));
+  return std::make_tuple(
+           aRecord.incarnation(), aRecord.revision(), int(aRecord.state())) >
+         std::make_tuple(
+           aKnown.incarnation(), aKnown.revision(), int(aKnown.state()));
 }
 
-bool RecordTable::Merge(const wire::HostRecord& aRecord)
+bool
+RecordTable::Merge(const wire::HostRecord& aRecord)
 {
   const auto it = m_hosts.find(aRecord.host());
   if (it != m_hosts.end()) {
@@ -28,12 +30,13 @@
     Toggle(known.host(), known.incarnation(), known.revision(), known.state());
   }
   m_hosts[aRecord.host()] = aRecord;
-  Toggle(aRecord.host(), aRecord.incarnation(), aRecord.revision(),
-         aRecord.state());
+  Toggle(
+    aRecord.host(), aRecord.incarnation(), aRecord.revision(), aRecord.state());
   return true;
 }
 
-bool RecordTable::Merge(const wire::BackendServerRecord& aRecord)
+bool
+RecordTable::Merge(const wire::BackendServerRecord& aRecord)
 {
   const std::string key = KeyOf(aRecord);
   const auto it = m_servers.find(key);
@@ -51,12 +54,13 @@
     Toggle(key, known.watcher_incarnation(), known.revision(), known.state());
   }
   m_servers[key] = aRecord;
-  Toggle(key, aRecord.watcher_incarnation(), aRecord.revision(),
-         aRecord.state());
+  Toggle(
+    key, aRecord.watcher_incarnation(), aRecord.revision(), aRecord.state());
   return true;
 }
 
-void RecordTable::EraseHost(const HostId& aHost)
+void
+RecordTable::EraseHost(const HostId& aHost)
 {
   const auto it = m_hosts.find(aHost.Value());
   if (it != m_hosts.end()) {
@@ -66,7 +70,8 @@
   }
 }
 
-void RecordTable::EraseServersOf(const HostId& aWatcher)
+void
+RecordTable::EraseServersOf(const HostId& aWatcher)
 {
   for (auto it = m_servers.begin(); it != m_servers.end();) {
     const wire::BackendServerRecord& known = it->second;
@@ -74,24 +79,27 @@
       ++it;
       continue;
     }
-    Toggle(it->first, known.watcher_incarnation(), known.revision(),
-           known.state());
+    Toggle(
+      it->first, known.watcher_incarnation(), known.revision(), known.state());
     it = m_servers.erase(it);
   }
 }
 
-const wire::HostRecord* RecordTable::FindHost(const HostId& aHost) const
+const wire::HostRecord*
+RecordTable::FindHost(const HostId& aHost) const
 {
   const auto it = m_hosts.find(aHost.Value());
   return it == m_hosts.end() ? nullptr : &it->second;
 }
 
-std::string RecordTable::KeyOf(const wire::BackendServerRecord& aRecord)
+std::string
+RecordTable::KeyOf(const wire::BackendServerRecord& aRecord)
 {
   return aRecord.watcher() + '\n' + aRecord.id();
 }
 
-std::uint64_t RecordTable::TotalDigest() const
+std::uint64_t
+RecordTable::TotalDigest() const
 {
   std::uint64_t total = 0;
   for (std::uint64_t digest : m_digests) {
@@ -100,8 +108,10 @@
   return total;
 }
 
-void RecordTable::CollectDifferent(
-  const BucketDigests& aOther, std::vector<wire::HostRecord>& aHosts,
+void
+RecordTable::CollectDifferent(
+  const BucketDigests& aOther,
+  std::vector<wire::HostRecord>& aHosts,
   std::vector<wire::BackendServerRecord>& aServers) const
 {
   const auto differs = [&](const std::string& aKey) {
@@ -120,14 +130,18 @@
   }
 }
 
-std::size_t RecordTable::BucketOf(const std::string& aKey)
+std::size_t
+RecordTable::BucketOf(const std::string& aKey)
 {
   return Hash64(aKey) % kDigestBuckets;
 }
 
 // XOR adds a record to its bucket and removes it again.
-void RecordTable::Toggle(const std::string& aKey, std::uint64_t aIncarnation,
-                         std::uint64_t aRevision, int aState)
+void
+RecordTable::Toggle(const std::string& aKey,
+                    std::uint64_t aIncarnation,
+                    std::uint64_t aRevision,
+                    int aState)
 {
   const std::uint64_t seed =
     aIncarnation * 1'000'003 + aRevision * 7 + std::uint64_t(aState);
--- a/packages/membership/record_table.h
+++ b/packages/membership/record_table.h
@@ -53,8 +53,10 @@
 
 private:
   static std::size_t BucketOf(const std::string& aKey);
-  void Toggle(const std::string& aKey, std::uint64_t aIncarnation,
-              std::uint64_t aRevision, int aState);
+  void Toggle(const std::string& aKey,
+              std::uint64_t aIncarnation,
+              std::uint64_t aRevision,
+              int aState);
 
   std::unordered_map<std::string, wire::HostRecord> m_hosts;
   std::unordered_map<std::string, wire::BackendServerRecord> m_servers;
--- /dev/null
+++ b/packages/net/backend_client.h
@@ -0,0 +1,86 @@
+// Sends attempts to backend servers over pooled HTTP/1.1 connections.
+//
+// An answer belongs to the one request that its connection carries. A
+// connection whose request was abandoned, or whose answer was not whole, is
+// closed and never used again. An answer without a length or chunks is not
+// whole, since a cut could not be told from its end.
+//
+//   BackendClient client(io, options, onEnd);
+//   bool proven = client.Start(start, request);
+//   client.Cancel(id);
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "entry/request.h"
+
+namespace fuchsiaramp {
+
+struct BackendClientOptions
+{
+  std::uint64_t answerBytes = 8 << 20;
+  std::uint64_t keptAnswerBytes = 16 << 10; // for the ledger
+  // An idle connection used within this span is known to work.
+  Duration recentUse = std::chrono::milliseconds(500);
+  Duration idleLifetime = std::chrono::seconds(30);
+  Duration connectTimeout = std::chrono::seconds(1);
+  std::size_t idlePerServer = 8;
+};
+
+using BackendRequest =
+  boost::beast::http::request<boost::beast::http::string_body>;
+using BackendResponse =
+  boost::beast::http::response<boost::beast::http::string_body>;
+
+class BackendClient
+{
+public:
+  // aResponse is null unless the whole answer came.
+  using EndHook =
+    std::function<void(const AttemptEnd& aEnd, BackendResponse* aResponse)>;
+
+  BackendClient(boost::asio::io_context& aIo,
+                BackendClientOptions aOptions,
+                EndHook aOnEnd);
+  ~BackendClient();
+  BackendClient(const BackendClient&) = delete;
+  BackendClient& operator=(const BackendClient&) = delete;
+
+  // Returns whether the connection is known to work. With aOnlyProven an idle
+  // connection without recent use is not used.
+  bool Start(const AttemptStart& aStart,
+             const BackendRequest& aRequest,
+             bool aOnlyProven);
+  // Closes the attempt's connection; the end hook is not called.
+  void Cancel(AttemptId aAttempt);
+  std::size_t Running() const { return m_running.size(); }
+
+private:
+  class Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  ConnectionPtr TakeIdle(const std::string& aAddress, bool aOnlyProven);
+  void Finished(const ConnectionPtr& aConnection,
+                const AttemptEnd& aEnd,
+                BackendResponse* aResponse,
+                bool aReusable);
+
+  boost::asio::io_context& m_io;
+  BackendClientOptions m_options;
+  EndHook m_onEnd;
+  std::unordered_map<AttemptId, ConnectionPtr> m_running;
+  std::unordered_map<std::string, std::vector<ConnectionPtr>> m_idle;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/net/control_service.cc
@@ -0,0 +1,489 @@
+#include "net/control_service.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include "base/digest.h"
+#include "base/error.h"
+#include "control/control_node.h"
+#include "disk/posix_files.h"
+#include "disk/segment_log.h"
+#include "net/http_server.h"
+#include "net/message_transport.h"
+#include "net/monotonic.h"
+#include "observe/causal_clock.h"
+#include "observe/event_log.h"
+#include "observe/metrics.h"
+#include "state/lists_document.h"
+
+namespace fuchsiaramp {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+static constexpr std::string_view kSystemPrefix = "/.well-known/fuchsiaramp/";
+static constexpr Duration kTick = std::chrono::milliseconds(10);
+static constexpr Duration kHandover = std::chrono::milliseconds(1500);
+static constexpr std::uint64_t kMaxDocumentBytes = 256 << 20;
+static constexpr std::uint64_t kSegmentSlack = 256 << 20; // bytes
+static constexpr std::uint32_t kMisdirected = 421;
+
+static HttpAnswer
+JsonAnswer(std::uint32_t aStatus, const json::value& aBody)
+{
+  HttpAnswer answer;
+  answer.status = aStatus;
+  answer.body = json::serialize(aBody) + "\n";
+  return answer;
+}
+
+static HttpAnswer
+ErrorAnswer(std::uint32_t aStatus, const std::string& aText)
+{
+  return JsonAnswer(aStatus, { { "error", aText } });
+}
+
+static std::string
+QueryValue(const std::string& aQuery, const std::string& aKey)
+{
+  std::size_t at = 0;
+  while (at < aQuery.size()) {
+    const std::size_t end = std::min(aQuery.find('&', at), aQuery.size());
+    const std::string item = aQuery.substr(at, end - at);
+    if (item.compare(0, aKey.size() + 1, aKey + '=') == 0) {
+      return item.substr(aKey.size() + 1);
+    }
+    at = end + 1;
+  }
+  return "";
+}
+
+class ControlService::Impl
+{
+public:
+  Impl(asio::io_context& aIo,
+       const Settings& aSettings,
+       const std::string& aSecretKey,
+       std::error_code& aError)
+    : m_io(aIo)
+    , m_settings(aSettings)
+    , m_incarnation(static_cast<std::uint64_t>(WallClockMicros()))
+    , m_log(aSettings.host, m_incarnation, aSettings.logLevel, m_clock)
+    , m_transport(aIo,
+                  TransportOptions(aSecretKey),
+                  m_clock,
+                  [this](const HostId& aFrom, const wire::Envelope& aMessage) {
+                    m_node->OnMessage(aFrom, aMessage, MonotonicNow());
+                    ScheduleFlush();
+                  })
+    , m_timer(aIo)
+  {
+    for (const PeerSettings& peer : m_settings.controlHosts) {
+      if (peer.host != m_settings.host) {
+        m_transport.SetPeer(peer.host, peer.messageAddress, peer.publicKey);
+      }
+    }
+    std::vector<GroupStorage> storage = OpenStorage(aError);
+    if (aError) {
+      return;
+    }
+    ControlOptions options;
+    options.self = m_settings.host;
+    for (const PeerSettings& peer : m_settings.controlHosts) {
+      options.hosts.push_back(peer.host);
+    }
+    options.ledger.maxBytes = m_settings.ledger.bytes;
+    options.ledger.retention = m_settings.ledger.retention;
+    m_node = std::make_unique<ControlNode>(std::move(options),
+                                           std::move(storage),
+                                           Hooks(),
+                                           Random(m_incarnation),
+                                           MonotonicNow());
+    AddMetrics();
+    HttpServerOptions server;
+    server.address = m_settings.callerAddress;
+    server.bodyBytes = kMaxDocumentBytes;
+    m_server.emplace(aIo, server, [this](const HttpExchangePtr& aExchange) {
+      OnExchange(aExchange);
+    });
+    m_log.Write(Event("started").With("role", "control"));
+    ScheduleTick();
+  }
+
+  void Leave()
+  {
+    if (m_leaving) {
+      return;
+    }
+    m_leaving = true;
+    m_exitAt = MonotonicNow() + kHandover;
+    m_log.Write(Event("leaving"));
+    m_node->Leave(MonotonicNow());
+    ScheduleFlush();
+  }
+
+  std::error_code FatalError() const { return m_fatal; }
+
+private:
+  MessageTransportOptions TransportOptions(const std::string& aSecretKey) const
+  {
+    MessageTransportOptions options;
+    options.self = m_settings.host;
+    options.incarnation = m_incarnation;
+    options.bindAddress = m_settings.messageAddress;
+    options.publicKey = m_settings.keys.publicKey;
+    options.secretKey = aSecretKey;
+    options.trustedKeys = TrustedKeys(m_settings);
+    return options;
+  }
+
+  std::vector<GroupStorage> OpenStorage(std::error_code& aError)
+  {
+    std::vector<GroupStorage> storage;
+    const std::size_t groups = 1 + m_settings.ledger.groups;
+    const std::uint64_t segmentBytes = m_settings.ledger.bytes + kSegmentSlack;
+    for (std::size_t i = 0; i < groups; ++i) {
+      const std::string folder =
+        m_settings.dataFolder + "/group-" + std::to_string(i);
+      FileHooks files = OpenFolder(folder, aError);
+      if (aError) {
+        return storage;
+      }
+      m_logs.push_back(std::make_unique<SegmentLog>(
+        std::move(files), Random(DiskSeed(i)), segmentBytes));
+      GroupStorage group;
+      aError = m_logs.back()->Open(group.stored);
+      if (aError) {
+        m_log.Write(Event("storage_unusable")
+                      .With("folder", folder)
+                      .With("error", aError.message()));
+        return storage;
+      }
+      group.hooks = m_logs.back()->Hooks();
+      storage.push_back(std::move(group));
+    }
+    return storage;
+  }
+
+  // Ids of new disks must differ between hosts and starts.
+  std::uint64_t DiskSeed(std::size_t aGroup) const
+  {
+    return Hash64(m_settings.host.Value() + '/' + std::to_string(aGroup),
+                  m_incarnation);
+  }
+
+  ControlHooks Hooks()
+  {
+    ControlHooks hooks;
+    hooks.send = [this](const HostId& aTo, const wire::Envelope& aMessage) {
+      m_transport.Send(aTo, aMessage);
+    };
+    hooks.wallClock = WallClockMicros;
+    hooks.fatal = [this](std::error_code aError) {
+      m_fatal = aError;
+      m_io.stop();
+    };
+    hooks.record = [this](const Event& aEvent) { m_log.Write(aEvent); };
+    return hooks;
+  }
+
+  // One flush, and so one sync, covers all messages that came in together.
+  void ScheduleFlush()
+  {
+    if (m_flushScheduled) {
+      return;
+    }
+    m_flushScheduled = true;
+    asio::post(m_io, [this] {
+      m_flushScheduled = false;
+      m_node->Flush(MonotonicNow());
+    });
+  }
+
+  void ScheduleTick()
+  {
+    m_timer.expires_after(kTick);
+    m_timer.async_wait([this](const boost::system::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      m_transport.Poll();
+      m_node->Tick(MonotonicNow());
+      m_node->Flush(MonotonicNow());
+      if (m_leaving && (IsDue(m_exitAt, MonotonicNow()) || !LeadsAny())) {
+        m_log.Write(Event("stopped"));
+        m_io.stop();
+        return;
+      }
+      ScheduleTick();
+    });
+  }
+
+  bool LeadsAny() const
+  {
+    for (std::size_t i = 0; i < m_node->GroupCount(); ++i) {
+      if (m_node->GroupNode(i).IsLeader()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void OnExchange(const HttpExchangePtr& aExchange)
+  {
+    const auto& message = aExchange->Message();
+    const std::string_view target = message.target();
+    if (target.substr(0, kSystemPrefix.size()) != kSystemPrefix) {
+      aExchange->Respond(ErrorAnswer(404, "no such path"));
+      return;
+    }
+    const std::string rest(target.substr(kSystemPrefix.size()));
+    const std::size_t mark = rest.find('?');
+    const std::string path = rest.substr(0, mark);
+    const std::string query =
+      mark == std::string::npos ? "" : rest.substr(mark + 1);
+    if (path == "metrics") {
+      HttpAnswer answer;
+      answer.contentType = "text/plain; version=0.0.4";
+      answer.body = m_metrics.Text();
+      aExchange->Respond(std::move(answer));
+      return;
+    }
+    if (!IsOperator(message)) {
+      aExchange->Respond(
+        ErrorAnswer(401, "the operator token is missing or wrong"));
+      return;
+    }
+    if (path == "status") {
+      aExchange->Respond(Status());
+    } else if (path == "lists" && message.method() == http::verb::put) {
+      ChangeLists(aExchange, query);
+    } else if (path == "lists") {
+      aExchange->Respond(FromLeader([this] { return CurrentLists(); }));
+    } else if (path == "lists/history") {
+      aExchange->Respond(FromLeader([this] { return History(); }));
+    } else if (path == "lists/in-force") {
+      aExchange->Respond(FromLeader([this] { return InForce(); }));
+    } else {
+      aExchange->Respond(ErrorAnswer(404, "no such path"));
+    }
+  }
+
+  bool IsOperator(const HttpExchange::Request& aMessage) const
+  {
+    static constexpr std::string_view kScheme = "Bearer ";
+    const std::string_view value = aMessage[http::field::authorization];
+    const std::string token(value.substr(0, kScheme.size()) == kScheme
+                              ? value.substr(kScheme.size())
+                              : std::string_view());
+    return m_settings.operatorTokenHash.empty() ||
+           EqualConstantTime(Sha256Hex(token), m_settings.operatorTokenHash);
+  }
+
+  // Only a leader with a lease answers, so that no answer is older than what
+  // was acknowledged before.
+  HttpAnswer FromLeader(const std::function<HttpAnswer()>& aAnswer) const
+  {
+    const Node& node = m_node->GroupNode(kListsGroup);
+    if (node.HasLease(MonotonicNow())) {
+      return aAnswer();
+    }
+    return NotLeader(node.Leader().Value());
+  }
+
+  static HttpAnswer NotLeader(const std::string& aLeader)
+  {
+    HttpAnswer answer = ErrorAnswer(
+      kMisdirected,
+      aLeader.empty() ? "no control host leads at the moment; try again"
+                      : "the lists are led by " + aLeader);
+    answer.headers.emplace_back("Fuchsiaramp-Leader", aLeader);
+    return answer;
+  }
+
+  HttpAnswer CurrentLists() const
+  {
+    const Lists& lists = m_node->State(kListsGroup).ListsPart().Current();
+    HttpAnswer answer;
+    answer.contentType = "application/yaml";
+    answer.body = WriteLists(lists.Full());
+    answer.headers.emplace_back("Fuchsiaramp-Lists-Version",
+                                std::to_string(lists.Version().Value()));
+    return answer;
+  }
+
+  HttpAnswer History() const
+  {
+    json::array changes;
+    for (const wire::ChangeRecord& change :
+         m_node->State(kListsGroup).ListsPart().Changes()) {
+      changes.push_back({ { "version", change.version() },
+                          { "change_id", change.change_id() },
+                          { "operator", change.operator_name() },
+                          { "accepted_at_us", change.accepted_at_us() } });
+    }
+    return JsonAnswer(200, { { "changes", changes } });
+  }
+
+  HttpAnswer InForce() const
+  {
+    const TimePoint now = MonotonicNow();
+    json::array hosts;
+    for (const auto& [host, reported] : m_node->EntryHosts()) {
+      hosts.push_back(
+        { { "host", host.Value() },
+          { "version", reported.version.Value() },
+          { "seconds_ago", ToSeconds(now - reported.reportedAt) } });
+    }
+    const auto version =
+      m_node->State(kListsGroup).ListsPart().Current().Version().Value();
+    return JsonAnswer(200, { { "version", version }, { "hosts", hosts } });
+  }
+
+  void ChangeLists(const HttpExchangePtr& aExchange, const std::string& aQuery)
+  {
+    ListsChange change;
+    change.document = aExchange->Message().body();
+    change.changeId = QueryValue(aQuery, "change-id");
+    change.operatorName = QueryValue(aQuery, "operator");
+    const std::string expected = QueryValue(aQuery, "expected-version");
+    const auto parsed = std::from_chars(expected.data(),
+                                        expected.data() + expected.size(),
+                                        change.expectedVersion);
+    if (change.changeId.empty() || expected.empty() ||
+        parsed.ec != std::errc()) {
+      aExchange->Respond(ErrorAnswer(
+        400, "the query must have change-id=ID and expected-version=NUMBER"));
+      return;
+    }
+    m_node->ChangeLists(
+      change, MonotonicNow(), [aExchange](const ListsChangeReply& aReply) {
+        aExchange->Respond(ChangeAnswer(aReply));
+      });
+    ScheduleFlush();
+  }
+
+  static HttpAnswer ChangeAnswer(const ListsChangeReply& aReply)
+  {
+    const wire::CommandResult& result = aReply.result;
+    switch (result.code()) {
+      case wire::CommandResult::OK:
+        return JsonAnswer(200, { { "version", result.version() } });
+      case wire::CommandResult::VERSION_CONFLICT:
+        return JsonAnswer(
+          409, { { "error", result.text() }, { "version", result.version() } });
+      case wire::CommandResult::INVALID:
+        return JsonAnswer(
+          422,
+          { { "error",
+              aReply.findings.empty() ? result.text() : aReply.findings } });
+      case wire::CommandResult::NOT_LEADER:
+        return NotLeader(result.text());
+      default:
+        return ErrorAnswer(503,
+                           "the fate of the change is unknown; send it again "
+                           "with the same change id");
+    }
+  }
+
+  HttpAnswer Status() const
+  {
+    json::array groups;
+    for (std::size_t i = 0; i < m_node->GroupCount(); ++i) {
+      const Node& node = m_node->GroupNode(i);
+      json::array members;
+      for (const wire::Member& member : node.Members().members()) {
+        members.push_back({ { "host", member.host() },
+                            { "disk", std::to_string(member.disk_id()) },
+                            { "voter", member.voter() } });
+      }
+      groups.push_back(
+        { { "group", i },
+          { "leader", node.Leader().Value() },
+          { "leads", node.HasLease(MonotonicNow()) },
+          { "blank", node.IsBlank() },
+          { "term", node.Term() },
+          { "committed", node.Commit() },
+          { "applied", node.Applied() },
+          { "ledger_records", m_node->State(i).LedgerPart().size() },
+          { "ledger_bytes", m_node->State(i).LedgerPart().Bytes() },
+          { "members", members } });
+    }
+    const auto version =
+      m_node->State(kListsGroup).ListsPart().Current().Version().Value();
+    return JsonAnswer(200,
+                      { { "host", m_settings.host.Value() },
+                        { "role", "control" },
+                        { "lists_version", version },
+                        { "groups", groups } });
+  }
+
+  void AddMetrics()
+  {
+    m_metrics.Gauge("cpu_seconds", ProcessCpuSeconds);
+    m_metrics.Gauge("resident_bytes", ProcessResidentBytes);
+    const auto transport = [this](const char* aName,
+                                  std::uint64_t TransportCounters::*aField) {
+      m_metrics.Gauge(aName, [this, aField] {
+        return static_cast<double>(m_transport.Counters().*aField);
+      });
+    };
+    transport("messages_sent_total", &TransportCounters::sent);
+    transport("messages_sent_bytes", &TransportCounters::sentBytes);
+    transport("messages_received_total", &TransportCounters::received);
+    transport("messages_received_bytes", &TransportCounters::receivedBytes);
+    transport("messages_dropped_total", &TransportCounters::dropped);
+    transport("messages_malformed_total", &TransportCounters::malformed);
+    transport("refused_keys_total", &TransportCounters::refusedKeys);
+    m_metrics.Gauge("lists_version", [this] {
+      return static_cast<double>(
+        m_node->State(kListsGroup).ListsPart().Current().Version().Value());
+    });
+  }
+
+  asio::io_context& m_io;
+  Settings m_settings;
+  std::uint64_t m_incarnation;
+  CausalClock m_clock;
+  EventLog m_log;
+  Metrics m_metrics;
+  MessageTransport m_transport;
+  asio::steady_timer m_timer;
+  std::vector<std::unique_ptr<SegmentLog>> m_logs;
+  std::unique_ptr<ControlNode> m_node;
+  std::optional<HttpServer> m_server;
+  bool m_flushScheduled = false;
+  bool m_leaving = false;
+  TimePoint m_exitAt;
+  std::error_code m_fatal;
+};
+
+ControlService::ControlService(asio::io_context& aIo,
+                               const Settings& aSettings,
+                               const std::string& aSecretKey,
+                               std::error_code& aError)
+  : m_impl(std::make_unique<Impl>(aIo, aSettings, aSecretKey, aError))
+{
+}
+
+ControlService::~ControlService() = default;
+
+void
+ControlService::Leave()
+{
+  m_impl->Leave();
+}
+
+std::error_code
+ControlService::FatalError() const
+{
+  return m_impl->FatalError();
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/net/entry_service.h
@@ -0,0 +1,36 @@
+// The adapter around one entry node: HTTP towards callers and backend servers,
+// messages towards the other hosts, timers and logs.
+//
+//   EntryService service(io, settings, secretKey);
+//   service.Leave();   // on SIGTERM; io.run() returns when it is done
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "settings/settings.h"
+
+namespace fuchsiaramp {
+
+class EntryService
+{
+public:
+  // Throws when an address cannot be bound.
+  EntryService(boost::asio::io_context& aIo,
+               const Settings& aSettings,
+               const std::string& aSecretKey);
+  ~EntryService();
+  EntryService(const EntryService&) = delete;
+  EntryService& operator=(const EntryService&) = delete;
+
+  // Withdraws the host, finishes what is in flight, then stops the io context.
+  void Leave();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/net/http_server.cc
@@ -0,0 +1,352 @@
+#include "net/http_server.h"
+
+#include <optional>
+
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "net/address.h"
+
+namespace fuchsiaramp {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+static constexpr Duration kWriteTimeout = std::chrono::seconds(30);
+
+// Counts connections and knows whether they should close.
+struct HttpServerState
+{
+  HttpServerOptions options;
+  HttpHandler handler;
+  std::size_t connections = 0;
+  bool closing = false;
+};
+
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+  HttpSession(tcp::socket aSocket, std::shared_ptr<HttpServerState> aState)
+    : m_stream(std::move(aSocket))
+    , m_state(std::move(aState))
+  {
+    ++m_state->connections;
+  }
+  HttpSession(const HttpSession&) = delete;
+  HttpSession& operator=(const HttpSession&) = delete;
+  ~HttpSession() { --m_state->connections; }
+
+  void Start()
+  {
+    beast::error_code ignored;
+    m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    Read();
+  }
+
+  const HttpExchange::Request& Message() const { return m_parser->get(); }
+
+  void Respond(std::uint64_t aExchange, HttpAnswer aAnswer)
+  {
+    if (aExchange != m_exchange || m_answered) {
+      return;
+    }
+    m_answered = true;
+    m_onGone = nullptr;
+    const auto& request = m_parser->get();
+    m_response = {};
+    m_response.version(request.version());
+    m_response.result(aAnswer.status);
+    m_response.set(http::field::content_type, aAnswer.contentType);
+    for (const auto& [name, value] : aAnswer.headers) {
+      m_response.set(name, value);
+    }
+    m_response.keep_alive(request.keep_alive() && !m_state->closing);
+    m_response.body() = std::move(aAnswer.body);
+    const std::size_t size = m_response.body().size();
+    if (request.method() == http::verb::head) {
+      m_response.body().clear();
+      m_response.content_length(size);
+    } else {
+      m_response.prepare_payload();
+    }
+    Write();
+  }
+
+  void OnGone(std::uint64_t aExchange, std::function<void()> aHook)
+  {
+    if (aExchange == m_exchange && !m_answered) {
+      m_onGone = std::move(aHook);
+    }
+  }
+
+private:
+  void Read()
+  {
+    m_parser.emplace();
+    m_parser->header_limit(m_state->options.headerBytes);
+    m_parser->body_limit(m_state->options.bodyBytes);
+    m_stream.expires_after(m_state->options.idleTimeout);
+    // The first byte may take as long as an idle connection may last; from
+    // then on the whole request has to come in time.
+    m_stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](const beast::error_code& aError) {
+        if (!aError) {
+          self->ReadRequest();
+        }
+      });
+    WatchIdle();
+  }
+
+  // async_wait is not covered by the stream's own timeout.
+  void WatchIdle()
+  {
+    m_idle.emplace(m_stream.get_executor());
+    m_idle->expires_after(m_state->options.idleTimeout);
+    m_idle->async_wait(
+      [self = shared_from_this()](const beast::error_code& aError) {
+        if (!aError) {
+          self->Close();
+        }
+      });
+  }
+
+  void ReadRequest()
+  {
+    m_idle->cancel();
+    m_stream.expires_after(m_state->options.headerTimeout);
+    http::async_read(
+      m_stream,
+      m_buffer,
+      *m_parser,
+      [self = shared_from_this()](const beast::error_code& aError,
+                                  std::size_t) { self->OnRead(aError); });
+  }
+
+  void OnRead(const beast::error_code& aError)
+  {
+    ++m_exchange;
+    m_answered = false;
+    if (aError) {
+      Reject(aError);
+      return;
+    }
+    m_stream.expires_never();
+    WatchGone();
+    m_state->handler(
+      std::make_shared<Exchange>(shared_from_this(), m_exchange));
+  }
+
+  // A request that cannot be read is answered where its sender can still
+  // learn from it, and the connection is closed: its framing is unknown.
+  void Reject(const beast::error_code& aError)
+  {
+    if (aError == http::error::end_of_stream ||
+        aError == beast::error::timeout ||
+        aError == asio::error::connection_reset ||
+        aError == http::error::partial_message) {
+      Close();
+      return;
+    }
+    std::uint32_t status = 400;
+    if (aError == http::error::header_limit) {
+      status = 431;
+    } else if (aError == http::error::body_limit) {
+      status = 413;
+    }
+    m_answered = true;
+    m_response = {};
+    m_response.version(11);
+    m_response.result(status);
+    m_response.set(http::field::content_type, "application/json");
+    m_response.set("Fuchsiaramp-Outcome", "not-run");
+    m_response.keep_alive(false);
+    m_response.body() =
+      "{\"error\":\"the request is malformed: " + aError.message() + "\"}\n";
+    m_response.prepare_payload();
+    Write();
+  }
+
+  // While a request is handled nothing is read, so a closed connection shows
+  // as readable with no bytes.
+  void WatchGone()
+  {
+    m_stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(),
+       exchange = m_exchange](const beast::error_code& aError) {
+        if (aError || exchange != self->m_exchange || self->m_answered) {
+          return;
+        }
+        char byte = 0;
+        beast::error_code error;
+        self->m_stream.socket().non_blocking(true, error);
+        const std::size_t count = self->m_stream.socket().receive(
+          asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        const bool gone = count == 0 && error != asio::error::would_block;
+        if (gone && self->m_onGone) {
+          const auto hook = std::move(self->m_onGone);
+          self->m_onGone = nullptr;
+          hook();
+        }
+      });
+  }
+
+  void Write()
+  {
+    m_stream.expires_after(kWriteTimeout);
+    http::async_write(m_stream,
+                      m_response,
+                      [self = shared_from_this()](
+                        const beast::error_code& aError, std::size_t) {
+                        const bool keep = !aError &&
+                                          self->m_response.keep_alive() &&
+                                          !self->m_state->closing;
+                        if (keep) {
+                          self->Read();
+                        } else {
+                          self->Close();
+                        }
+                      });
+  }
+
+  void Close()
+  {
+    beast::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.socket().close(ignored);
+    if (m_idle) {
+      m_idle->cancel();
+    }
+    if (m_onGone) {
+      const auto hook = std::move(m_onGone);
+      m_onGone = nullptr;
+      hook();
+    }
+  }
+
+  class Exchange : public HttpExchange
+  {
+  public:
+    Exchange(std::shared_ptr<HttpSession> aSession, std::uint64_t aNumber)
+      : m_session(std::move(aSession))
+      , m_number(aNumber)
+    {
+    }
+    const Request& Message() const override { return m_session->Message(); }
+    void Respond(HttpAnswer aAnswer) override
+    {
+      m_session->Respond(m_number, std::move(aAnswer));
+    }
+    void OnGone(std::function<void()> aHook) override
+    {
+      m_session->OnGone(m_number, std::move(aHook));
+    }
+
+  private:
+    std::shared_ptr<HttpSession> m_session;
+    std::uint64_t m_number;
+  };
+
+  beast::tcp_stream m_stream;
+  std::shared_ptr<HttpServerState> m_state;
+  beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  std::optional<asio::steady_timer> m_idle;
+  http::response<http::string_body> m_response;
+  std::uint64_t m_exchange = 0;
+  bool m_answered = true;
+  std::function<void()> m_onGone;
+};
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+  Impl(asio::io_context& aIo, HttpServerOptions aOptions, HttpHandler aHandler)
+    : m_acceptor(aIo)
+    , m_state(std::make_shared<HttpServerState>())
+  {
+    m_state->options = std::move(aOptions);
+    m_state->handler = std::move(aHandler);
+    beast::error_code error;
+    const auto endpoint = ParseEndpoint(m_state->options.address, error);
+    if (error) {
+      throw boost::system::system_error(error, m_state->options.address);
+    }
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen();
+  }
+
+  void Accept()
+  {
+    m_acceptor.async_accept(
+      [self = shared_from_this()](const beast::error_code& aError,
+                                  tcp::socket aSocket) {
+        if (!self->m_acceptor.is_open()) {
+          return;
+        }
+        const bool room =
+          self->m_state->connections < self->m_state->options.connections;
+        if (!aError && room) {
+          std::make_shared<HttpSession>(std::move(aSocket), self->m_state)
+            ->Start();
+        }
+        self->Accept();
+      });
+  }
+
+  void Stop()
+  {
+    beast::error_code ignored;
+    m_acceptor.close(ignored);
+  }
+
+  HttpServerState& State() { return *m_state; }
+
+private:
+  tcp::acceptor m_acceptor;
+  std::shared_ptr<HttpServerState> m_state;
+};
+
+HttpServer::HttpServer(asio::io_context& aIo,
+                       HttpServerOptions aOptions,
+                       HttpHandler aHandler)
+  : m_impl(
+      std::make_shared<Impl>(aIo, std::move(aOptions), std::move(aHandler)))
+{
+  m_impl->Accept();
+}
+
+HttpServer::~HttpServer()
+{
+  m_impl->Stop();
+}
+
+void
+HttpServer::CloseAfterAnswers()
+{
+  m_impl->State().closing = true;
+}
+
+void
+HttpServer::StopAccepting()
+{
+  m_impl->Stop();
+}
+
+std::size_t
+HttpServer::ConnectionCount() const
+{
+  return m_impl->State().connections;
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/net/http_server.h
@@ -0,0 +1,82 @@
+// An HTTP/1.1 server on Beast: keep-alive, limits on sizes and times, one
+// request at a time per connection.
+//
+//   HttpServer server(io, options, [](const HttpExchangePtr& exchange) {
+//     HttpAnswer answer;
+//     exchange->Respond(answer);
+//   });
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "base/time.h"
+
+namespace fuchsiaramp {
+
+struct HttpServerOptions
+{
+  std::string address; // IP:port
+  std::uint64_t bodyBytes = 1 << 20;
+  std::uint32_t headerBytes = 16 << 10;
+  std::uint64_t connections = 4096;
+  Duration headerTimeout = std::chrono::seconds(10);
+  Duration idleTimeout = std::chrono::seconds(60);
+};
+
+struct HttpAnswer
+{
+  std::uint32_t status = 200;
+  std::string contentType = "application/json";
+  std::string body;
+  std::vector<std::pair<std::string, std::string>> headers;
+};
+
+// One request and the means to answer it, once.
+class HttpExchange
+{
+public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+  virtual ~HttpExchange() = default;
+  virtual const Request& Message() const = 0;
+  virtual void Respond(HttpAnswer aAnswer) = 0;
+  // Called when the peer closes its connection before the answer.
+  virtual void OnGone(std::function<void()> aHook) = 0;
+};
+
+using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+using HttpHandler = std::function<void(const HttpExchangePtr&)>;
+
+class HttpServer
+{
+public:
+  // Throws boost::system::system_error when the address cannot be bound.
+  HttpServer(boost::asio::io_context& aIo,
+             HttpServerOptions aOptions,
+             HttpHandler aHandler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // Answers what is in flight, then closes each connection.
+  void CloseAfterAnswers();
+  // Accepts no more connections.
+  void StopAccepting();
+  std::size_t ConnectionCount() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/net/message_transport.cc
@@ -0,0 +1,264 @@
+#include "net/message_transport.h"
+
+#include <array>
+#include <utility>
+
+#include <zmq.h>
+
+#include "net/monotonic.h"
+
+namespace fuchsiaramp {
+
+static constexpr Duration kTimeToLive = std::chrono::seconds(3);
+static constexpr int kQueueLength = 2000; // messages per peer
+static constexpr std::int64_t kMaxMessageBytes = 64 << 20;
+static constexpr int kHeartbeatMs = 1000;
+static constexpr int kHeartbeatTimeoutMs = 3000;
+static constexpr int kReconnectMs = 100;
+static constexpr int kReconnectMaxMs = 2000;
+static constexpr int kBatch = 256; // messages read before others get a turn
+static constexpr std::size_t kKeyBytes = 32;
+
+static void
+SetCommonOptions(zmq::socket_t& aSocket)
+{
+  aSocket.set(zmq::sockopt::linger, 0);
+  aSocket.set(zmq::sockopt::sndhwm, kQueueLength);
+  aSocket.set(zmq::sockopt::rcvhwm, kQueueLength);
+  aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  aSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  aSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+}
+
+static std::string
+DecodeKey(const std::string& aZ85)
+{
+  std::array<std::uint8_t, kKeyBytes> bytes{};
+  if (zmq_z85_decode(bytes.data(), aZ85.c_str()) == nullptr) {
+    return "";
+  }
+  return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
+}
+
+MessageTransport::MessageTransport(boost::asio::io_context& aIo,
+                                   MessageTransportOptions aOptions,
+                                   CausalClock& aClock,
+                                   MessageHook aOnMessage)
+  : m_options(std::move(aOptions))
+  , m_clock(aClock)
+  , m_onMessage(std::move(aOnMessage))
+  , m_context(1)
+  , m_authentication(m_context, zmq::socket_type::rep)
+  , m_incoming(m_context, zmq::socket_type::router)
+  , m_outgoing(m_context, zmq::socket_type::router)
+  , m_authenticationFd(aIo)
+  , m_incomingFd(aIo)
+  , m_outgoingFd(aIo)
+{
+  for (const std::string& key : m_options.trustedKeys) {
+    m_trusted.insert(DecodeKey(key));
+  }
+  Bind();
+  Watch(m_authentication, m_authenticationFd, true);
+  Watch(m_incoming, m_incomingFd, false);
+  Watch(m_outgoing, m_outgoingFd, false);
+}
+
+// The descriptors belong to the sockets and are not closed here.
+MessageTransport::~MessageTransport()
+{
+  m_authenticationFd.release();
+  m_incomingFd.release();
+  m_outgoingFd.release();
+}
+
+void
+MessageTransport::Bind()
+{
+  SetCommonOptions(m_incoming);
+  SetCommonOptions(m_outgoing);
+  // A restarted host takes its routing id over from its old connection.
+  m_incoming.set(zmq::sockopt::router_handover, true);
+  m_outgoing.set(zmq::sockopt::routing_id, m_options.self.Value());
+  m_authentication.set(zmq::sockopt::linger, 0);
+  if (!m_options.secretKey.empty()) {
+    m_authentication.bind("inproc://zeromq.zap.01");
+    m_incoming.set(zmq::sockopt::zap_domain, "fuchsiaramp");
+    m_incoming.set(zmq::sockopt::curve_server, true);
+    m_incoming.set(zmq::sockopt::curve_secretkey, m_options.secretKey);
+    m_outgoing.set(zmq::sockopt::curve_publickey, m_options.publicKey);
+    m_outgoing.set(zmq::sockopt::curve_secretkey, m_options.secretKey);
+  }
+  m_incoming.bind("tcp://" + m_options.bindAddress);
+}
+
+void
+MessageTransport::SetPeer(const HostId& aHost,
+                          const std::string& aAddress,
+                          const std::string& aPublicKey)
+{
+  Peer& peer = m_peers[aHost];
+  if (peer.connected && peer.address != aAddress) {
+    m_outgoing.disconnect("tcp://" + peer.address);
+    peer.connected = false;
+  }
+  peer.address = aAddress;
+  peer.publicKey = aPublicKey;
+}
+
+bool
+MessageTransport::Connect(const HostId& aHost, Peer& aPeer)
+{
+  if (aPeer.connected) {
+    return true;
+  }
+  try {
+    if (!m_options.secretKey.empty()) {
+      m_outgoing.set(zmq::sockopt::curve_serverkey, aPeer.publicKey);
+    }
+    m_outgoing.set(zmq::sockopt::connect_routing_id, aHost.Value());
+    m_outgoing.connect("tcp://" + aPeer.address);
+    aPeer.connected = true;
+  } catch (const zmq::error_t&) {
+    return false;
+  }
+  return true;
+}
+
+void
+MessageTransport::Send(const HostId& aTo, const wire::Envelope& aMessage)
+{
+  wire::Envelope envelope = aMessage;
+  envelope.set_from(m_options.self.Value());
+  envelope.set_incarnation(m_options.incarnation);
+  envelope.set_sequence(++m_sequence);
+  envelope.set_sent_at_us(ToMicros(MonotonicNow()));
+  envelope.set_ttl_us(kTimeToLive.count());
+  envelope.set_clock(m_clock.Next());
+  const auto peer = m_peers.find(aTo);
+  const bool direct = peer != m_peers.end() && Connect(aTo, peer->second);
+  zmq::socket_t& socket = direct ? m_outgoing : m_incoming;
+  const std::string payload = envelope.SerializeAsString();
+  ++m_counters.sent;
+  m_counters.sentBytes += payload.size();
+  try {
+    // A router drops what it cannot deliver; the callers tolerate loss.
+    socket.send(zmq::buffer(aTo.Value()),
+                zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+    socket.send(zmq::buffer(payload), zmq::send_flags::dontwait);
+  } catch (const zmq::error_t&) {
+    ++m_counters.dropped;
+  }
+}
+
+// ZeroMQ signals on its descriptor only that its state may have changed, so the
+// socket is read until it is empty each time. A send may consume the signal;
+// the poll timer of the services covers that case.
+void
+MessageTransport::Watch(zmq::socket_t& aSocket,
+                        boost::asio::posix::stream_descriptor& aDescriptor,
+                        bool aAuthentication)
+{
+  if (!aDescriptor.is_open()) {
+    aDescriptor.assign(aSocket.get(zmq::sockopt::fd));
+  }
+  aDescriptor.async_wait(boost::asio::posix::descriptor_base::wait_read,
+                         [this, &aSocket, &aDescriptor, aAuthentication](
+                           const boost::system::error_code& aError) {
+                           if (aError) {
+                             return;
+                           }
+                           if (aAuthentication) {
+                             AnswerAuthentication();
+                           } else {
+                             ReadAll(aSocket);
+                           }
+                           Watch(aSocket, aDescriptor, aAuthentication);
+                         });
+}
+
+void
+MessageTransport::Poll()
+{
+  AnswerAuthentication();
+  ReadAll(m_incoming);
+  ReadAll(m_outgoing);
+}
+
+void
+MessageTransport::ReadAll(zmq::socket_t& aSocket)
+{
+  for (int i = 0; i < kBatch; ++i) {
+    zmq::message_t identity;
+    if (!aSocket.recv(identity, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    zmq::message_t payload;
+    bool last = !identity.more();
+    while (!last) {
+      if (!aSocket.recv(payload, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      last = !payload.more();
+    }
+    OnPayload(identity.to_string(), payload);
+  }
+}
+
+// The routing id names the connection's host; a message that claims another
+// sender is malformed.
+void
+MessageTransport::OnPayload(const std::string& aFrom,
+                            const zmq::message_t& aPayload)
+{
+  wire::Envelope envelope;
+  const bool valid = envelope.ParseFromArray(
+                       aPayload.data(), static_cast<int>(aPayload.size())) &&
+                     envelope.from() == aFrom && !aFrom.empty();
+  ++m_counters.received;
+  m_counters.receivedBytes += aPayload.size();
+  if (!valid) {
+    ++m_counters.malformed;
+    return;
+  }
+  if (!m_freshness.Accept(envelope, MonotonicNow())) {
+    ++m_counters.dropped;
+    return;
+  }
+  m_clock.Observe(envelope.clock());
+  m_onMessage(HostId(aFrom), envelope);
+}
+
+// Answers ZeroMQ's authentication requests: only trusted keys may connect.
+void
+MessageTransport::AnswerAuthentication()
+{
+  while (true) {
+    std::vector<std::string> frames;
+    zmq::message_t frame;
+    do {
+      if (!m_authentication.recv(frame, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      frames.push_back(frame.to_string());
+    } while (frame.more());
+    // Frames: version, request id, domain, address, identity, mechanism, key.
+    const bool trusted = frames.size() >= 7 && frames[5] == "CURVE" &&
+                         m_trusted.count(frames[6]) != 0;
+    m_counters.refusedKeys += trusted ? 0 : 1;
+    const std::string requestId = frames.size() > 1 ? frames[1] : "";
+    const std::array<std::string, 6> reply = {
+      "1.0", requestId, trusted ? "200" : "400", "", "", ""
+    };
+    for (std::size_t i = 0; i < reply.size(); ++i) {
+      const bool more = i + 1 < reply.size();
+      m_authentication.send(zmq::buffer(reply[i]),
+                            more ? zmq::send_flags::sndmore
+                                 : zmq::send_flags::none);
+    }
+  }
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/net/message_transport.h
@@ -0,0 +1,114 @@
+// Carries messages between the system's own processes over ZeroMQ.
+//
+// One socket accepts connections, one makes them; both are bounded and drop
+// when full. With keys, CURVE encrypts all traffic and only trusted keys
+// connect. Received messages pass the freshness filter, so what was queued
+// through a partition is not acted on late.
+//
+//   MessageTransport transport(io, options, clock, [](HostId, Envelope) {});
+//   transport.SetPeer(host, "10.0.0.7:7000", publicKey);
+//   transport.Send(host, envelope);
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <zmq.hpp>
+
+#include "base/ids.h"
+#include "observe/causal_clock.h"
+#include "wire/freshness.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+struct MessageTransportOptions
+{
+  HostId self;
+  std::uint64_t incarnation = 1;
+  std::string bindAddress; // IP:port
+  // Z85; empty for plaintext.
+  std::string publicKey;
+  std::string secretKey;
+  std::vector<std::string> trustedKeys;
+};
+
+struct TransportCounters
+{
+  std::uint64_t sent = 0;
+  std::uint64_t sentBytes = 0;
+  std::uint64_t received = 0;
+  std::uint64_t receivedBytes = 0;
+  std::uint64_t dropped = 0; // late, replayed or from an old incarnation
+  std::uint64_t malformed = 0;
+  std::uint64_t refusedKeys = 0;
+};
+
+class MessageTransport
+{
+public:
+  using MessageHook =
+    std::function<void(const HostId& aFrom, const wire::Envelope& aMessage)>;
+
+  // Throws zmq::error_t when the address cannot be bound.
+  MessageTransport(boost::asio::io_context& aIo,
+                   MessageTransportOptions aOptions,
+                   CausalClock& aClock,
+                   MessageHook aOnMessage);
+  ~MessageTransport();
+  MessageTransport(const MessageTransport&) = delete;
+  MessageTransport& operator=(const MessageTransport&) = delete;
+
+  // Where to reach a host; connects on the first message to it.
+  void SetPeer(const HostId& aHost,
+               const std::string& aAddress,
+               const std::string& aPublicKey);
+  // A host without a known address is reached over the connection it made.
+  void Send(const HostId& aTo, const wire::Envelope& aMessage);
+  // Reads what has arrived; called regularly, since a send can consume the
+  // signal that something arrived.
+  void Poll();
+  const TransportCounters& Counters() const { return m_counters; }
+
+private:
+  struct Peer
+  {
+    std::string address;
+    std::string publicKey;
+    bool connected = false;
+  };
+
+  void Bind();
+  bool Connect(const HostId& aHost, Peer& aPeer);
+  void Watch(zmq::socket_t& aSocket,
+             boost::asio::posix::stream_descriptor& aDescriptor,
+             bool aAuthentication);
+  void ReadAll(zmq::socket_t& aSocket);
+  void AnswerAuthentication();
+  void OnPayload(const std::string& aFrom, const zmq::message_t& aPayload);
+
+  MessageTransportOptions m_options;
+  CausalClock& m_clock;
+  MessageHook m_onMessage;
+  zmq::context_t m_context;
+  zmq::socket_t m_authentication;
+  zmq::socket_t m_incoming;
+  zmq::socket_t m_outgoing;
+  boost::asio::posix::stream_descriptor m_authenticationFd;
+  boost::asio::posix::stream_descriptor m_incomingFd;
+  boost::asio::posix::stream_descriptor m_outgoingFd;
+  std::set<std::string> m_trusted; // binary keys
+  std::unordered_map<HostId, Peer> m_peers;
+  FreshnessFilter m_freshness;
+  std::uint64_t m_sequence = 0;
+  TransportCounters m_counters;
+};
+
+} // namespace fuchsiaramp
--- a/packages/observe/event_log.cc
+++ b/packages/observe/event_log.cc
@@ -8,7 +8,8 @@
 
 namespace fuchsiaramp {
 
-std::string FormatField(const std::string& aKey, const std::string& aValue)
+std::string
+FormatField(const std::string& aKey, const std::string& aValue)
 {
   const bool plain = !aValue.empty() &&
                      aValue.find_first_of(" =\"\\\n\r\t") == std::string::npos;
@@ -25,8 +26,10 @@
   return text + '"';
 }
 
-EventLog::EventLog(HostId aHost, std::uint64_t aIncarnation,
-                   const std::string& aLevel, CausalClock& aClock)
+EventLog::EventLog(HostId aHost,
+                   std::uint64_t aIncarnation,
+                   const std::string& aLevel,
+                   CausalClock& aClock)
   : m_logger(log4cplus::Logger::getInstance("fuchsiaramp"))
   , m_host(aHost.Value())
   , m_incarnation(aIncarnation)
@@ -41,7 +44,8 @@
   m_logger.setLogLevel(log4cplus::getLogLevelManager().fromString(aLevel));
 }
 
-void EventLog::Write(const Event& aEvent)
+void
+EventLog::Write(const Event& aEvent)
 {
   const bool detail =
     aEvent.Name() == "attempt_started" || aEvent.Name() == "request_finished";
--- a/packages/observe/event_log.h
+++ b/packages/observe/event_log.h
@@ -20,13 +20,16 @@
 namespace fuchsiaramp {
 
 // "key=value", quoted when the value needs it.
-std::string FormatField(const std::string& aKey, const std::string& aValue);
+std::string
+FormatField(const std::string& aKey, const std::string& aValue);
 
 class EventLog
 {
 public:
   // aLevel: DEBUG, INFO, WARN or ERROR. Lines go to standard output.
-  EventLog(HostId aHost, std::uint64_t aIncarnation, const std::string& aLevel,
+  EventLog(HostId aHost,
+           std::uint64_t aIncarnation,
+           const std::string& aLevel,
            CausalClock& aClock);
 
   void Write(const Event& aEvent);
--- a/packages/observe/metrics.cc
+++ b/packages/observe/metrics.cc
@@ -20,7 +20,8 @@
 {
 }
 
-std::string LatencyMetric::Text(const std::string& aName) const
+std::string
+LatencyMetric::Text(const std::string& aName) const
 {
   std::ostringstream text;
   const std::size_t count = acc::count(m_values);
@@ -38,17 +39,20 @@
   return text.str();
 }
 
-LatencyMetric& Metrics::Latency(const std::string& aName)
+LatencyMetric&
+Metrics::Latency(const std::string& aName)
 {
   return m_latencies[aName];
 }
 
-void Metrics::Gauge(const std::string& aName, std::function<double()> aValue)
+void
+Metrics::Gauge(const std::string& aName, std::function<double()> aValue)
 {
   m_gauges[aName] = std::move(aValue);
 }
 
-std::string Metrics::Text() const
+std::string
+Metrics::Text() const
 {
   std::ostringstream text;
   text.precision(12);
@@ -61,7 +65,8 @@
   return text.str();
 }
 
-double ProcessCpuSeconds()
+double
+ProcessCpuSeconds()
 {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
@@ -72,7 +77,8 @@
   return seconds(usage.ru_utime) + seconds(usage.ru_stime);
 }
 
-double ProcessResidentBytes()
+double
+ProcessResidentBytes()
 {
   std::ifstream file("/proc/self/statm");
   double pages = 0.0;
--- a/packages/observe/metrics.h
+++ b/packages/observe/metrics.h
@@ -30,10 +30,12 @@
 
 private:
   boost::accumulators::accumulator_set<
-    double, boost::accumulators::stats<
-              boost::accumulators::tag::count, boost::accumulators::tag::mean,
-              boost::accumulators::tag::max,
-              boost::accumulators::tag::extended_p_square_quantile>>
+    double,
+    boost::accumulators::stats<
+      boost::accumulators::tag::count,
+      boost::accumulators::tag::mean,
+      boost::accumulators::tag::max,
+      boost::accumulators::tag::extended_p_square_quantile>>
     m_values;
 };
 
@@ -51,7 +53,9 @@
 };
 
 // Processor seconds and resident bytes of this process.
-double ProcessCpuSeconds();
-double ProcessResidentBytes();
+double
+ProcessCpuSeconds();
+double
+ProcessResidentBytes();
 
 } // namespace fuchsiaramp
--- a/packages/observe/timeline.cc
+++ b/packages/observe/timeline.cc
@@ -8,7 +8,8 @@
 
 namespace fuchsiaramp {
 
-std::map<std::string, std::string> ParseFields(const std::string& aLine)
+std::map<std::string, std::string>
+ParseFields(const std::string& aLine)
 {
   std::map<std::string, std::string> fields;
   std::size_t at = 0;
@@ -42,21 +43,21 @@
   return fields;
 }
 
-static std::uint64_t TakeNumber(std::map<std::string, std::string>& aFields,
-                                const char* aKey)
+static std::uint64_t
+TakeNumber(std::map<std::string, std::string>& aFields, const char* aKey)
 {
   std::uint64_t value = 0;
   const auto it = aFields.find(aKey);
   if (it != aFields.end()) {
-    std::from_chars(it->second.data(), it->second.data() + it->second.size(),
-                    value);
+    std::from_chars(
+      it->second.data(), it->second.data() + it->second.size(), value);
     aFields.erase(it);
   }
   return value;
 }
 
-static std::string TakeText(std::map<std::string, std::string>& aFields,
-                            const char* aKey)
+static std::string
+TakeText(std::map<std::string, std::string>& aFields, const char* aKey)
 {
   const auto it = aFields.find(aKey);
   if (it == aFields.end()) {
@@ -67,7 +68,8 @@
   return value;
 }
 
-void Timeline::AddLog(const std::string& aText)
+void
+Timeline::AddLog(const std::string& aText)
 {
   std::istringstream lines(aText);
   for (std::string line; std::getline(lines, line);) {
@@ -88,19 +90,23 @@
   }
 }
 
-void Timeline::Sort()
+void
+Timeline::Sort()
 {
-  std::stable_sort(m_events.begin(), m_events.end(),
-                   [](const TimelineEvent& aLeft, const TimelineEvent& aRight) {
-                     return std::tie(aLeft.clock, aLeft.host, aLeft.incarnation,
-                                     aLeft.sequence) <
-                            std::tie(aRight.clock, aRight.host,
-                                     aRight.incarnation, aRight.sequence);
-                   });
+  std::stable_sort(
+    m_events.begin(),
+    m_events.end(),
+    [](const TimelineEvent& aLeft, const TimelineEvent& aRight) {
+      return std::tie(
+               aLeft.clock, aLeft.host, aLeft.incarnation, aLeft.sequence) <
+             std::tie(
+               aRight.clock, aRight.host, aRight.incarnation, aRight.sequence);
+    });
 }
 
-bool Timeline::Matches(const TimelineEvent& aEvent,
-                       const std::map<std::string, std::string>& aFilter)
+bool
+Timeline::Matches(const TimelineEvent& aEvent,
+                  const std::map<std::string, std::string>& aFilter)
 {
   return std::all_of(aFilter.begin(), aFilter.end(), [&](const auto& aItem) {
     if (aItem.first == "host") {
@@ -114,7 +120,8 @@
   });
 }
 
-static std::string FieldsText(const TimelineEvent& aEvent)
+static std::string
+FieldsText(const TimelineEvent& aEvent)
 {
   std::string text;
   for (const auto& [key, value] : aEvent.fields) {
@@ -123,8 +130,8 @@
   return text;
 }
 
-std::string Timeline::Text(
-  const std::map<std::string, std::string>& aFilter) const
+std::string
+Timeline::Text(const std::map<std::string, std::string>& aFilter) const
 {
   std::string text;
   for (const TimelineEvent& event : m_events) {
@@ -141,7 +148,8 @@
   return text;
 }
 
-static std::string Escape(const std::string& aText)
+static std::string
+Escape(const std::string& aText)
 {
   std::string out;
   for (char c : aText) {
@@ -165,8 +173,8 @@
   return out;
 }
 
-std::string Timeline::Html(
-  const std::map<std::string, std::string>& aFilter) const
+std::string
+Timeline::Html(const std::map<std::string, std::string>& aFilter) const
 {
   std::set<std::string> hosts;
   for (const TimelineEvent& event : m_events) {
--- a/packages/observe/timeline.h
+++ b/packages/observe/timeline.h
@@ -26,7 +26,8 @@
 };
 
 // Splits a line of key=value pairs, undoing quotes.
-std::map<std::string, std::string> ParseFields(const std::string& aLine);
+std::map<std::string, std::string>
+ParseFields(const std::string& aLine);
 
 class Timeline
 {
--- a/packages/routing/decayed_counts.h
+++ b/packages/routing/decayed_counts.h
@@ -50,7 +50,8 @@
   {
     const double factor =
       std::exp2(-ToSeconds(aNow - m_at) / ToSeconds(kHalfLife));
-    return { m_counts.total * factor, m_counts.failures * factor,
+    return { m_counts.total * factor,
+             m_counts.failures * factor,
              m_counts.slow * factor };
   }
 
--- a/packages/routing/health_judge.cc
+++ b/packages/routing/health_judge.cc
@@ -38,8 +38,9 @@
 {
 }
 
-void HealthJudge::SetServers(const std::vector<JudgedServer>& aServers,
-                             TimePoint aNow)
+void
+HealthJudge::SetServers(const std::vector<JudgedServer>& aServers,
+                        TimePoint aNow)
 {
   std::map<BackendServerId, ServerRecord> servers;
   for (const JudgedServer& server : aServers) {
@@ -59,9 +60,10 @@
   KeepFloor(aNow);
 }
 
-HealthJudge::Baseline HealthJudge::BaselineFor(const HostId& aReporter,
-                                               const ServerRecord& aServer,
-                                               TimePoint aNow) const
+HealthJudge::Baseline
+HealthJudge::BaselineFor(const HostId& aReporter,
+                         const ServerRecord& aServer,
+                         TimePoint aNow) const
 {
   OutcomeCounts rest;
   OutcomeCounts all = m_all.At(aNow);
@@ -96,9 +98,10 @@
            rate(rest.slow, all.slow, kPriorSlowRate) };
 }
 
-void HealthJudge::OnReport(const Reporter& aReporter,
-                           const std::vector<ReportedCounts>& aCounts,
-                           TimePoint aNow)
+void
+HealthJudge::OnReport(const Reporter& aReporter,
+                      const std::vector<ReportedCounts>& aCounts,
+                      TimePoint aNow)
 {
   ReporterRecord& reporter = m_reporters[aReporter.host];
   reporter.region = aReporter.region;
@@ -125,14 +128,18 @@
   }
 }
 
-static double LogRatio(double aBad, double aGood, double aHealthy, double aSick)
+static double
+LogRatio(double aBad, double aGood, double aHealthy, double aSick)
 {
   return aBad * std::log(aSick / aHealthy) +
          aGood * std::log((1.0 - aSick) / (1.0 - aHealthy));
 }
 
-void HealthJudge::AddEvidence(const HostId& aReporter, ServerRecord& aServer,
-                              const OutcomeCounts& aCounts, TimePoint aNow)
+void
+HealthJudge::AddEvidence(const HostId& aReporter,
+                         ServerRecord& aServer,
+                         const OutcomeCounts& aCounts,
+                         TimePoint aNow)
 {
   if (aServer.state == HealthState::kEjected) {
     return;
@@ -168,21 +175,24 @@
   }
 }
 
-void HealthJudge::AddTrialEvidence(ServerRecord& aServer,
-                                   const OutcomeCounts& aCounts)
+void
+HealthJudge::AddTrialEvidence(ServerRecord& aServer,
+                              const OutcomeCounts& aCounts)
 {
   const double bad = aCounts.failures + aCounts.slow;
   const double good = std::max(0.0, aCounts.total - bad);
   aServer.trialScore += kTrialBad * bad + kTrialGood * good;
 }
 
-double HealthJudge::Score(const ServerRecord& aServer) const
+double
+HealthJudge::Score(const ServerRecord& aServer) const
 {
   const auto& sums = aServer.failureSums;
   return std::max(aServer.slowSum, *std::max_element(sums.begin(), sums.end()));
 }
 
-bool HealthJudge::IsSuspect(const ServerRecord& aServer) const
+bool
+HealthJudge::IsSuspect(const ServerRecord& aServer) const
 {
   return aServer.state != HealthState::kInUse ||
          Score(aServer) > m_options.threshold / 2;
@@ -190,8 +200,8 @@
 
 // The path from some places is at fault when nearly all evidence comes from one
 // host or one region while another one, with traffic, sees a healthy server.
-bool HealthJudge::IsPathTrouble(const ServerRecord& aServer,
-                                TimePoint aNow) const
+bool
+HealthJudge::IsPathTrouble(const ServerRecord& aServer, TimePoint aNow) const
 {
   double sum = 0.0;
   std::map<HostId, double> byHost = aServer.evidence;
@@ -236,7 +246,8 @@
   return false;
 }
 
-void HealthJudge::Consider(ServerRecord& aServer, TimePoint aNow)
+void
+HealthJudge::Consider(ServerRecord& aServer, TimePoint aNow)
 {
   if (aServer.state == HealthState::kTrial) {
     if (aServer.trialScore >= kTrialPass) {
@@ -263,7 +274,8 @@
   Eject(aServer, aNow);
 }
 
-double HealthJudge::BadRate(const ServerRecord& aServer, TimePoint aNow) const
+double
+HealthJudge::BadRate(const ServerRecord& aServer, TimePoint aNow) const
 {
   OutcomeCounts counts;
   for (const auto& [host, decayed] : aServer.byReporter) {
@@ -272,7 +284,8 @@
   return std::max(counts.failures, counts.slow) / std::max(1.0, counts.total);
 }
 
-void HealthJudge::Eject(ServerRecord& aServer, TimePoint aNow)
+void
+HealthJudge::Eject(ServerRecord& aServer, TimePoint aNow)
 {
   if (IsDue(aServer.forgetEjectionsAt, aNow)) {
     aServer.ejections = 0;
@@ -305,8 +318,8 @@
                  "ejection leaves the floor of a service in use");
 }
 
-void HealthJudge::Reinstate(ServerRecord& aServer, TimePoint aNow,
-                            const char* aWhy)
+void
+HealthJudge::Reinstate(ServerRecord& aServer, TimePoint aNow, const char* aWhy)
 {
   aServer.state = HealthState::kRamp;
   aServer.since = aNow;
@@ -319,7 +332,8 @@
              .With("why", aWhy));
 }
 
-void HealthJudge::ClearEvidence(ServerRecord& aServer)
+void
+HealthJudge::ClearEvidence(ServerRecord& aServer)
 {
   aServer.failureSums.fill(0.0);
   aServer.slowSum = 0.0;
@@ -327,7 +341,8 @@
   aServer.evidence.clear();
 }
 
-std::uint64_t HealthJudge::TotalSlots() const
+std::uint64_t
+HealthJudge::TotalSlots() const
 {
   std::uint64_t slots = 0;
   for (const auto& [id, server] : m_servers) {
@@ -336,12 +351,14 @@
   return slots;
 }
 
-static bool IsRemoved(HealthState aState)
+static bool
+IsRemoved(HealthState aState)
 {
   return aState == HealthState::kEjected || aState == HealthState::kTrial;
 }
 
-std::uint64_t HealthJudge::RemovedSlots() const
+std::uint64_t
+HealthJudge::RemovedSlots() const
 {
   std::uint64_t slots = 0;
   for (const auto& [id, server] : m_servers) {
@@ -350,7 +367,8 @@
   return slots;
 }
 
-std::uint64_t HealthJudge::RemovableSlots() const
+std::uint64_t
+HealthJudge::RemovableSlots() const
 {
   const std::uint64_t total = TotalSlots();
   const auto kept = static_cast<std::uint64_t>(
@@ -360,7 +378,8 @@
 
 // With the floor reached, a server that is clearly sicker than one that is out
 // takes its place.
-bool HealthJudge::MakeRoom(const ServerRecord& aCandidate, TimePoint aNow)
+bool
+HealthJudge::MakeRoom(const ServerRecord& aCandidate, TimePoint aNow)
 {
   const std::uint64_t slots = aCandidate.server.slots;
   if (RemovedSlots() + slots <= RemovableSlots()) {
@@ -384,7 +403,8 @@
 
 // Servers that left or stopped announcing count no more, so the floor may have
 // moved up to what is ejected; the mildest cases come back first.
-void HealthJudge::KeepFloor(TimePoint aNow)
+void
+HealthJudge::KeepFloor(TimePoint aNow)
 {
   while (RemovedSlots() > RemovableSlots()) {
     ServerRecord* mildest = nullptr;
@@ -399,7 +419,8 @@
   }
 }
 
-void HealthJudge::Tick(TimePoint aNow)
+void
+HealthJudge::Tick(TimePoint aNow)
 {
   for (auto& [id, server] : m_servers) {
     if (server.state == HealthState::kEjected && IsDue(server.until, aNow)) {
@@ -421,8 +442,8 @@
   }
 }
 
-void HealthJudge::Adopt(const std::vector<ServerHealth>& aHealth,
-                        TimePoint aNow)
+void
+HealthJudge::Adopt(const std::vector<ServerHealth>& aHealth, TimePoint aNow)
 {
   for (const ServerHealth& health : aHealth) {
     const auto it = m_servers.find(health.id);
@@ -445,7 +466,8 @@
   KeepFloor(aNow);
 }
 
-std::vector<ServerHealth> HealthJudge::Restricted(TimePoint aNow) const
+std::vector<ServerHealth>
+HealthJudge::Restricted(TimePoint aNow) const
 {
   static constexpr double kFirstWeight = 0.1;
   std::vector<ServerHealth> restricted;
@@ -459,8 +481,12 @@
         ToSeconds(server.until - aNow) / ToSeconds(m_options.ramp), 0.0, 1.0);
       weight = kFirstWeight + (1.0 - kFirstWeight) * (1.0 - left);
     }
-    restricted.push_back({ id, server.server.incarnation, server.state,
-                           server.cause, weight, server.since });
+    restricted.push_back({ id,
+                           server.server.incarnation,
+                           server.state,
+                           server.cause,
+                           weight,
+                           server.since });
   }
   return restricted;
 }
--- a/packages/routing/health_judge.h
+++ b/packages/routing/health_judge.h
@@ -95,7 +95,8 @@
   // Replaces the servers; a new incarnation starts without history.
   void SetServers(const std::vector<JudgedServer>& aServers, TimePoint aNow);
   void OnReport(const Reporter& aReporter,
-                const std::vector<ReportedCounts>& aCounts, TimePoint aNow);
+                const std::vector<ReportedCounts>& aCounts,
+                TimePoint aNow);
   void Tick(TimePoint aNow);
   // Takes over what another arbiter decided.
   void Adopt(const std::vector<ServerHealth>& aHealth, TimePoint aNow);
@@ -138,10 +139,13 @@
     double slow = 0.0;
   };
 
-  Baseline BaselineFor(const HostId& aReporter, const ServerRecord& aServer,
+  Baseline BaselineFor(const HostId& aReporter,
+                       const ServerRecord& aServer,
                        TimePoint aNow) const;
-  void AddEvidence(const HostId& aReporter, ServerRecord& aServer,
-                   const OutcomeCounts& aCounts, TimePoint aNow);
+  void AddEvidence(const HostId& aReporter,
+                   ServerRecord& aServer,
+                   const OutcomeCounts& aCounts,
+                   TimePoint aNow);
   void AddTrialEvidence(ServerRecord& aServer, const OutcomeCounts& aCounts);
   double Score(const ServerRecord& aServer) const;
   bool IsSuspect(const ServerRecord& aServer) const;
--- a/packages/routing/latency_tracker.cc
+++ b/packages/routing/latency_tracker.cc
@@ -13,7 +13,8 @@
 static constexpr double kSlowFactor = 3.5;
 static constexpr double kSlowQuantile = 0.4;
 
-std::size_t LatencyTracker::BucketOf(Duration aLatency)
+std::size_t
+LatencyTracker::BucketOf(Duration aLatency)
 {
   const double ratio =
     static_cast<double>(aLatency.count()) / kFirstBoundMicros;
@@ -25,7 +26,8 @@
   return std::min(bucket, kBuckets - 1);
 }
 
-Duration LatencyTracker::UpperBound(std::size_t aBucket)
+Duration
+LatencyTracker::UpperBound(std::size_t aBucket)
 {
   const double micros =
     kFirstBoundMicros *
@@ -33,7 +35,8 @@
   return Duration(static_cast<Duration::rep>(micros));
 }
 
-void LatencyTracker::Add(Duration aLatency)
+void
+LatencyTracker::Add(Duration aLatency)
 {
   m_weights[BucketOf(aLatency)] += 1.0;
   m_total += 1.0;
@@ -51,12 +54,14 @@
   }
 }
 
-Duration LatencyTracker::SlowThreshold() const
+Duration
+LatencyTracker::SlowThreshold() const
 {
   return m_cached;
 }
 
-Duration LatencyTracker::Quantile(double aShare) const
+Duration
+LatencyTracker::Quantile(double aShare) const
 {
   double sum = 0.0;
   for (std::size_t i = 0; i < kBuckets; ++i) {
--- a/packages/routing/quarantine.h
+++ b/packages/routing/quarantine.h
@@ -19,7 +19,8 @@
 {
 public:
   // Returns whether the fingerprint has just become quarantined.
-  bool OnBroken(Fingerprint aFingerprint, const BackendServerId& aServer,
+  bool OnBroken(Fingerprint aFingerprint,
+                const BackendServerId& aServer,
                 TimePoint aNow);
   void OnSuccess(Fingerprint aFingerprint);
   // Another host quarantined it.
--- a/packages/routing/rendezvous.h
+++ b/packages/routing/rendezvous.h
@@ -17,9 +17,10 @@
 
 // The aCount members that rank highest for aKey, best first.
 template<class Id>
-std::vector<Id> RendezvousTop(const std::string& aKey,
-                              const std::vector<Id>& aMembers,
-                              std::size_t aCount)
+std::vector<Id>
+RendezvousTop(const std::string& aKey,
+              const std::vector<Id>& aMembers,
+              std::size_t aCount)
 {
   const std::uint64_t seed = Hash64(aKey);
   std::vector<std::pair<std::uint64_t, const Id*>> ranked;
@@ -30,7 +31,8 @@
   const std::size_t count = std::min(aCount, ranked.size());
   std::partial_sort(ranked.begin(),
                     ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                    ranked.end(), [](const auto& aLeft, const auto& aRight) {
+                    ranked.end(),
+                    [](const auto& aLeft, const auto& aRight) {
                       return aLeft.first != aRight.first
                                ? aLeft.first > aRight.first
                                : *aLeft.second < *aRight.second;
@@ -45,7 +47,8 @@
 
 // The highest-ranked member; a default id when there is none.
 template<class Id>
-Id RendezvousFirst(const std::string& aKey, const std::vector<Id>& aMembers)
+Id
+RendezvousFirst(const std::string& aKey, const std::vector<Id>& aMembers)
 {
   const std::vector<Id> top = RendezvousTop(aKey, aMembers, 1);
   return top.empty() ? Id() : top.front();
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -27,7 +27,8 @@
 {
 }
 
-void ServiceRouter::SetServer(const BackendServer& aServer, TimePoint aNow)
+void
+ServiceRouter::SetServer(const BackendServer& aServer, TimePoint aNow)
 {
   const auto known = m_servers.find(aServer.id);
   const bool same = known != m_servers.end() &&
@@ -43,7 +44,8 @@
   UpdateSubset();
 }
 
-void ServiceRouter::RemoveServer(const BackendServerId& aServer)
+void
+ServiceRouter::RemoveServer(const BackendServerId& aServer)
 {
   m_servers.erase(aServer);
   UpdateSubset();
@@ -52,7 +54,8 @@
 // Each host uses a fixed subset of a large service, so that connections to a
 // server stay within its limit when thousands of hosts exist. Ranking servers
 // by a hash with the host's name spreads the hosts evenly.
-void ServiceRouter::UpdateSubset()
+void
+ServiceRouter::UpdateSubset()
 {
   if (m_servers.size() <= m_options.subsetSize) {
     for (auto& [id, view] : m_servers) {
@@ -72,8 +75,10 @@
   }
 }
 
-bool ServiceRouter::IsEligible(ServerView& aView, const ChoiceRequest& aRequest,
-                               TimePoint aNow)
+bool
+ServiceRouter::IsEligible(ServerView& aView,
+                          const ChoiceRequest& aRequest,
+                          TimePoint aNow)
 {
   if (!aView.inSubset || aView.server.state != ServerState::kUp ||
       !IsDue(aView.avoidUntil, aNow) ||
@@ -95,8 +100,8 @@
   return weight >= 1.0 || m_random.Chance(weight);
 }
 
-std::optional<BackendServerId> ServiceRouter::ChooseTrial(
-  const ChoiceRequest& aRequest, TimePoint aNow)
+std::optional<BackendServerId>
+ServiceRouter::ChooseTrial(const ChoiceRequest& aRequest, TimePoint aNow)
 {
   if (!aRequest.repeatable || !aRequest.excluded.empty()) {
     return std::nullopt;
@@ -115,8 +120,8 @@
   return std::nullopt;
 }
 
-std::optional<BackendServerId> ServiceRouter::Choose(
-  const ChoiceRequest& aRequest, TimePoint aNow)
+std::optional<BackendServerId>
+ServiceRouter::Choose(const ChoiceRequest& aRequest, TimePoint aNow)
 {
   if (const auto trial = ChooseTrial(aRequest, aNow)) {
     return trial;
@@ -141,8 +146,8 @@
                          : std::optional<BackendServerId>(best->server.id);
 }
 
-ServiceRouter::ServerView* ServiceRouter::BestOfTwo(
-  const std::vector<ServerView*>& aViews, TimePoint aNow)
+ServiceRouter::ServerView*
+ServiceRouter::BestOfTwo(const std::vector<ServerView*>& aViews, TimePoint aNow)
 {
   if (aViews.empty()) {
     return nullptr;
@@ -154,7 +159,8 @@
 
 // Share of the server's slots that are taken, by this host's own requests and,
 // as a hint that ages, by those of others.
-double ServiceRouter::Load(const ServerView& aView, TimePoint aNow) const
+double
+ServiceRouter::Load(const ServerView& aView, TimePoint aNow) const
 {
   const double age = ToSeconds(aNow - aView.othersLoadAt);
   const double others =
@@ -162,7 +168,8 @@
   return (aView.outstanding + others) / aView.server.slots;
 }
 
-double ServiceRouter::Score(const ServerView& aView, TimePoint aNow) const
+double
+ServiceRouter::Score(const ServerView& aView, TimePoint aNow) const
 {
   const double free = 1.0 / aView.server.slots;
   double score = Load(aView, aNow) + free;
@@ -173,14 +180,17 @@
   return score;
 }
 
-void ServiceRouter::OnStarted(const BackendServerId& aServer)
+void
+ServiceRouter::OnStarted(const BackendServerId& aServer)
 {
   ++m_servers[aServer].outstanding;
   ++m_outstanding;
 }
 
-void ServiceRouter::OnFinished(const BackendServerId& aServer,
-                               const AttemptReport& aReport, TimePoint aNow)
+void
+ServiceRouter::OnFinished(const BackendServerId& aServer,
+                          const AttemptReport& aReport,
+                          TimePoint aNow)
 {
   m_outstanding -= m_outstanding > 0 ? 1 : 0;
   const auto it = m_servers.find(aServer);
@@ -232,7 +242,8 @@
   }
 }
 
-void ServiceRouter::CountFailure(ServerView& aView)
+void
+ServiceRouter::CountFailure(ServerView& aView)
 {
   aView.failureRate += kSmoothing * (1.0 - aView.failureRate);
   aView.counts.total += 1.0;
@@ -241,7 +252,8 @@
   m_hasBadEvidence = true;
 }
 
-void ServiceRouter::OnOverdue(const BackendServerId& aServer, TimePoint)
+void
+ServiceRouter::OnOverdue(const BackendServerId& aServer, TimePoint)
 {
   const auto it = m_servers.find(aServer);
   if (it == m_servers.end()) {
@@ -255,7 +267,8 @@
 
 // One crash breaks all requests that a server is running; together they are one
 // piece of evidence.
-void ServiceRouter::CountBroken(const BackendServerId& aServer, TimePoint aNow)
+void
+ServiceRouter::CountBroken(const BackendServerId& aServer, TimePoint aNow)
 {
   const auto it = m_servers.find(aServer);
   if (it == m_servers.end() || !IsDue(it->second.brokenCountedUntil, aNow)) {
@@ -265,8 +278,10 @@
   CountFailure(it->second);
 }
 
-void ServiceRouter::SetRestrictions(const std::vector<ServerHealth>& aHealth,
-                                    std::uint32_t aReporters, TimePoint aUntil)
+void
+ServiceRouter::SetRestrictions(const std::vector<ServerHealth>& aHealth,
+                               std::uint32_t aReporters,
+                               TimePoint aUntil)
 {
   m_reporters = std::max(1U, aReporters);
   m_verdictUntil = aUntil;
@@ -282,7 +297,8 @@
   }
 }
 
-std::vector<ReportedCounts> ServiceRouter::TakeEvidence()
+std::vector<ReportedCounts>
+ServiceRouter::TakeEvidence()
 {
   std::vector<ReportedCounts> evidence;
   for (auto& [id, view] : m_servers) {
@@ -297,7 +313,8 @@
   return evidence;
 }
 
-std::vector<JudgedServer> ServiceRouter::JudgedServers() const
+std::vector<JudgedServer>
+ServiceRouter::JudgedServers() const
 {
   std::vector<JudgedServer> servers;
   for (const auto& [id, view] : m_servers) {
@@ -308,7 +325,8 @@
   return servers;
 }
 
-std::uint64_t ServiceRouter::TotalSlots() const
+std::uint64_t
+ServiceRouter::TotalSlots() const
 {
   std::uint64_t slots = 0;
   for (const auto& [id, view] : m_servers) {
@@ -318,14 +336,15 @@
   return slots;
 }
 
-const BackendServer* ServiceRouter::Find(const BackendServerId& aServer) const
+const BackendServer*
+ServiceRouter::Find(const BackendServerId& aServer) const
 {
   const auto it = m_servers.find(aServer);
   return it == m_servers.end() ? nullptr : &it->second.server;
 }
 
-const ServerHealth* ServiceRouter::RestrictionOf(
-  const BackendServerId& aServer) const
+const ServerHealth*
+ServiceRouter::RestrictionOf(const BackendServerId& aServer) const
 {
   const auto it = m_servers.find(aServer);
   const bool restricted = it != m_servers.end() && it->second.restriction;
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -77,7 +77,8 @@
   std::optional<BackendServerId> Choose(const ChoiceRequest& aRequest,
                                         TimePoint aNow);
   void OnStarted(const BackendServerId& aServer);
-  void OnFinished(const BackendServerId& aServer, const AttemptReport& aReport,
+  void OnFinished(const BackendServerId& aServer,
+                  const AttemptReport& aReport,
                   TimePoint aNow);
   // The attempt already takes longer than a slow answer.
   void OnOverdue(const BackendServerId& aServer, TimePoint aNow);
@@ -86,7 +87,8 @@
 
   // Restrictions by the arbiter; they hold until aUntil.
   void SetRestrictions(const std::vector<ServerHealth>& aHealth,
-                       std::uint32_t aReporters, TimePoint aUntil);
+                       std::uint32_t aReporters,
+                       TimePoint aUntil);
   bool HasRestrictions(TimePoint aNow) const { return aNow < m_verdictUntil; }
 
   // Counts since the last call.
@@ -126,7 +128,8 @@
     OutcomeCounts counts;
   };
 
-  bool IsEligible(ServerView& aView, const ChoiceRequest& aRequest,
+  bool IsEligible(ServerView& aView,
+                  const ChoiceRequest& aRequest,
                   TimePoint aNow);
   std::optional<BackendServerId> ChooseTrial(const ChoiceRequest& aRequest,
                                              TimePoint aNow);
