--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -12,8 +12,8 @@
 static constexpr std::size_t kHashLength = 64; // hexadecimal SHA-256
 static constexpr std::uint64_t kGigabyte = 1ULL << 30;
 
-static std::string Address(MapReader& aMap, const std::string& aKey,
-                           Findings& aFindings)
+static std::string
+Address(MapReader& aMap, const std::string& aKey, Findings& aFindings)
 {
   std::string address = aMap.RequiredText(aKey);
   if (!address.empty() && !IsAddress(address)) {
@@ -25,15 +25,19 @@
   return address;
 }
 
-static void CheckKey(const std::string& aKey, Place aPlace, Findings& aFindings)
+static void
+CheckKey(const std::string& aKey, Place aPlace, Findings& aFindings)
 {
   if (!aKey.empty() && aKey.size() != kKeyLength) {
     aFindings.Add(aPlace, "a public key must be Z85 text of 40 characters");
   }
 }
 
-static std::vector<PeerSettings> Peers(MapReader& aMap, const std::string& aKey,
-                                       bool aNeedsKey, Findings& aFindings)
+static std::vector<PeerSettings>
+Peers(MapReader& aMap,
+      const std::string& aKey,
+      bool aNeedsKey,
+      Findings& aFindings)
 {
   std::vector<PeerSettings> peers;
   for (const YAML::Node& item : aMap.Items(aKey)) {
@@ -47,8 +51,9 @@
     map.Finish();
     for (const PeerSettings& other : peers) {
       if (other.host == peer.host) {
-        aFindings.Add(PlaceOf(item), "host '" + peer.host.Value() +
-                                       "' stands twice in '" + aKey + "'");
+        aFindings.Add(PlaceOf(item),
+                      "host '" + peer.host.Value() + "' stands twice in '" +
+                        aKey + "'");
       }
     }
     peers.push_back(peer);
@@ -56,7 +61,8 @@
   return peers;
 }
 
-static KeySettings Keys(MapReader& aMap, Findings& aFindings)
+static KeySettings
+Keys(MapReader& aMap, Findings& aFindings)
 {
   KeySettings keys;
   const YAML::Node node = aMap.Map("keys");
@@ -81,7 +87,8 @@
   return keys;
 }
 
-static RoutingSettings Routing(MapReader& aMap, Findings& aFindings)
+static RoutingSettings
+Routing(MapReader& aMap, Findings& aFindings)
 {
   RoutingSettings routing;
   const YAML::Node node = aMap.Map("routing");
@@ -104,7 +111,8 @@
   return routing;
 }
 
-static LimitSettings Limits(MapReader& aMap, Findings& aFindings)
+static LimitSettings
+Limits(MapReader& aMap, Findings& aFindings)
 {
   LimitSettings limits;
   const YAML::Node node = aMap.Map("limits");
@@ -126,7 +134,8 @@
   return limits;
 }
 
-static LedgerSettings Ledger(MapReader& aMap, Findings& aFindings)
+static LedgerSettings
+Ledger(MapReader& aMap, Findings& aFindings)
 {
   LedgerSettings ledger;
   const YAML::Node node = aMap.Map("ledger");
@@ -143,7 +152,8 @@
   return ledger;
 }
 
-static Role ReadRole(MapReader& aMap, Findings& aFindings)
+static Role
+ReadRole(MapReader& aMap, Findings& aFindings)
 {
   const std::string role = aMap.RequiredText("role");
   if (role != "entry" && role != "control" && !role.empty()) {
@@ -152,8 +162,8 @@
   return role == "control" ? Role::kControl : Role::kEntry;
 }
 
-static void CheckTogether(const Settings& aSettings, MapReader& aMap,
-                          Findings& aFindings)
+static void
+CheckTogether(const Settings& aSettings, MapReader& aMap, Findings& aFindings)
 {
   if (aSettings.controlHosts.empty()) {
     aFindings.Add(aMap.PlaceOfKey("control_hosts"),
@@ -182,7 +192,8 @@
 
 } // namespace internal
 
-bool IsAddress(const std::string& aText)
+bool
+IsAddress(const std::string& aText)
 {
   const std::size_t colon = aText.rfind(':');
   if (colon == std::string::npos || colon + 1 == aText.size()) {
@@ -217,7 +228,22 @@
   return parts == 4;
 }
 
-Settings ReadSettings(const std::string& aText, Findings& aFindings)
+std::vector<std::string>
+TrustedKeys(const Settings& aSettings)
+{
+  std::vector<std::string> keys = aSettings.keys.trustedKeys;
+  keys.push_back(aSettings.keys.publicKey);
+  for (const PeerSettings& peer : aSettings.controlHosts) {
+    keys.push_back(peer.publicKey);
+  }
+  for (const PeerSettings& peer : aSettings.seeds) {
+    keys.push_back(peer.publicKey);
+  }
+  return keys;
+}
+
+Settings
+ReadSettings(const std::string& aText, Findings& aFindings)
 {
   Settings settings;
   const auto root = ParseYaml(aText, aFindings);
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -92,9 +92,15 @@
 };
 
 // Reads and validates; every problem becomes a finding with its place.
-Settings ReadSettings(const std::string& aText, Findings& aFindings);
+Settings
+ReadSettings(const std::string& aText, Findings& aFindings);
+
+// All keys that may connect: those listed and those of the named peers.
+std::vector<std::string>
+TrustedKeys(const Settings& aSettings);
 
 // Whether the text is "IPv4:port" with a port from 1 to 65535.
-bool IsAddress(const std::string& aText);
+bool
+IsAddress(const std::string& aText);
 
 } // namespace fuchsiaramp
--- a/packages/settings/settings_test.cc
+++ b/packages/settings/settings_test.cc
@@ -59,9 +59,17 @@
 BOOST_AUTO_TEST_CASE(ChecksAddresses)
 {
   BOOST_TEST(IsAddress("10.0.0.5:7000"));
-  for (const char* bad : { "", ":1", "10.0.0.5", "10.0.0.5:", "10.0.0.5:0",
-                           "10.0.0.5:70000", "10.0.0.256:1", "10.0.0:1",
-                           "10.0.0.5.6:1", "a.b.c.d:1", "10.0.0.5.:1" }) {
+  for (const char* bad : { "",
+                           ":1",
+                           "10.0.0.5",
+                           "10.0.0.5:",
+                           "10.0.0.5:0",
+                           "10.0.0.5:70000",
+                           "10.0.0.256:1",
+                           "10.0.0:1",
+                           "10.0.0.5.6:1",
+                           "a.b.c.d:1",
+                           "10.0.0.5.:1" }) {
     BOOST_TEST(!IsAddress(bad), bad);
   }
 }
--- a/packages/settings/yaml_reader.cc
+++ b/packages/settings/yaml_reader.cc
@@ -8,7 +8,8 @@
 namespace internal {
 
 template<class T>
-static std::optional<T> ParseNumber(const std::string& aText)
+static std::optional<T>
+ParseNumber(const std::string& aText)
 {
   T value{};
   const char* end = aText.data() + aText.size();
@@ -32,7 +33,8 @@
 
 static constexpr std::uint64_t kLongestSpanMicros = 400ULL * 24 * 3'600'000'000;
 
-static std::optional<Duration> ParseSpan(const std::string& aText)
+static std::optional<Duration>
+ParseSpan(const std::string& aText)
 {
   const std::size_t digits = aText.find_first_not_of("0123456789");
   if (digits == 0 || digits == std::string::npos) {
@@ -53,8 +55,8 @@
 
 } // namespace internal
 
-std::optional<YAML::Node> ParseYaml(const std::string& aText,
-                                    Findings& aFindings)
+std::optional<YAML::Node>
+ParseYaml(const std::string& aText, Findings& aFindings)
 {
   try {
     return YAML::Load(aText);
@@ -64,7 +66,8 @@
   }
 }
 
-Place PlaceOf(const YAML::Node& aNode)
+Place
+PlaceOf(const YAML::Node& aNode)
 {
   const YAML::Mark mark = aNode.Mark();
   return { mark.line + 1, mark.column + 1 };
@@ -81,7 +84,8 @@
   }
 }
 
-YAML::Node MapReader::Find(const std::string& aKey)
+YAML::Node
+MapReader::Find(const std::string& aKey)
 {
   m_asked.insert(aKey);
   for (const auto& item : m_node) {
@@ -92,12 +96,14 @@
   return YAML::Node(YAML::NodeType::Undefined);
 }
 
-bool MapReader::Has(const std::string& aKey)
+bool
+MapReader::Has(const std::string& aKey)
 {
   return Find(aKey).IsDefined();
 }
 
-Place MapReader::PlaceOfKey(const std::string& aKey) const
+Place
+MapReader::PlaceOfKey(const std::string& aKey) const
 {
   for (const auto& item : m_node) {
     if (item.first.IsScalar() && item.first.Scalar() == aKey) {
@@ -107,7 +113,8 @@
   return PlaceOf(m_node);
 }
 
-std::string MapReader::Scalar(const std::string& aKey, const YAML::Node& aNode)
+std::string
+MapReader::Scalar(const std::string& aKey, const YAML::Node& aNode)
 {
   if (!aNode.IsScalar()) {
     m_findings.Add(PlaceOf(aNode),
@@ -117,7 +124,8 @@
   return aNode.Scalar();
 }
 
-std::string MapReader::RequiredText(const std::string& aKey)
+std::string
+MapReader::RequiredText(const std::string& aKey)
 {
   const YAML::Node node = Find(aKey);
   if (!node.IsDefined()) {
@@ -132,14 +140,15 @@
   return text;
 }
 
-std::string MapReader::Text(const std::string& aKey,
-                            const std::string& aDefault)
+std::string
+MapReader::Text(const std::string& aKey, const std::string& aDefault)
 {
   const YAML::Node node = Find(aKey);
   return node.IsDefined() ? Scalar(aKey, node) : aDefault;
 }
 
-bool MapReader::Flag(const std::string& aKey, bool aDefault)
+bool
+MapReader::Flag(const std::string& aKey, bool aDefault)
 {
   const YAML::Node node = Find(aKey);
   if (!node.IsDefined()) {
@@ -153,8 +162,11 @@
   return text == "true";
 }
 
-std::uint64_t MapReader::Number(const std::string& aKey, std::uint64_t aDefault,
-                                std::uint64_t aLowest, std::uint64_t aHighest)
+std::uint64_t
+MapReader::Number(const std::string& aKey,
+                  std::uint64_t aDefault,
+                  std::uint64_t aLowest,
+                  std::uint64_t aHighest)
 {
   const YAML::Node node = Find(aKey);
   if (!node.IsDefined()) {
@@ -162,17 +174,20 @@
   }
   const auto value = internal::ParseNumber<std::uint64_t>(Scalar(aKey, node));
   if (!value || *value < aLowest || *value > aHighest) {
-    m_findings.Add(PlaceOf(node), "'" + aKey + "' of " + m_what +
-                                    " must be a whole number from " +
-                                    std::to_string(aLowest) + " to " +
-                                    std::to_string(aHighest));
+    m_findings.Add(PlaceOf(node),
+                   "'" + aKey + "' of " + m_what +
+                     " must be a whole number from " + std::to_string(aLowest) +
+                     " to " + std::to_string(aHighest));
     return aDefault;
   }
   return *value;
 }
 
-double MapReader::Real(const std::string& aKey, double aDefault, double aLowest,
-                       double aHighest)
+double
+MapReader::Real(const std::string& aKey,
+                double aDefault,
+                double aLowest,
+                double aHighest)
 {
   const YAML::Node node = Find(aKey);
   if (!node.IsDefined()) {
@@ -180,15 +195,17 @@
   }
   const auto value = internal::ParseNumber<double>(Scalar(aKey, node));
   if (!value || !(*value >= aLowest) || !(*value <= aHighest)) {
-    m_findings.Add(PlaceOf(node), "'" + aKey + "' of " + m_what +
-                                    " must be from " + std::to_string(aLowest) +
-                                    " to " + std::to_string(aHighest));
+    m_findings.Add(PlaceOf(node),
+                   "'" + aKey + "' of " + m_what + " must be from " +
+                     std::to_string(aLowest) + " to " +
+                     std::to_string(aHighest));
     return aDefault;
   }
   return *value;
 }
 
-Duration MapReader::Span(const std::string& aKey, Duration aDefault)
+Duration
+MapReader::Span(const std::string& aKey, Duration aDefault)
 {
   const YAML::Node node = Find(aKey);
   if (!node.IsDefined()) {
@@ -204,7 +221,8 @@
   return *span;
 }
 
-std::vector<YAML::Node> MapReader::Items(const std::string& aKey)
+std::vector<YAML::Node>
+MapReader::Items(const std::string& aKey)
 {
   const YAML::Node node = Find(aKey);
   std::vector<YAML::Node> items;
@@ -222,7 +240,8 @@
   return items;
 }
 
-std::vector<std::string> MapReader::Texts(const std::string& aKey)
+std::vector<std::string>
+MapReader::Texts(const std::string& aKey)
 {
   std::vector<std::string> texts;
   for (const YAML::Node& item : Items(aKey)) {
@@ -231,12 +250,14 @@
   return texts;
 }
 
-YAML::Node MapReader::Map(const std::string& aKey)
+YAML::Node
+MapReader::Map(const std::string& aKey)
 {
   return Find(aKey);
 }
 
-void MapReader::Finish()
+void
+MapReader::Finish()
 {
   std::set<std::string> seen;
   for (const auto& item : m_node) {
--- a/packages/settings/yaml_reader.h
+++ b/packages/settings/yaml_reader.h
@@ -22,10 +22,11 @@
 namespace fuchsiaramp {
 
 // Parses a document; a syntax error becomes a finding and an empty result.
-std::optional<YAML::Node> ParseYaml(const std::string& aText,
-                                    Findings& aFindings);
+std::optional<YAML::Node>
+ParseYaml(const std::string& aText, Findings& aFindings);
 
-Place PlaceOf(const YAML::Node& aNode);
+Place
+PlaceOf(const YAML::Node& aNode);
 
 // Reads the keys of one map.
 class MapReader
@@ -40,9 +41,13 @@
   std::string RequiredText(const std::string& aKey);
   std::string Text(const std::string& aKey, const std::string& aDefault);
   bool Flag(const std::string& aKey, bool aDefault);
-  std::uint64_t Number(const std::string& aKey, std::uint64_t aDefault,
-                       std::uint64_t aLowest, std::uint64_t aHighest);
-  double Real(const std::string& aKey, double aDefault, double aLowest,
+  std::uint64_t Number(const std::string& aKey,
+                       std::uint64_t aDefault,
+                       std::uint64_t aLowest,
+                       std::uint64_t aHighest);
+  double Real(const std::string& aKey,
+              double aDefault,
+              double aLowest,
               double aHighest);
   // A span such as 250ms, 3s, 10m or 72h.
   Duration Span(const std::string& aKey, Duration aDefault);
--- a/packages/state/group_state.cc
+++ b/packages/state/group_state.cc
@@ -11,7 +11,8 @@
 {
 }
 
-wire::CommandResult GroupState::Apply(const wire::Command& aCommand)
+wire::CommandResult
+GroupState::Apply(const wire::Command& aCommand)
 {
   m_time = std::max(m_time, aCommand.leader_time_us());
   switch (aCommand.body_case()) {
@@ -27,7 +28,8 @@
   return wire::CommandResult();
 }
 
-std::string GroupState::Snapshot() const
+std::string
+GroupState::Snapshot() const
 {
   wire::StateSnapshot snapshot;
   m_lists.Save(snapshot);
@@ -36,7 +38,8 @@
   return snapshot.SerializeAsString();
 }
 
-void GroupState::Restore(const std::string& aSnapshot)
+void
+GroupState::Restore(const std::string& aSnapshot)
 {
   wire::StateSnapshot snapshot;
   CheckInvariant(snapshot.ParseFromString(aSnapshot),
--- a/packages/state/ledger.cc
+++ b/packages/state/ledger.cc
@@ -10,7 +10,8 @@
 static constexpr std::uint64_t kRecordOverhead = 256; // bytes of index and node
 static constexpr int kMaxFenced = 16;                 // attempts per key
 
-std::string KeyText(const wire::ClaimKey& aKey)
+std::string
+KeyText(const wire::ClaimKey& aKey)
 {
   // Lengths keep ("a", "bc") apart from ("ab", "c").
   return std::to_string(aKey.customer().size()) + ':' + aKey.customer() +
@@ -18,13 +19,14 @@
          aKey.key();
 }
 
-static std::uint64_t SizeOf(const wire::LedgerRecord& aRecord)
+static std::uint64_t
+SizeOf(const wire::LedgerRecord& aRecord)
 {
   return aRecord.ByteSizeLong() + kRecordOverhead;
 }
 
-static wire::CommandResult Result(wire::CommandResult::Code aCode,
-                                  const std::string& aText)
+static wire::CommandResult
+Result(wire::CommandResult::Code aCode, const std::string& aText)
 {
   wire::CommandResult result;
   result.set_code(aCode);
@@ -32,8 +34,8 @@
   return result;
 }
 
-static bool IsFenced(const wire::LedgerRecord& aRecord,
-                     const std::string& aAttempt)
+static bool
+IsFenced(const wire::LedgerRecord& aRecord, const std::string& aAttempt)
 {
   const auto& fenced = aRecord.fenced();
   return std::find(fenced.begin(), fenced.end(), aAttempt) != fenced.end();
@@ -44,7 +46,8 @@
 {
 }
 
-wire::CommandResult Ledger::Claim(const wire::Claim& aClaim, std::int64_t aTime)
+wire::CommandResult
+Ledger::Claim(const wire::Claim& aClaim, std::int64_t aTime)
 {
   Expire(aTime);
   const std::string key = KeyText(aClaim.key());
@@ -65,10 +68,11 @@
   return Result(wire::CommandResult::GRANTED, "");
 }
 
-wire::CommandResult Ledger::AnswerExisting(const std::string& aKey,
-                                           wire::LedgerRecord& aRecord,
-                                           const wire::Claim& aClaim,
-                                           std::int64_t aTime)
+wire::CommandResult
+Ledger::AnswerExisting(const std::string& aKey,
+                       wire::LedgerRecord& aRecord,
+                       const wire::Claim& aClaim,
+                       std::int64_t aTime)
 {
   if (IsFenced(aRecord, aClaim.attempt())) {
     return Result(wire::CommandResult::FENCED, "the attempt has been ended");
@@ -113,8 +117,8 @@
   }
 }
 
-wire::CommandResult Ledger::Finish(const wire::Finish& aFinish,
-                                   std::int64_t aTime)
+wire::CommandResult
+Ledger::Finish(const wire::Finish& aFinish, std::int64_t aTime)
 {
   Expire(aTime);
   const std::string key = KeyText(aFinish.key());
@@ -162,7 +166,8 @@
   return Result(wire::CommandResult::OK, "");
 }
 
-void Ledger::Store(const std::string& aKey, wire::LedgerRecord aRecord)
+void
+Ledger::Store(const std::string& aKey, wire::LedgerRecord aRecord)
 {
   wire::LedgerRecord& slot = m_records[aKey];
   if (slot.has_key()) {
@@ -175,7 +180,8 @@
 
 // A record that was touched again stands in the queue once per touch; only the
 // entry with its latest time removes it.
-void Ledger::Expire(std::int64_t aTime)
+void
+Ledger::Expire(std::int64_t aTime)
 {
   const std::int64_t limit = aTime - m_options.retention.count();
   while (!m_touches.empty() && m_touches.front().time < limit) {
@@ -188,14 +194,16 @@
   }
 }
 
-void Ledger::Save(wire::StateSnapshot& aSnapshot) const
+void
+Ledger::Save(wire::StateSnapshot& aSnapshot) const
 {
   for (const auto& [key, record] : m_records) {
     *aSnapshot.add_ledger() = record;
   }
 }
 
-void Ledger::Restore(const wire::StateSnapshot& aSnapshot)
+void
+Ledger::Restore(const wire::StateSnapshot& aSnapshot)
 {
   m_records.clear();
   m_touches.clear();
--- a/packages/state/ledger.h
+++ b/packages/state/ledger.h
@@ -61,6 +61,7 @@
 };
 
 // Text form of a key, unique per key.
-std::string KeyText(const wire::ClaimKey& aKey);
+std::string
+KeyText(const wire::ClaimKey& aKey);
 
 } // namespace fuchsiaramp
--- a/packages/state/ledger_test.cc
+++ b/packages/state/ledger_test.cc
@@ -7,8 +7,10 @@
 
 using Code = wire::CommandResult;
 
-static wire::Claim Claim(const std::string& aKey, const std::string& aAttempt,
-                         const std::string& aBody = "body")
+static wire::Claim
+Claim(const std::string& aKey,
+      const std::string& aAttempt,
+      const std::string& aBody = "body")
 {
   wire::Claim claim;
   claim.mutable_key()->set_key(aKey);
@@ -17,8 +19,10 @@
   return claim;
 }
 
-static wire::Finish Finish(const std::string& aKey, const std::string& aAttempt,
-                           wire::LedgerRecord::State aState)
+static wire::Finish
+Finish(const std::string& aKey,
+       const std::string& aAttempt,
+       wire::LedgerRecord::State aState)
 {
   wire::Finish finish;
   finish.mutable_key()->set_key(aKey);
--- a/packages/state/lists.cc
+++ b/packages/state/lists.cc
@@ -7,13 +7,15 @@
 
 namespace fuchsiaramp {
 
-bool Lists::CanApply(const wire::ListsDelta& aDelta) const
+bool
+Lists::CanApply(const wire::ListsDelta& aDelta) const
 {
   const bool later = aDelta.to_version() > m_version.Value();
   return later && (aDelta.full() || aDelta.from_version() == m_version.Value());
 }
 
-bool Lists::Apply(const wire::ListsDelta& aDelta)
+bool
+Lists::Apply(const wire::ListsDelta& aDelta)
 {
   if (!CanApply(aDelta)) {
     return false;
@@ -44,7 +46,8 @@
   return true;
 }
 
-void Lists::PutPlan(const wire::Plan& aPlan)
+void
+Lists::PutPlan(const wire::Plan& aPlan)
 {
   PlanEntry entry;
   entry.plan = aPlan;
@@ -52,22 +55,24 @@
     entry.routesByService[aPlan.routes(i).service()].push_back(i);
   }
   for (auto& [service, indices] : entry.routesByService) {
-    std::stable_sort(indices.begin(), indices.end(),
-                     [&aPlan](int aLeft, int aRight) {
-                       return aPlan.routes(aLeft).path_prefix().size() >
-                              aPlan.routes(aRight).path_prefix().size();
-                     });
+    std::stable_sort(
+      indices.begin(), indices.end(), [&aPlan](int aLeft, int aRight) {
+        return aPlan.routes(aLeft).path_prefix().size() >
+               aPlan.routes(aRight).path_prefix().size();
+      });
   }
   m_plans[aPlan.name()] = std::move(entry);
 }
 
-void Lists::PutCustomer(const wire::Customer& aCustomer)
+void
+Lists::PutCustomer(const wire::Customer& aCustomer)
 {
   m_customers[aCustomer.id()] = aCustomer;
   m_customerByTokenHash[aCustomer.token_hash()] = aCustomer.id();
 }
 
-void Lists::RemoveCustomer(const std::string& aId)
+void
+Lists::RemoveCustomer(const std::string& aId)
 {
   const auto it = m_customers.find(aId);
   if (it == m_customers.end()) {
@@ -80,7 +85,8 @@
   m_customers.erase(it);
 }
 
-std::string Lists::Problem(const wire::ListsDelta& aDelta) const
+std::string
+Lists::Problem(const wire::ListsDelta& aDelta) const
 {
   std::unordered_set<std::string> newPlans;
   for (const wire::Plan& plan : aDelta.plans()) {
@@ -125,7 +131,8 @@
   return "";
 }
 
-wire::ListsDelta Lists::Full() const
+wire::ListsDelta
+Lists::Full() const
 {
   wire::ListsDelta delta;
   delta.set_full(true);
@@ -142,15 +149,15 @@
   const auto byId = [](const auto& aLeft, const auto& aRight) {
     return aLeft.id() < aRight.id();
   };
-  std::sort(delta.mutable_plans()->begin(), delta.mutable_plans()->end(),
-            byName);
-  std::sort(delta.mutable_customers()->begin(),
-            delta.mutable_customers()->end(), byId);
+  std::sort(
+    delta.mutable_plans()->begin(), delta.mutable_plans()->end(), byName);
+  std::sort(
+    delta.mutable_customers()->begin(), delta.mutable_customers()->end(), byId);
   return delta;
 }
 
-const wire::Customer* Lists::FindByTokenHash(
-  const std::string& aTokenHash) const
+const wire::Customer*
+Lists::FindByTokenHash(const std::string& aTokenHash) const
 {
   const auto it = m_customerByTokenHash.find(aTokenHash);
   return it == m_customerByTokenHash.end()
@@ -158,21 +165,24 @@
            : FindCustomer(CustomerId(it->second));
 }
 
-const wire::Customer* Lists::FindCustomer(const CustomerId& aCustomer) const
+const wire::Customer*
+Lists::FindCustomer(const CustomerId& aCustomer) const
 {
   const auto it = m_customers.find(aCustomer.Value());
   return it == m_customers.end() ? nullptr : &it->second;
 }
 
-const wire::Plan* Lists::FindPlan(const PlanName& aPlan) const
+const wire::Plan*
+Lists::FindPlan(const PlanName& aPlan) const
 {
   const auto it = m_plans.find(aPlan.Value());
   return it == m_plans.end() ? nullptr : &it->second.plan;
 }
 
-const wire::Route* Lists::FindRoute(const wire::Customer& aCustomer,
-                                    const ServiceName& aService,
-                                    const std::string& aPath) const
+const wire::Route*
+Lists::FindRoute(const wire::Customer& aCustomer,
+                 const ServiceName& aService,
+                 const std::string& aPath) const
 {
   const auto plan = m_plans.find(aCustomer.plan());
   if (plan == m_plans.end()) {
--- a/packages/state/lists_document.cc
+++ b/packages/state/lists_document.cc
@@ -13,7 +13,8 @@
 static constexpr std::uint64_t kMaxPriority = 100;
 static constexpr std::size_t kHashLength = 64;
 
-static wire::Route ReadRoute(const YAML::Node& aNode, Findings& aFindings)
+static wire::Route
+ReadRoute(const YAML::Node& aNode, Findings& aFindings)
 {
   MapReader map(aNode, "a route", aFindings);
   wire::Route route;
@@ -36,7 +37,8 @@
   return route;
 }
 
-static wire::Plan ReadPlan(const YAML::Node& aNode, Findings& aFindings)
+static wire::Plan
+ReadPlan(const YAML::Node& aNode, Findings& aFindings)
 {
   MapReader map(aNode, "a plan", aFindings);
   wire::Plan plan;
@@ -57,7 +59,8 @@
   return plan;
 }
 
-static wire::Customer ReadCustomer(const YAML::Node& aNode, Findings& aFindings)
+static wire::Customer
+ReadCustomer(const YAML::Node& aNode, Findings& aFindings)
 {
   MapReader map(aNode, "a customer", aFindings);
   wire::Customer customer;
@@ -77,7 +80,8 @@
 
 } // namespace internal
 
-wire::ListsDelta ReadLists(const std::string& aText, Findings& aFindings)
+wire::ListsDelta
+ReadLists(const std::string& aText, Findings& aFindings)
 {
   wire::ListsDelta content;
   content.set_full(true);
@@ -103,13 +107,14 @@
       aFindings.Add(place, "customer '" + customer.id() + "' stands twice");
     }
     if (!tokens.insert(customer.token_hash()).second) {
-      aFindings.Add(place, "customer '" + customer.id() +
-                             "' has the token of another customer");
+      aFindings.Add(place,
+                    "customer '" + customer.id() +
+                      "' has the token of another customer");
     }
     if (plans.count(customer.plan()) == 0) {
-      aFindings.Add(place, "customer '" + customer.id() +
-                             "' holds the unknown plan '" + customer.plan() +
-                             "'");
+      aFindings.Add(place,
+                    "customer '" + customer.id() +
+                      "' holds the unknown plan '" + customer.plan() + "'");
     }
     *content.add_customers() = customer;
   }
@@ -117,8 +122,8 @@
   return content;
 }
 
-wire::ListsDelta Difference(const Lists& aCurrent,
-                            const wire::ListsDelta& aContent)
+wire::ListsDelta
+Difference(const Lists& aCurrent, const wire::ListsDelta& aContent)
 {
   wire::ListsDelta delta;
   delta.set_from_version(aCurrent.Version().Value());
@@ -156,7 +161,8 @@
   return delta;
 }
 
-std::string WriteLists(const wire::ListsDelta& aContent)
+std::string
+WriteLists(const wire::ListsDelta& aContent)
 {
   YAML::Emitter out;
   out << YAML::BeginMap << YAML::Key << "plans" << YAML::Value
@@ -189,7 +195,8 @@
   return std::string(out.c_str()) + "\n";
 }
 
-std::uint64_t DigestOf(const wire::ListsDelta& aDelta)
+std::uint64_t
+DigestOf(const wire::ListsDelta& aDelta)
 {
   return Hash64(aDelta.SerializeAsString());
 }
--- a/packages/state/lists_document.h
+++ b/packages/state/lists_document.h
@@ -25,17 +25,20 @@
 
 // Reads a document as a full delta without versions; every problem becomes a
 // finding with its place.
-wire::ListsDelta ReadLists(const std::string& aText, Findings& aFindings);
+wire::ListsDelta
+ReadLists(const std::string& aText, Findings& aFindings);
 
 // The smallest delta from the current content to the given full content,
 // leading to the next version.
-wire::ListsDelta Difference(const Lists& aCurrent,
-                            const wire::ListsDelta& aContent);
+wire::ListsDelta
+Difference(const Lists& aCurrent, const wire::ListsDelta& aContent);
 
 // The document text of a full delta.
-std::string WriteLists(const wire::ListsDelta& aContent);
+std::string
+WriteLists(const wire::ListsDelta& aContent);
 
 // Digest of a change, to recognise a change id that was used for another one.
-std::uint64_t DigestOf(const wire::ListsDelta& aDelta);
+std::uint64_t
+DigestOf(const wire::ListsDelta& aDelta);
 
 } // namespace fuchsiaramp
--- a/packages/state/lists_document_test.cc
+++ b/packages/state/lists_document_test.cc
@@ -6,7 +6,8 @@
 
 namespace fuchsiaramp {
 
-static std::string Document(const std::string& aExtra)
+static std::string
+Document(const std::string& aExtra)
 {
   return "plans:\n"
          "  - name: listener\n"
--- a/packages/state/lists_state.cc
+++ b/packages/state/lists_state.cc
@@ -7,8 +7,8 @@
 static constexpr std::size_t kMaxHistory = 4096;    // deltas
 static constexpr std::size_t kMaxChanges = 200'000; // change ids
 
-wire::CommandResult ListsState::Put(const wire::PutLists& aPut,
-                                    std::int64_t aTime)
+wire::CommandResult
+ListsState::Put(const wire::PutLists& aPut, std::int64_t aTime)
 {
   wire::CommandResult result;
   const auto known = m_changeById.find(aPut.change_id());
@@ -51,7 +51,8 @@
   return result;
 }
 
-void ListsState::Remember(const wire::ChangeRecord& aChange)
+void
+ListsState::Remember(const wire::ChangeRecord& aChange)
 {
   CheckInvariant(m_changes.empty() ||
                    m_changes.back().version() < aChange.version(),
@@ -64,7 +65,8 @@
   }
 }
 
-std::vector<wire::ListsDelta> ListsState::Since(ListsVersion aVersion) const
+std::vector<wire::ListsDelta>
+ListsState::Since(ListsVersion aVersion) const
 {
   std::vector<wire::ListsDelta> chain;
   if (aVersion >= m_lists.Version()) {
@@ -84,7 +86,8 @@
   return chain;
 }
 
-void ListsState::Save(wire::StateSnapshot& aSnapshot) const
+void
+ListsState::Save(wire::StateSnapshot& aSnapshot) const
 {
   *aSnapshot.mutable_lists() = m_lists.Full();
   for (const wire::ListsDelta& delta : m_history) {
@@ -95,7 +98,8 @@
   }
 }
 
-void ListsState::Restore(const wire::StateSnapshot& aSnapshot)
+void
+ListsState::Restore(const wire::StateSnapshot& aSnapshot)
 {
   *this = ListsState();
   m_lists.Apply(aSnapshot.lists());
--- a/packages/state/lists_state_test.cc
+++ b/packages/state/lists_state_test.cc
@@ -5,8 +5,10 @@
 
 namespace fuchsiaramp {
 
-static wire::PutLists Put(const std::string& aChange, std::uint64_t aExpected,
-                          const std::string& aPlan)
+static wire::PutLists
+Put(const std::string& aChange,
+    std::uint64_t aExpected,
+    const std::string& aPlan)
 {
   wire::PutLists put;
   put.set_change_id(aChange);
--- a/packages/testing/fake_network.h
+++ b/packages/testing/fake_network.h
@@ -45,7 +45,9 @@
   {
   }
 
-  void Send(const HostId& aFrom, const HostId& aTo, const Message& aMessage,
+  void Send(const HostId& aFrom,
+            const HostId& aTo,
+            const Message& aMessage,
             TimePoint aNow)
   {
     if (m_cuts.count({ aFrom, aTo }) != 0 || m_random.Chance(m_options.drop)) {
--- a/packages/testing/run_options.h
+++ b/packages/testing/run_options.h
@@ -16,7 +16,8 @@
   std::uint64_t count = 1;
 };
 
-inline SeedRange SeedsOf(std::uint64_t aDefaultCount)
+inline SeedRange
+SeedsOf(std::uint64_t aDefaultCount)
 {
   SeedRange range;
   range.count = aDefaultCount;
--- a/packages/wire/freshness.cc
+++ b/packages/wire/freshness.cc
@@ -7,7 +7,8 @@
 static constexpr std::uint64_t kWindowBits = 64;
 static constexpr Duration kDelayWindow = std::chrono::minutes(5);
 
-bool FreshnessFilter::Accept(const wire::Envelope& aMessage, TimePoint aNow)
+bool
+FreshnessFilter::Accept(const wire::Envelope& aMessage, TimePoint aNow)
 {
   Sender& sender = m_senders[HostId(aMessage.from())];
   const std::int64_t delay = ToMicros(aNow) - aMessage.sent_at_us();
@@ -39,7 +40,8 @@
 
 // Sequences outside the window count as seen: a replay must not pass, and a
 // message that far out of order is late anyway.
-bool FreshnessFilter::MarkSeen(Sender& aSender, std::uint64_t aSequence)
+bool
+FreshnessFilter::MarkSeen(Sender& aSender, std::uint64_t aSequence)
 {
   if (aSequence > aSender.highestSequence) {
     const std::uint64_t shift = aSequence - aSender.highestSequence;
--- a/packages/wire/freshness_test.cc
+++ b/packages/wire/freshness_test.cc
@@ -5,8 +5,8 @@
 
 namespace fuchsiaramp {
 
-static wire::Envelope Message(std::uint64_t aIncarnation,
-                              std::uint64_t aSequence, std::int64_t aSent)
+static wire::Envelope
+Message(std::uint64_t aIncarnation, std::uint64_t aSequence, std::int64_t aSent)
 {
   wire::Envelope message;
   message.set_from("entry-1");
--- /dev/null
+++ b/programs/fuchsiaramp/commands.cc
@@ -0,0 +1,580 @@
+#include "fuchsiaramp/commands.h"
+
+#include <chrono>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include <boost/json.hpp>
+#include <zmq.h>
+
+#include "base/digest.h"
+#include "base/findings.h"
+#include "net/http_client.h"
+#include "observe/timeline.h"
+#include "settings/settings.h"
+#include "state/lists.h"
+#include "state/lists_document.h"
+
+namespace fuchsiaramp {
+
+namespace json = boost::json;
+
+static constexpr char kPrefix[] = "/.well-known/fuchsiaramp/";
+static constexpr std::uint32_t kOk = 200;
+static constexpr std::uint32_t kMisdirected = 421;
+static constexpr std::uint32_t kConflict = 409;
+static constexpr std::uint32_t kUnavailable = 503;
+static constexpr auto kPause = std::chrono::milliseconds(300);
+
+static std::optional<std::string>
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    std::cerr << aPath << ": cannot be read\n";
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+static HttpCallRequest
+CallTo(const CommandLine& aLine,
+       const std::string& aAddress,
+       const std::string& aPath)
+{
+  HttpCallRequest request;
+  request.address = aAddress;
+  request.target = kPrefix + aPath;
+  if (!aLine.token.empty()) {
+    request.headers["Authorization"] = "Bearer " + aLine.token;
+  }
+  return request;
+}
+
+// Asks control hosts in turn until the leader answers or time runs out. The
+// request may be repeated, since changes carry an id.
+static std::optional<HttpReply>
+CallLeader(const CommandLine& aLine, const HttpCallRequest& aRequest)
+{
+  if (aLine.control.empty()) {
+    std::cerr << "no control host is given; use --control IP:PORT\n";
+    return std::nullopt;
+  }
+  const auto end = std::chrono::steady_clock::now() + aLine.timeout;
+  std::string last = "no control host answered";
+  do {
+    for (const std::string& address : aLine.control) {
+      HttpCallRequest request = aRequest;
+      request.address = address;
+      std::error_code error;
+      HttpReply reply = HttpCall(request, error);
+      if (error) {
+        last = address + ": " + error.message();
+      } else if (reply.status == kMisdirected || reply.status == kUnavailable) {
+        last = address + ": " + reply.body;
+      } else {
+        return reply;
+      }
+    }
+    std::this_thread::sleep_for(kPause);
+  } while (std::chrono::steady_clock::now() < end);
+  std::cerr << last << "\nno leader answered in time; check 'status'\n";
+  return std::nullopt;
+}
+
+static json::value
+ParseJson(const std::string& aText)
+{
+  boost::system::error_code error;
+  json::value value = json::parse(aText, error);
+  return error ? json::value(json::object()) : value;
+}
+
+// The text of a JSON member, whatever its type.
+static std::string
+Member(const json::value& aValue, const char* aKey)
+{
+  const json::value* item =
+    aValue.is_object() ? aValue.as_object().if_contains(aKey) : nullptr;
+  if (item == nullptr) {
+    return "";
+  }
+  return item->is_string() ? std::string(item->as_string())
+                           : json::serialize(*item);
+}
+
+static json::array
+MemberArray(const json::value& aValue, const char* aKey)
+{
+  const json::value* item =
+    aValue.is_object() ? aValue.as_object().if_contains(aKey) : nullptr;
+  return item != nullptr && item->is_array() ? item->as_array() : json::array();
+}
+
+static int
+ReportFailure(const HttpReply& aReply)
+{
+  const std::string error = Member(ParseJson(aReply.body), "error");
+  std::cerr << (error.empty() ? aReply.body : error) << '\n';
+  return aReply.status == kConflict ? kExitConflict : kExitFailed;
+}
+
+// Prints aFields of each item of an array as columns.
+static void
+PrintTable(const json::array& aItems, const std::vector<const char*>& aFields)
+{
+  std::vector<std::vector<std::string>> rows = { {} };
+  for (const char* field : aFields) {
+    rows[0].push_back(field);
+  }
+  for (const json::value& item : aItems) {
+    rows.emplace_back();
+    for (const char* field : aFields) {
+      rows.back().push_back(Member(item, field));
+    }
+  }
+  std::vector<std::size_t> widths(aFields.size(), 0);
+  for (const auto& row : rows) {
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      widths[i] = std::max(widths[i], row[i].size());
+    }
+  }
+  for (const auto& row : rows) {
+    std::string line;
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      line += row[i] + std::string(widths[i] - row[i].size() + 2, ' ');
+    }
+    line.erase(line.find_last_not_of(' ') + 1);
+    std::cout << line << '\n';
+  }
+}
+
+static int
+Status(const CommandLine& aLine)
+{
+  json::array all;
+  std::vector<std::string> addresses = aLine.control;
+  addresses.insert(addresses.end(), aLine.entry.begin(), aLine.entry.end());
+  if (addresses.empty()) {
+    std::cerr << "no host is given; use --control and --entry IP:PORT\n";
+    return kExitUsage;
+  }
+  bool failed = false;
+  for (const std::string& address : addresses) {
+    std::error_code error;
+    const HttpReply reply = HttpCall(CallTo(aLine, address, "status"), error);
+    if (error || reply.status != kOk) {
+      failed = true;
+      std::cerr << address << ": "
+                << (error ? error.message()
+                          : Member(ParseJson(reply.body), "error"))
+                << '\n';
+      continue;
+    }
+    all.push_back(ParseJson(reply.body));
+  }
+  if (aLine.output == Output::kJson) {
+    std::cout << json::serialize(all) << '\n';
+    return failed ? kExitUnreachable : kExitDone;
+  }
+  PrintTable(all,
+             { "host",
+               "role",
+               "lists_version",
+               "serving",
+               "in_flight",
+               "requests",
+               "answered",
+               "not_run",
+               "unknown" });
+  for (const json::value& host : all) {
+    const json::array groups = MemberArray(host, "groups");
+    if (groups.empty()) {
+      continue;
+    }
+    std::cout << "\ngroups of " << Member(host, "host") << '\n';
+    PrintTable(groups,
+               { "group",
+                 "leader",
+                 "leads",
+                 "blank",
+                 "term",
+                 "committed",
+                 "applied",
+                 "ledger_records",
+                 "ledger_bytes" });
+  }
+  return failed ? kExitUnreachable : kExitDone;
+}
+
+static int
+Servers(const CommandLine& aLine)
+{
+  for (const std::string& address : aLine.entry) {
+    std::error_code error;
+    const HttpReply reply =
+      HttpCall(CallTo(aLine, address, "backend-servers"), error);
+    if (error) {
+      std::cerr << address << ": " << error.message() << '\n';
+      continue;
+    }
+    if (reply.status != kOk) {
+      return ReportFailure(reply);
+    }
+    if (aLine.output == Output::kJson) {
+      std::cout << reply.body;
+    } else {
+      PrintTable(MemberArray(ParseJson(reply.body), "servers"),
+                 { "id",
+                   "service",
+                   "address",
+                   "failure_domain",
+                   "slots",
+                   "state",
+                   "cause",
+                   "weight",
+                   "seconds" });
+    }
+    return kExitDone;
+  }
+  std::cerr << "no entry host answered; use --entry IP:PORT\n";
+  return kExitUnreachable;
+}
+
+static std::optional<HttpReply>
+GetLists(const CommandLine& aLine)
+{
+  return CallLeader(aLine, CallTo(aLine, "", "lists"));
+}
+
+static int
+ListsGet(const CommandLine& aLine)
+{
+  const auto reply = GetLists(aLine);
+  if (!reply) {
+    return kExitUnreachable;
+  }
+  if (reply->status != kOk) {
+    return ReportFailure(*reply);
+  }
+  std::cout << "# version " << reply->headers.at("fuchsiaramp-lists-version")
+            << '\n'
+            << reply->body;
+  return kExitDone;
+}
+
+static int
+ListsHistory(const CommandLine& aLine)
+{
+  const auto reply = CallLeader(aLine, CallTo(aLine, "", "lists/history"));
+  if (!reply) {
+    return kExitUnreachable;
+  }
+  if (reply->status != kOk) {
+    return ReportFailure(*reply);
+  }
+  if (aLine.output == Output::kJson) {
+    std::cout << reply->body;
+  } else {
+    PrintTable(MemberArray(ParseJson(reply->body), "changes"),
+               { "version", "change_id", "operator", "accepted_at_us" });
+  }
+  return kExitDone;
+}
+
+static int
+CheckLists(const std::string& aFile)
+{
+  const auto text = ReadFile(aFile);
+  if (!text) {
+    return kExitUsage;
+  }
+  Findings findings(aFile);
+  const wire::ListsDelta content = ReadLists(*text, findings);
+  std::cerr << findings.Text();
+  if (!findings.IsEmpty()) {
+    return kExitFailed;
+  }
+  std::cout << aFile << ": good; " << content.plans_size() << " plans, "
+            << content.customers_size() << " customers\n";
+  return kExitDone;
+}
+
+static int
+CheckSettings(const std::string& aFile)
+{
+  const auto text = ReadFile(aFile);
+  if (!text) {
+    return kExitUsage;
+  }
+  Findings findings(aFile);
+  ReadSettings(*text, findings);
+  std::cerr << findings.Text();
+  if (!findings.IsEmpty()) {
+    return kExitFailed;
+  }
+  std::cout << aFile << ": good\n";
+  return kExitDone;
+}
+
+static int
+ListsDiff(const CommandLine& aLine, const std::string& aFile)
+{
+  const auto text = ReadFile(aFile);
+  const auto reply = text ? GetLists(aLine) : std::nullopt;
+  if (!text || !reply) {
+    return text ? kExitUnreachable : kExitUsage;
+  }
+  if (reply->status != kOk) {
+    return ReportFailure(*reply);
+  }
+  Findings findings(aFile);
+  const wire::ListsDelta wanted = ReadLists(*text, findings);
+  if (!findings.IsEmpty()) {
+    std::cerr << findings.Text();
+    return kExitFailed;
+  }
+  Findings none("current");
+  Lists current;
+  current.Apply(Difference(current, ReadLists(reply->body, none)));
+  const wire::ListsDelta delta = Difference(current, wanted);
+  for (const wire::Plan& plan : delta.plans()) {
+    const bool known = current.FindPlan(PlanName(plan.name())) != nullptr;
+    std::cout << (known ? "changed plan " : "new plan ") << plan.name() << '\n';
+  }
+  for (const wire::Customer& customer : delta.customers()) {
+    const bool known =
+      current.FindCustomer(CustomerId(customer.id())) != nullptr;
+    std::cout << (known ? "changed customer " : "new customer ")
+              << customer.id() << '\n';
+  }
+  for (const std::string& name : delta.removed_plans()) {
+    std::cout << "removed plan " << name << '\n';
+  }
+  for (const std::string& id : delta.removed_customers()) {
+    std::cout << "removed customer " << id << '\n';
+  }
+  return kExitDone;
+}
+
+// Waits until every entry host that reported within the last minutes has the
+// version, and names those that lag.
+static int
+WaitInForce(const CommandLine& aLine, std::uint64_t aVersion)
+{
+  static constexpr double kForgottenAfter = 600.0; // seconds
+  const auto end = std::chrono::steady_clock::now() + aLine.timeout;
+  std::string lagging;
+  do {
+    const auto reply = CallLeader(aLine, CallTo(aLine, "", "lists/in-force"));
+    if (!reply) {
+      return kExitUnreachable;
+    }
+    lagging.clear();
+    const json::array hosts = MemberArray(ParseJson(reply->body), "hosts");
+    for (const json::value& host : hosts) {
+      const double age = std::stod("0" + Member(host, "seconds_ago"));
+      const std::uint64_t version = std::stoull("0" + Member(host, "version"));
+      if (version < aVersion && age < kForgottenAfter) {
+        lagging += "  " + Member(host, "host") + " has version " +
+                   std::to_string(version) + ", heard from " +
+                   std::to_string(static_cast<int>(age)) + " s ago\n";
+      }
+    }
+    if (lagging.empty() && !hosts.empty()) {
+      std::cout << "in force on " << hosts.size() << " entry hosts\n";
+      return kExitDone;
+    }
+    std::this_thread::sleep_for(kPause);
+  } while (std::chrono::steady_clock::now() < end);
+  std::cerr << "accepted, but not yet in force on:\n" << lagging;
+  return kExitLagging;
+}
+
+static std::string
+NewChangeId()
+{
+  std::random_device device;
+  std::ostringstream text;
+  text << std::hex << device() << device() << device();
+  return text.str();
+}
+
+static int
+ListsPut(const CommandLine& aLine, const std::string& aFile)
+{
+  const auto text = ReadFile(aFile);
+  if (!text) {
+    return kExitUsage;
+  }
+  if (aLine.expectedVersion < 0) {
+    std::cerr << "give the version that the change is based on with "
+                 "--expected-version; 'lists get' shows the current one\n";
+    return kExitUsage;
+  }
+  Findings findings(aFile);
+  ReadLists(*text, findings);
+  if (!findings.IsEmpty()) {
+    std::cerr << findings.Text();
+    return kExitFailed;
+  }
+  const std::string changeId =
+    aLine.changeId.empty() ? NewChangeId() : aLine.changeId;
+  HttpCallRequest request =
+    CallTo(aLine,
+           "",
+           "lists?expected-version=" + std::to_string(aLine.expectedVersion) +
+             "&change-id=" + changeId + "&operator=" + aLine.operatorName);
+  request.method = "PUT";
+  request.body = *text;
+  const auto reply = CallLeader(aLine, request);
+  if (!reply) {
+    std::cerr << "the fate of the change is unknown; repeat it with "
+                 "--change-id "
+              << changeId << '\n';
+    return kExitUnreachable;
+  }
+  if (reply->status != kOk) {
+    return ReportFailure(*reply);
+  }
+  const std::string version = Member(ParseJson(reply->body), "version");
+  std::cout << "accepted as version " << version << ", change id " << changeId
+            << '\n';
+  return aLine.wait ? WaitInForce(aLine, std::stoull(version)) : kExitDone;
+}
+
+static int
+ShowTimeline(const CommandLine& aLine)
+{
+  Timeline timeline;
+  for (std::size_t i = 1; i < aLine.words.size(); ++i) {
+    const auto text = ReadFile(aLine.words[i]);
+    if (!text) {
+      return kExitUsage;
+    }
+    timeline.AddLog(*text);
+  }
+  timeline.Sort();
+  std::cout << (aLine.html ? timeline.Html(aLine.filter)
+                           : timeline.Text(aLine.filter));
+  return kExitDone;
+}
+
+static int
+NewKeys()
+{
+  static constexpr std::size_t kKeyBuffer = 41; // Z85 text and its end
+  char publicKey[kKeyBuffer];
+  char secretKey[kKeyBuffer];
+  if (zmq_curve_keypair(publicKey, secretKey) != 0) {
+    std::cerr << "the ZeroMQ library was built without CURVE\n";
+    return kExitFailed;
+  }
+  std::cout << "public " << publicKey << "\nsecret " << secretKey << '\n';
+  return kExitDone;
+}
+
+static int
+TokenHash(const std::string& aToken)
+{
+  std::cout << Sha256Hex(aToken) << '\n';
+  return kExitDone;
+}
+
+struct CommandEntry
+{
+  std::string words;
+  std::size_t arguments = 0;
+  std::string help;
+  std::function<int(const CommandLine&)> run;
+};
+
+static std::vector<CommandEntry>
+Commands()
+{
+  const auto last = [](const CommandLine& aLine) { return aLine.words.back(); };
+  return {
+    { "status", 0, "hosts, roles, versions, leaders and members", Status },
+    { "backend-servers",
+      0,
+      "state of each backend server, why and since when",
+      Servers },
+    { "lists get", 0, "the two lists as they are in force", ListsGet },
+    { "lists history", 0, "accepted changes of the lists", ListsHistory },
+    { "lists check",
+      1,
+      "FILE: findings of a lists document",
+      [last](const CommandLine& aLine) { return CheckLists(last(aLine)); } },
+    { "lists diff",
+      1,
+      "FILE: what putting the document would change",
+      [last](const CommandLine& aLine) {
+        return ListsDiff(aLine, last(aLine));
+      } },
+    { "lists put",
+      1,
+      "FILE: changes the lists; needs --expected-version",
+      [last](const CommandLine& aLine) {
+        return ListsPut(aLine, last(aLine));
+      } },
+    { "check lists",
+      1,
+      "FILE: findings of a lists document",
+      [last](const CommandLine& aLine) { return CheckLists(last(aLine)); } },
+    { "check settings",
+      1,
+      "FILE: findings of a settings document",
+      [last](const CommandLine& aLine) { return CheckSettings(last(aLine)); } },
+    { "keys",
+      0,
+      "a new key pair for a host",
+      [](const CommandLine&) { return NewKeys(); } },
+    { "token-hash",
+      1,
+      "TOKEN: its hash for the lists and settings",
+      [last](const CommandLine& aLine) { return TokenHash(last(aLine)); } },
+  };
+}
+
+std::string
+CommandHelp()
+{
+  std::string text;
+  for (const CommandEntry& command : Commands()) {
+    text += "  " + command.words + ": " + command.help + "\n";
+  }
+  return text + "  timeline: LOG...: events of all processes in causal order\n";
+}
+
+int
+RunCommand(const CommandLine& aLine)
+{
+  if (!aLine.words.empty() && aLine.words[0] == "timeline" &&
+      aLine.words.size() > 1) {
+    return ShowTimeline(aLine);
+  }
+  std::string words;
+  for (const std::string& word : aLine.words) {
+    words += (words.empty() ? "" : " ") + word;
+  }
+  for (const CommandEntry& command : Commands()) {
+    const std::size_t names =
+      command.words.find(' ') == std::string::npos ? 1 : 2;
+    const bool named =
+      words.compare(0, command.words.size(), command.words) == 0;
+    if (named && aLine.words.size() == names + command.arguments) {
+      return command.run(aLine);
+    }
+  }
+  std::cerr << "unknown command '" << words << "'; commands are:\n"
+            << CommandHelp();
+  return kExitUsage;
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/programs/fuchsiaramp/main.cc
@@ -0,0 +1,104 @@
+// fuchsiaramp: the operators' client.
+#include <iostream>
+#include <string>
+
+#include <tclap/CmdLine.h>
+
+#include "fuchsiaramp/commands.h"
+
+namespace fuchsiaramp {
+
+static constexpr std::int64_t kLongestTimeout = 3600; // seconds
+
+static bool
+ReadCommandLine(int aCount, char** aArguments, CommandLine& aLine, int& aExit)
+{
+  using Text = TCLAP::ValueArg<std::string>;
+  using Texts = TCLAP::MultiArg<std::string>;
+  try {
+    TCLAP::CmdLine line("The operators' client of fuchsiaramp. Commands:\n" +
+                          CommandHelp(),
+                        ' ',
+                        "0.1.0");
+    line.setExceptionHandling(false);
+    Texts control(
+      "c", "control", "Address of a control host.", false, "IP:PORT", line);
+    Texts entry(
+      "e", "entry", "Address of an entry host.", false, "IP:PORT", line);
+    Text token("t", "token", "The operator token.", false, "", "TOKEN", line);
+    Text operatorName(
+      "", "operator", "Name for the history.", false, "", "NAME", line);
+    Text changeId("",
+                  "change-id",
+                  "Id of the change; the same for a resend.",
+                  false,
+                  "",
+                  "ID",
+                  line);
+    TCLAP::ValueArg<std::int64_t> expected(
+      "",
+      "expected-version",
+      "Version that the change is based on.",
+      false,
+      -1,
+      "NUMBER",
+      line);
+    TCLAP::ValueArg<std::int64_t> timeout(
+      "", "timeout", "Seconds to try for.", false, 30, "SECONDS", line);
+    TCLAP::SwitchArg wait(
+      "", "wait", "Wait until the change is in force everywhere.", line);
+    TCLAP::SwitchArg html("", "html", "Time line as a page.", line);
+    Texts filter(
+      "f", "filter", "Only events with this field.", false, "KEY=VALUE", line);
+    Text output("o", "output", "text or json.", false, "text", "FORMAT", line);
+    TCLAP::UnlabeledMultiArg<std::string> words(
+      "command", "The command and its arguments.", true, "COMMAND", line);
+    line.parse(aCount, aArguments);
+    aLine.words = words.getValue();
+    aLine.control = control.getValue();
+    aLine.entry = entry.getValue();
+    aLine.token = token.getValue();
+    aLine.operatorName = operatorName.getValue();
+    aLine.changeId = changeId.getValue();
+    aLine.expectedVersion = expected.getValue();
+    aLine.timeout = std::chrono::seconds(
+      std::min(std::max<std::int64_t>(timeout.getValue(), 1), kLongestTimeout));
+    aLine.wait = wait.getValue();
+    aLine.html = html.getValue();
+    for (const std::string& item : filter.getValue()) {
+      const std::size_t equals = item.find('=');
+      if (equals == std::string::npos) {
+        std::cerr << "--filter needs KEY=VALUE\n";
+        aExit = kExitUsage;
+        return false;
+      }
+      aLine.filter[item.substr(0, equals)] = item.substr(equals + 1);
+    }
+    if (output.getValue() != "text" && output.getValue() != "json") {
+      std::cerr << "--output must be text or json\n";
+      aExit = kExitUsage;
+      return false;
+    }
+    aLine.output = output.getValue() == "json" ? Output::kJson : Output::kText;
+    return true;
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << error.error() << ' ' << error.argId() << '\n';
+    aExit = kExitUsage;
+  } catch (const TCLAP::ExitException& exit) {
+    aExit = exit.getExitStatus();
+  }
+  return false;
+}
+
+} // namespace fuchsiaramp
+
+int
+main(int aCount, char** aArguments)
+{
+  fuchsiaramp::CommandLine line;
+  int exit = fuchsiaramp::kExitDone;
+  if (!fuchsiaramp::ReadCommandLine(aCount, aArguments, line, exit)) {
+    return exit;
+  }
+  return fuchsiaramp::RunCommand(line);
+}
--- a/tests/randomised/consensus_run_test.cc
+++ b/tests/randomised/consensus_run_test.cc
@@ -114,8 +114,8 @@
     options.keptEntries = 10;
     options.snapshotChunkBytes = 64;
     member.applied.clear();
-    member.node = std::make_unique<Node>(options, stored, HooksOf(aHost),
-                                         Random(m_random.Bits()), m_now);
+    member.node = std::make_unique<Node>(
+      options, stored, HooksOf(aHost), Random(m_random.Bits()), m_now);
   }
 
   NodeHooks HooksOf(const HostId& aHost)
@@ -149,12 +149,12 @@
         member.applied.push_back(line);
       }
     };
-    hooks.finished = [this](ProposalId, ProposalOutcome aOutcome,
-                            const std::string& aResult) {
-      if (aOutcome == ProposalOutcome::kApplied) {
-        m_acked.insert(aResult);
-      }
-    };
+    hooks.finished =
+      [this](ProposalId, ProposalOutcome aOutcome, const std::string& aResult) {
+        if (aOutcome == ProposalOutcome::kApplied) {
+          m_acked.insert(aResult);
+        }
+      };
     hooks.fatal = [](std::error_code) {};
     hooks.record = [this, aHost](const Event& aEvent) {
       if (aEvent.Name() == "leader_elected") {
@@ -346,7 +346,8 @@
   double m_crashChance = 0.0;
 };
 
-static void RunSeeds(std::size_t aSize, std::uint64_t aDefaultCount)
+static void
+RunSeeds(std::size_t aSize, std::uint64_t aDefaultCount)
 {
   const SeedRange seeds = SeedsOf(aDefaultCount);
   std::size_t acked = 0;
--- /dev/null
+++ b/tests/support/load_caller.cc
@@ -0,0 +1,251 @@
+// Callers for demos and process tests: each asks an entry host which addresses
+// to use, keeps the answer for its lifetime, sends requests, moves on when a
+// host does not answer, and checks every answer.
+//
+// Prints one line of counts. Exit code 1 when an answer was wrong: cut short,
+// another request's, or a not-run whose work did run is counted by the run log.
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include <boost/json.hpp>
+#include <tclap/CmdLine.h>
+
+#include "base/random.h"
+#include "net/http_client.h"
+
+namespace fuchsiaramp {
+
+using Clock = std::chrono::steady_clock;
+
+struct LoadOptions
+{
+  std::vector<std::string> entryHosts;
+  std::string service;
+  std::string token;
+  double seconds = 5.0;
+  double keyed = 0.2; // share of requests that must not repeat
+  std::size_t callers = 8;
+  std::size_t bodyBytes = 200;
+};
+
+struct LoadCounts
+{
+  std::atomic<std::uint64_t> answered{ 0 };
+  std::atomic<std::uint64_t> notRun{ 0 };
+  std::atomic<std::uint64_t> unknown{ 0 };
+  std::atomic<std::uint64_t> unanswered{ 0 };
+  std::atomic<std::uint64_t> wrong{ 0 };
+  std::mutex lock;
+  std::vector<std::string> keysNotRun; // keys whose every reply was not-run
+  std::vector<std::string> keysAnswered;
+  std::vector<double> milliseconds;
+};
+
+class Caller
+{
+public:
+  Caller(const LoadOptions& aOptions, LoadCounts& aCounts, std::size_t aNumber)
+    : m_options(aOptions)
+    , m_counts(aCounts)
+    , m_number(aNumber)
+    , m_random(aNumber * 7919 + 1)
+  {
+  }
+
+  void Run()
+  {
+    const auto end =
+      Clock::now() + std::chrono::microseconds(
+                       static_cast<std::int64_t>(m_options.seconds * 1e6));
+    for (std::uint64_t i = 0; Clock::now() < end; ++i) {
+      Send(i);
+    }
+  }
+
+private:
+  std::string PickAddress()
+  {
+    if (Clock::now() >= m_refreshAt || m_addresses.empty()) {
+      Refresh();
+    }
+    return m_addresses.empty()
+             ? m_options.entryHosts[m_random.Below(m_options.entryHosts.size())]
+             : m_addresses[m_random.Below(m_addresses.size())];
+  }
+
+  void Refresh()
+  {
+    HttpCallRequest request;
+    request.address =
+      m_options.entryHosts[m_random.Below(m_options.entryHosts.size())];
+    request.target =
+      "/.well-known/fuchsiaramp/entry-hosts?service=" + m_options.service;
+    request.timeout = std::chrono::seconds(1);
+    std::error_code error;
+    const HttpReply reply = HttpCall(request, error);
+    if (error || reply.status != 200) {
+      return;
+    }
+    const auto value = boost::json::parse(reply.body);
+    m_addresses.clear();
+    for (const auto& address : value.at("addresses").as_array()) {
+      m_addresses.emplace_back(address.as_string());
+    }
+    m_refreshAt = Clock::now() +
+                  std::chrono::milliseconds(value.at("lifetime_ms").as_int64());
+  }
+
+  void Send(std::uint64_t aIndex)
+  {
+    const bool keyed = m_random.Chance(m_options.keyed);
+    const std::string name =
+      std::to_string(m_number) + '-' + std::to_string(aIndex);
+    HttpCallRequest request;
+    request.address = PickAddress();
+    request.timeout = std::chrono::seconds(15);
+    request.headers["Host"] = m_options.service;
+    request.headers["Authorization"] = "Bearer " + m_options.token;
+    if (keyed) {
+      request.method = "POST";
+      request.target = "/once/" + name;
+      request.headers["Idempotency-Key"] = name;
+      request.body = std::string(m_options.bodyBytes, 'b');
+    } else {
+      request.target = "/read/" + name;
+    }
+    const auto start = Clock::now();
+    std::error_code error;
+    const HttpReply reply = HttpCall(request, error);
+    if (error) {
+      ++m_counts.unanswered;
+      m_addresses.clear();
+      return;
+    }
+    const double taken =
+      std::chrono::duration<double, std::milli>(Clock::now() - start).count();
+    Count(request, reply, name, keyed, taken);
+  }
+
+  void Count(const HttpCallRequest& aRequest,
+             const HttpReply& aReply,
+             const std::string& aName,
+             bool aKeyed,
+             double aMilliseconds)
+  {
+    const auto found = aReply.headers.find("fuchsiaramp-outcome");
+    const std::string outcome =
+      found == aReply.headers.end() ? "" : found->second;
+    const std::string expected = aRequest.target + '\n' + aRequest.body + '\n';
+    const std::lock_guard<std::mutex> guard(m_counts.lock);
+    if (outcome == "answered") {
+      const bool whole =
+        aReply.status == 200 &&
+        aReply.body.compare(0, expected.size(), expected) == 0 &&
+        aReply.body.size() > expected.size();
+      if (!whole) {
+        ++m_counts.wrong;
+        std::cerr << "wrong answer to " << aRequest.target << ": "
+                  << aReply.status << ' ' << aReply.body << '\n';
+      }
+      ++m_counts.answered;
+      m_counts.milliseconds.push_back(aMilliseconds);
+      if (aKeyed) {
+        m_counts.keysAnswered.push_back(aName);
+      }
+      return;
+    }
+    if (outcome == "not-run") {
+      ++m_counts.notRun;
+      if (aKeyed) {
+        m_counts.keysNotRun.push_back(aName);
+      }
+    } else if (outcome == "unknown") {
+      ++m_counts.unknown;
+    } else {
+      ++m_counts.wrong;
+      std::cerr << "no outcome in the answer to " << aRequest.target << '\n';
+    }
+    // The refusal says when to come back; a test need not wait that long.
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+
+  const LoadOptions& m_options;
+  LoadCounts& m_counts;
+  std::size_t m_number;
+  Random m_random;
+  std::vector<std::string> m_addresses;
+  Clock::time_point m_refreshAt;
+};
+
+static double
+Percentile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0.0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto index =
+    static_cast<std::size_t>(aShare * static_cast<double>(aValues.size() - 1));
+  return aValues[index];
+}
+
+static int
+RunLoad(const LoadOptions& aOptions, bool aListKeys)
+{
+  LoadCounts counts;
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < aOptions.callers; ++i) {
+    threads.emplace_back(
+      [&aOptions, &counts, i] { Caller(aOptions, counts, i).Run(); });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  std::cout << "answered=" << counts.answered << " not_run=" << counts.notRun
+            << " unknown=" << counts.unknown
+            << " unanswered=" << counts.unanswered << " wrong=" << counts.wrong
+            << " p50_ms=" << Percentile(counts.milliseconds, 0.5)
+            << " p99_ms=" << Percentile(counts.milliseconds, 0.99) << '\n';
+  if (aListKeys) {
+    for (const std::string& key : counts.keysNotRun) {
+      std::cout << "key_not_run=" << key << '\n';
+    }
+    for (const std::string& key : counts.keysAnswered) {
+      std::cout << "key_answered=" << key << '\n';
+    }
+  }
+  return counts.wrong == 0 ? 0 : 1;
+}
+
+} // namespace fuchsiaramp
+
+int
+main(int aCount, char** aArguments)
+{
+  TCLAP::CmdLine line("Callers for demos and tests.");
+  TCLAP::MultiArg<std::string> entry(
+    "", "entry", "Entry host.", true, "IP:PORT", line);
+  TCLAP::ValueArg<std::string> service(
+    "", "service", "Service.", true, "", "NAME", line);
+  TCLAP::ValueArg<std::string> token(
+    "", "token", "Token.", true, "", "TOKEN", line);
+  TCLAP::ValueArg<double> seconds(
+    "", "seconds", "Duration.", false, 5.0, "S", line);
+  TCLAP::ValueArg<double> keyed(
+    "", "keyed", "Share that must not repeat.", false, 0.2, "SHARE", line);
+  TCLAP::ValueArg<std::size_t> callers(
+    "", "callers", "Callers.", false, 8, "N", line);
+  TCLAP::SwitchArg list("", "list-keys", "Print keys by outcome.", line);
+  line.parse(aCount, aArguments);
+  fuchsiaramp::LoadOptions options;
+  options.entryHosts = entry.getValue();
+  options.service = service.getValue();
+  options.token = token.getValue();
+  options.seconds = seconds.getValue();
+  options.keyed = keyed.getValue();
+  options.callers = callers.getValue();
+  return fuchsiaramp::RunLoad(options, list.getValue());
+}
