--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -217,7 +217,7 @@
 void
 ControlNode::ChangeLists(const ListsChange& aChange,
                          TimePoint aNow,
-                         ChangeReplyHook aReply)
+                         const ChangeReplyHook& aReply)
 {
   const Group& group = *m_groups[kListsGroup];
   ListsChangeReply reply;
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -101,7 +101,7 @@
   // Replies once the change is committed, refused or its fate is unknown.
   void ChangeLists(const ListsChange& aChange,
                    TimePoint aNow,
-                   ChangeReplyHook aReply);
+                   const ChangeReplyHook& aReply);
 
   std::size_t GroupCount() const { return m_groups.size(); }
   const Node& GroupNode(std::size_t aGroup) const;
--- a/packages/disk/fake_files.cc
+++ b/packages/disk/fake_files.cc
@@ -101,8 +101,9 @@
     return false;
   }
   File& file = *filled[aRandom.Below(filled.size())];
-  file.data[aRandom.Below(file.synced)] ^=
-    static_cast<char>(1U << aRandom.Below(8));
+  char& byte = file.data[aRandom.Below(file.synced)];
+  byte = static_cast<char>(static_cast<unsigned char>(byte) ^
+                           (1U << aRandom.Below(8)));
   return true;
 }
 
--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -123,7 +123,7 @@
   answer.outcome = CallerOutcome::kAnswered;
   answer.status = aEnd.status;
   answer.relay = aEnd.id;
-  Answer(aRequest, std::move(answer), aNow);
+  Answer(aRequest, answer, aNow);
 }
 
 // Whether the outcome proves that the work did not run.
@@ -244,7 +244,7 @@
   answer.retryAfter = aRetryAfter;
   if (!aRequest.mayHaveRun) {
     if (aRequest.claimAttempt.empty()) {
-      Answer(aRequest, std::move(answer), aNow);
+      Answer(aRequest, answer, aNow);
     } else {
       Fence(aRequest, answer, aNow);
     }
@@ -266,7 +266,7 @@
     answer.status = aEnd->status;
     answer.relay = aEnd->id;
   }
-  Answer(aRequest, std::move(answer), aNow);
+  Answer(aRequest, answer, aNow);
 }
 
 // An attempt that takes longer than a slow answer is evidence at once. A second
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -374,7 +374,7 @@
       break;
   }
   request.claimAttempt.clear();
-  Answer(request, std::move(answer), aNow);
+  Answer(request, answer, aNow);
 }
 
 // Ends the claim of a request that never ran, so that a resend can be granted
@@ -405,7 +405,7 @@
                        answer.outcome = CallerOutcome::kUnknown;
                        answer.status = 503;
                      }
-                     Answer(it->second, std::move(answer), m_now);
+                     Answer(it->second, answer, m_now);
                    });
 }
 
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -273,11 +273,11 @@
   answer.status = aStatus;
   answer.reason = aReason;
   answer.retryAfter = aRetryAfter;
-  Answer(aRequest, std::move(answer), aNow);
+  Answer(aRequest, answer, aNow);
 }
 
 void
-EntryNode::Answer(Request& aRequest, FinalAnswer aAnswer, TimePoint aNow)
+EntryNode::Answer(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow)
 {
   CheckInvariant(aAnswer.outcome != CallerOutcome::kNotRun ||
                    (!aRequest.mayHaveRun && aRequest.attempts.empty()),
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -222,7 +222,7 @@
               std::optional<Duration> aRetryAfter,
               TimePoint aNow);
   // Gives the final answer and forgets the request.
-  void Answer(Request& aRequest, FinalAnswer aAnswer, TimePoint aNow);
+  void Answer(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow);
 
   void Connect(Random& aRandom, TimePoint aNow);
 
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -410,6 +410,7 @@
 {
   const auto pick = [this](auto& aUpdates, const auto& aAdd) {
     std::vector<std::pair<int, std::string>> order;
+    order.reserve(aUpdates.size());
     for (const auto& [key, update] : aUpdates) {
       order.emplace_back(update.transmissions, key);
     }
--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -276,7 +276,7 @@
   const TimePoint now = MonotonicNow();
   std::vector<ConnectionPtr>& idle = it->second;
   while (!idle.empty()) {
-    const ConnectionPtr connection = idle.back();
+    ConnectionPtr connection = idle.back();
     idle.pop_back();
     const Duration age = now - connection->LastUsed();
     const bool usable = age < m_options.idleLifetime && connection->IsQuiet() &&
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -50,9 +50,10 @@
     "expect",
   };
   std::string name(aName);
-  std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(
+    name.begin(), name.end(), name.begin(), [](unsigned char aChar) {
+      return static_cast<char>(std::tolower(aChar));
+    });
   return kDropped.count(name) == 0 && name.rfind("fuchsiaramp-", 0) != 0;
 }
 
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -27,8 +27,8 @@
 Lower(std::string aText)
 {
   std::transform(
-    aText.begin(), aText.end(), aText.begin(), [](unsigned char c) {
-      return static_cast<char>(std::tolower(c));
+    aText.begin(), aText.end(), aText.begin(), [](unsigned char aChar) {
+      return static_cast<char>(std::tolower(aChar));
     });
   return aText;
 }
--- a/packages/observe/event_log.cc
+++ b/packages/observe/event_log.cc
@@ -26,7 +26,7 @@
   return text + '"';
 }
 
-EventLog::EventLog(HostId aHost,
+EventLog::EventLog(const HostId& aHost,
                    std::uint64_t aIncarnation,
                    const std::string& aLevel,
                    CausalClock& aClock)
--- a/packages/observe/event_log.h
+++ b/packages/observe/event_log.h
@@ -27,7 +27,7 @@
 {
 public:
   // aLevel: DEBUG, INFO, WARN or ERROR. Lines go to standard output.
-  EventLog(HostId aHost,
+  EventLog(const HostId& aHost,
            std::uint64_t aIncarnation,
            const std::string& aLevel,
            CausalClock& aClock);
--- a/packages/observe/timeline.cc
+++ b/packages/observe/timeline.cc
@@ -125,7 +125,10 @@
 {
   std::string text;
   for (const auto& [key, value] : aEvent.fields) {
-    text += (text.empty() ? "" : " ") + key + '=' + value;
+    text += text.empty() ? "" : " ";
+    text += key;
+    text += '=';
+    text += value;
   }
   return text;
 }
@@ -142,8 +145,12 @@
     clock.insert(0, clock.size() < 8 ? 8 - clock.size() : 0, ' ');
     std::string host = event.host;
     host.resize(std::max<std::size_t>(host.size(), 12), ' ');
-    text += clock + "  " + event.time + "  " + host + "  " + event.name + "  " +
-            FieldsText(event) + '\n';
+    for (const std::string& part : { clock, event.time, host, event.name }) {
+      text += part;
+      text += "  ";
+    }
+    text += FieldsText(event);
+    text += '\n';
   }
   return text;
 }
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -123,7 +123,7 @@
 std::optional<BackendServerId>
 ServiceRouter::Choose(const ChoiceRequest& aRequest, TimePoint aNow)
 {
-  if (const auto trial = ChooseTrial(aRequest, aNow)) {
+  if (auto trial = ChooseTrial(aRequest, aNow)) {
     return trial;
   }
   std::vector<ServerView*> near;
--- a/packages/settings/yaml_reader.cc
+++ b/packages/settings/yaml_reader.cc
@@ -73,8 +73,10 @@
   return { mark.line + 1, mark.column + 1 };
 }
 
-MapReader::MapReader(YAML::Node aNode, std::string aWhat, Findings& aFindings)
-  : m_node(std::move(aNode))
+MapReader::MapReader(const YAML::Node& aNode,
+                     std::string aWhat,
+                     Findings& aFindings)
+  : m_node(aNode)
   , m_what(std::move(aWhat))
   , m_findings(aFindings)
 {
--- a/packages/settings/yaml_reader.h
+++ b/packages/settings/yaml_reader.h
@@ -32,7 +32,7 @@
 class MapReader
 {
 public:
-  MapReader(YAML::Node aNode, std::string aWhat, Findings& aFindings);
+  MapReader(const YAML::Node& aNode, std::string aWhat, Findings& aFindings);
 
   bool Has(const std::string& aKey);
   // The place of a key's value, or of the map when the key is missing.
--- /dev/null
+++ b/packages/testing/entry_fleet.cc
@@ -0,0 +1,709 @@
+#include "testing/entry_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace fuchsiaramp {
+
+static constexpr Duration kTick = std::chrono::milliseconds(20);
+static constexpr Duration kConnectTime = std::chrono::milliseconds(1);
+static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+static constexpr Duration kRecentUse = std::chrono::milliseconds(500);
+static constexpr Duration kRenewInterval = std::chrono::milliseconds(600);
+static constexpr Duration kControlDelay = std::chrono::milliseconds(20);
+static constexpr Duration kDeadline = std::chrono::seconds(10);
+static constexpr int kPoisonSends = 5;
+static constexpr char kToken[] = "token";
+static constexpr char kService[] = "profile";
+static constexpr char kControlHost[] = "control-1";
+
+Deployment
+AdzoaProfile()
+{
+  Deployment deployment;
+  deployment.name = "adzoa";
+  deployment.routing.ejectionThreshold = 7.0;
+  return deployment;
+}
+
+Deployment
+CalculosCalc()
+{
+  Deployment deployment;
+  deployment.name = "calculos";
+  deployment.slots = 6;
+  deployment.domainDelay = std::chrono::milliseconds(1);
+  deployment.routing.ejectionThreshold = 12.0;
+  return deployment;
+}
+
+EntryDriver
+MakeEntryNode(const EntryOptions& aOptions,
+              const EntryHooks& aHooks,
+              Random aRandom,
+              TimePoint aNow)
+{
+  auto node = std::make_shared<EntryNode>(aOptions, aHooks, aRandom, aNow);
+  EntryNode* raw = node.get();
+  EntryDriver driver;
+  driver.onRequest = [raw](const RequestHead& aHead, TimePoint aTime) {
+    raw->OnRequest(aHead, aTime);
+  };
+  driver.onAttemptEnd = [raw](const AttemptEnd& aEnd, TimePoint aTime) {
+    raw->OnAttemptEnd(aEnd, aTime);
+  };
+  driver.onMessage = [raw](const HostId& aFrom,
+                           const wire::Envelope& aMessage,
+                           TimePoint aTime) {
+    raw->OnMessage(aFrom, aMessage, aTime);
+  };
+  driver.onAnnouncement = [raw](const wire::BackendServerRecord& aRecord,
+                                TimePoint aTime) {
+    raw->OnAnnouncement(aRecord, aTime);
+  };
+  driver.tick = [raw](TimePoint aTime) { raw->Tick(aTime); };
+  driver.isRestricted = [raw](const BackendServerId& aServer) {
+    const ServiceRouter* router = raw->Services().Find(ServiceName(kService));
+    if (router == nullptr) {
+      return false;
+    }
+    const ServerHealth* health = router->RestrictionOf(aServer);
+    return health != nullptr && health->state != HealthState::kRamp;
+  };
+  driver.owner = std::move(node);
+  return driver;
+}
+
+EntryFleet::EntryFleet(Deployment aDeployment, FleetOptions aOptions)
+  : m_deployment(std::move(aDeployment))
+  , m_options(std::move(aOptions))
+  , m_random(m_options.seed)
+  , m_queue(FromMicros(1'000'000'000))
+  , m_network({}, Random(m_options.seed + 1))
+{
+  const std::size_t domains =
+    m_deployment.regions * m_deployment.domainsPerRegion;
+  const auto domainOf = [&](std::size_t aIndex) {
+    return FailureDomain("d" + std::to_string(aIndex % domains));
+  };
+  const auto regionOf = [&](std::size_t aIndex) {
+    return Region("r" +
+                  std::to_string(aIndex % domains % m_deployment.regions));
+  };
+  for (std::size_t i = 0; i < m_deployment.servers; ++i) {
+    FakeServerOptions options;
+    options.id = BackendServerId("server-" + std::to_string(i));
+    options.region = regionOf(i);
+    options.failureDomain = domainOf(i);
+    options.slots = m_deployment.slots;
+    options.meanServiceSeconds = m_deployment.meanServiceSeconds;
+    m_serverIndex[options.id] = i;
+    m_servers.push_back(
+      std::make_unique<FakeServer>(options, m_queue, Random(m_random.Bits())));
+  }
+  for (std::size_t i = 0; i < m_deployment.entryHosts; ++i) {
+    HostState host;
+    host.id = HostId("entry-" + std::to_string(i));
+    host.region = regionOf(i);
+    host.domain = domainOf(i);
+    m_hosts.push_back(std::move(host));
+  }
+  FakeNetworkOptions network;
+  network.minDelay = m_deployment.domainDelay;
+  network.maxDelay = m_deployment.domainDelay * 2;
+  network.distance = [this](const HostId& aFrom, const HostId& aTo) {
+    const auto region = [this](const HostId& aHost) {
+      for (const HostState& host : m_hosts) {
+        if (host.id == aHost) {
+          return host.region;
+        }
+      }
+      return Region();
+    };
+    return region(aFrom) == region(aTo) ? Duration() : m_deployment.regionDelay;
+  };
+  m_network.SetOptions(network);
+  wire::Command command;
+  wire::PutLists* put = command.mutable_put_lists();
+  put->set_change_id("initial");
+  put->mutable_delta()->set_to_version(1);
+  wire::Plan* plan = put->mutable_delta()->add_plans();
+  plan->set_name("plan");
+  for (const bool repeatable : { true, false }) {
+    wire::Route* route = plan->add_routes();
+    route->set_name(repeatable ? "read" : "once");
+    route->set_path_prefix(repeatable ? "/read" : "/once");
+    route->set_service(kService);
+    route->set_repeatable(repeatable);
+  }
+  wire::Customer* customer = put->mutable_delta()->add_customers();
+  customer->set_id("customer");
+  customer->set_plan("plan");
+  customer->set_token_hash(Sha256Hex(kToken));
+  m_lists.Apply(command);
+}
+
+EntryOptions
+EntryFleet::OptionsOf(std::size_t aHost) const
+{
+  const HostState& host = m_hosts[aHost];
+  EntryOptions options;
+  options.incarnation = host.incarnation;
+  options.settings.host = host.id;
+  options.settings.region = host.region;
+  options.settings.failureDomain = host.domain;
+  options.settings.callerAddress = host.id.Value();
+  options.settings.messageAddress = host.id.Value();
+  options.settings.routing = m_deployment.routing;
+  options.settings.announcementLifetime = std::chrono::seconds(2);
+  options.settings.controlHosts.push_back({ HostId(kControlHost), "", "" });
+  options.settings.seeds.push_back({ m_hosts[0].id, "", "" });
+  options.settings.seeds.push_back({ m_hosts[1].id, "", "" });
+  return options;
+}
+
+EntryHooks
+EntryFleet::HooksOf(std::size_t aHost)
+{
+  EntryHooks hooks;
+  const HostId id = m_hosts[aHost].id;
+  hooks.send = [this, id](const HostId& aTo, const wire::Envelope& aMessage) {
+    m_network.Send(id, aTo, aMessage, m_queue.Now());
+  };
+  hooks.startAttempt = [this, aHost](const AttemptStart& aStart) {
+    return StartAttempt(aHost, aStart);
+  };
+  hooks.cancelAttempt = [this, aHost](AttemptId aAttempt) {
+    CancelAttempt(aHost, aAttempt);
+  };
+  hooks.answer = [this, aHost](const FinalAnswer& aAnswer) {
+    OnAnswer(aHost, aAnswer);
+  };
+  hooks.hostChanged = [](const wire::HostRecord&) {};
+  hooks.record = [this, id](const Event& aEvent) {
+    if (onEvent) {
+      onEvent(id, aEvent);
+    }
+  };
+  return hooks;
+}
+
+void
+EntryFleet::StartHost(std::size_t aHost)
+{
+  HostState& host = m_hosts[aHost];
+  ++host.incarnation;
+  host.up = true;
+  host.driver = m_options.factory(
+    OptionsOf(aHost), HooksOf(aHost), Random(m_random.Bits()), m_queue.Now());
+}
+
+void
+EntryFleet::KillHost(std::size_t aHost)
+{
+  HostState& host = m_hosts[aHost];
+  host.up = false;
+  ++host.generation;
+  host.driver = EntryDriver();
+  // Callers that lose their connection send again through another host.
+  for (const auto& [id, pending] : host.pending) {
+    if (!pending.key.empty() && pending.sends < 3) {
+      m_queue.At(m_queue.Now() + std::chrono::seconds(1),
+                 [this, again = pending] {
+                   SendRequest(again.key, again.poison, again.sends + 1);
+                 });
+    }
+  }
+  host.idle.clear();
+  host.running.clear();
+  host.pending.clear();
+}
+
+void
+EntryFleet::Start()
+{
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    StartHost(i);
+  }
+  for (std::size_t i = 0; i < m_servers.size(); ++i) {
+    m_queue.At(m_queue.Now() + Duration(m_random.Below(kRenewInterval.count())),
+               [this, i] { Announce(i); });
+  }
+  Tick();
+  // Callers start once the hosts know each other and the servers.
+  m_queue.At(m_queue.Now() + std::chrono::seconds(5), [this] {
+    ScheduleCaller();
+    SchedulePoison();
+  });
+}
+
+void
+EntryFleet::Run(Duration aSpan)
+{
+  m_queue.RunUntil(m_queue.Now() + aSpan);
+}
+
+void
+EntryFleet::Tick()
+{
+  const TimePoint now = m_queue.Now();
+  for (HostState& host : m_hosts) {
+    if (host.up) {
+      host.driver.tick(now);
+    }
+  }
+  // Messages are delivered at their own times between two ticks.
+  const TimePoint next = now + kTick;
+  m_queue.At(next, [this] { Tick(); });
+  std::function<void()> deliver = [this] {
+    while (auto delivery = m_network.Next(m_queue.Now())) {
+      if (delivery->to.Value() == kControlHost) {
+        OnControlMessage(delivery->from, delivery->message);
+        continue;
+      }
+      for (HostState& host : m_hosts) {
+        if (host.id == delivery->to && host.up) {
+          host.driver.onMessage(
+            delivery->from, delivery->message, m_queue.Now());
+        }
+      }
+    }
+  };
+  for (int i = 0; i < 10; ++i) {
+    m_queue.At(now + kTick / 10 * i, deliver);
+  }
+}
+
+void
+EntryFleet::Announce(std::size_t aServer)
+{
+  m_queue.At(m_queue.Now() + kRenewInterval,
+             [this, aServer] { Announce(aServer); });
+  const FakeServer& server = *m_servers[aServer];
+  if (server.Faults().down || m_silentServers.count(aServer) != 0) {
+    return;
+  }
+  wire::BackendServerRecord record;
+  record.set_id(server.Options().id.Value());
+  record.set_service(kService);
+  record.set_address(server.Options().id.Value());
+  record.set_region(server.Options().region.Value());
+  record.set_failure_domain(server.Options().failureDomain.Value());
+  record.set_slots(server.Options().slots);
+  record.set_incarnation(server.Incarnation());
+  if (m_leaving.count(aServer) != 0) {
+    record.set_state(wire::BackendServerRecord::LEAVING);
+  }
+  // Two entry hosts watch each server; a dead one is replaced by the next.
+  int told = 0;
+  for (std::size_t i = 0; i < m_hosts.size() && told < 2; ++i) {
+    HostState& host = m_hosts[(aServer * 7 + i) % m_hosts.size()];
+    if (host.up) {
+      host.driver.onAnnouncement(record, m_queue.Now());
+      ++told;
+    }
+  }
+}
+
+void
+EntryFleet::ScheduleCaller()
+{
+  const double slots =
+    static_cast<double>(m_servers.size()) * m_deployment.slots;
+  const double rate = m_options.load * slots / m_deployment.meanServiceSeconds;
+  m_queue.At(
+    m_queue.Now() + FromSeconds(m_random.Exponential(1.0 / rate)), [this] {
+      const bool keyed = m_random.Chance(m_options.keyed);
+      SendRequest(keyed ? "key-" + std::to_string(m_nextKey++) : "", false, 1);
+      ScheduleCaller();
+    });
+}
+
+void
+EntryFleet::SchedulePoison()
+{
+  const double rate = std::max(m_options.poison, 0.001);
+  m_queue.At(m_queue.Now() + FromSeconds(m_random.Exponential(1.0 / rate)),
+             [this] {
+               if (m_options.poison > 0.0) {
+                 SendRequest("", true, 1);
+               }
+               SchedulePoison();
+             });
+}
+
+void
+EntryFleet::SendRequest(const std::string& aKey, bool aPoison, int aSends)
+{
+  const std::size_t index = m_random.Below(m_hosts.size());
+  HostState& host = m_hosts[index];
+  if (!host.up) {
+    return; // the caller finds no answer there and gives up
+  }
+  RequestHead head;
+  head.id = RequestId(m_nextRequest++);
+  head.service = ServiceName(kService);
+  head.token = kToken;
+  head.path = aKey.empty() ? "/read/x" : "/once/x";
+  head.key = IdempotencyKey(aKey);
+  head.bodyHash = aKey;
+  head.fingerprint = Fingerprint(aPoison ? 666 : head.id.Value() + 1000);
+  head.deadline = m_queue.Now() + kDeadline;
+  host.pending[head.id] = { m_queue.Now(), aPoison, aKey, aSends };
+  host.driver.onRequest(head, m_queue.Now());
+}
+
+Duration
+EntryFleet::DelayTo(const HostState& aHost, const FakeServer& aServer) const
+{
+  return aHost.region == aServer.Options().region
+           ? m_deployment.domainDelay
+           : m_deployment.domainDelay + m_deployment.regionDelay;
+}
+
+std::size_t
+EntryFleet::IndexOf(const BackendServerId& aServer) const
+{
+  return m_serverIndex.at(aServer);
+}
+
+bool
+EntryFleet::StartAttempt(std::size_t aHost, const AttemptStart& aStart)
+{
+  HostState& host = m_hosts[aHost];
+  const std::size_t server = IndexOf(aStart.server);
+  const TimePoint now = m_queue.Now();
+  RunningAttempt attempt;
+  attempt.server = server;
+  attempt.startedAt = now;
+  attempt.serverRequest = m_nextServerRequest++;
+  const auto pending = host.pending.find(aStart.request);
+  const bool keyed =
+    pending != host.pending.end() && !pending->second.key.empty();
+  std::vector<Connection>& idle = host.idle[server];
+  while (!aStart.freshConnection && !idle.empty() && !attempt.connection) {
+    const Connection connection = idle.back();
+    idle.pop_back();
+    if (!keyed || now - connection.lastUsed < kRecentUse) {
+      attempt.connection = connection;
+    }
+  }
+  Duration delay = DelayTo(host, *m_servers[server]);
+  const bool fresh = !attempt.connection.has_value();
+  if (fresh) {
+    attempt.connection = Connection();
+    delay += kConnectTime + 2 * DelayTo(host, *m_servers[server]);
+  } else {
+    attempt.proven = now - attempt.connection->lastUsed < kRecentUse;
+  }
+  if (keyed) {
+    m_attemptKeys[{ aHost, aStart.id }] = pending->second.key;
+  }
+  const bool proven = attempt.proven;
+  const bool silent = attempt.connection->silent;
+  host.running[aStart.id] = attempt;
+  const bool poison = pending != host.pending.end() && pending->second.poison;
+  const std::uint64_t generation = host.generation;
+  const bool cut = m_cutPaths.count({ aHost, server }) != 0;
+  const auto later = [this, aHost, generation, id = aStart.id](
+                       TimePoint aTime, const AttemptEnd& aEnd) {
+    m_queue.At(aTime, [this, aHost, generation, id, aEnd] {
+      if (m_hosts[aHost].generation == generation) {
+        EndAttempt(aHost, id, aEnd);
+      }
+    });
+  };
+  AttemptEnd timeout;
+  timeout.id = aStart.id;
+  timeout.outcome = proven ? AttemptOutcome::kTimeout : AttemptOutcome::kSilent;
+  later(aStart.deadline, timeout);
+  if (cut && fresh) {
+    AttemptEnd refused;
+    refused.id = aStart.id;
+    refused.outcome = AttemptOutcome::kRefused;
+    later(std::min(aStart.deadline, now + kConnectTimeout), refused);
+  }
+  if (cut || silent) {
+    return proven;
+  }
+  m_queue.At(now + delay, [this, aHost, generation, id = aStart.id, poison] {
+    if (m_hosts[aHost].generation == generation) {
+      Arrive(aHost, id, poison);
+    }
+  });
+  return proven;
+}
+
+void
+EntryFleet::Arrive(std::size_t aHost, AttemptId aAttempt, bool aPoison)
+{
+  HostState& host = m_hosts[aHost];
+  const auto it = host.running.find(aAttempt);
+  if (it == host.running.end()) {
+    return;
+  }
+  const std::size_t server = it->second.server;
+  std::string key;
+  const auto owner = m_attemptKeys.find({ aHost, aAttempt });
+  if (owner != m_attemptKeys.end()) {
+    key = owner->second;
+  }
+  if (onServed) {
+    onServed(server);
+  }
+  const TimePoint arrived = m_queue.Now();
+  const std::uint64_t generation = host.generation;
+  const Duration back = DelayTo(host, *m_servers[server]);
+  m_servers[server]->Run(
+    it->second.serverRequest,
+    key,
+    aPoison,
+    [this, aHost, generation, aAttempt, arrived, back](FakeAnswer aAnswer,
+                                                       std::uint32_t aLoad) {
+      AttemptEnd end;
+      end.id = aAttempt;
+      end.reportedLoad = aLoad;
+      switch (aAnswer) {
+        case FakeAnswer::kOk:
+          end.outcome = AttemptOutcome::kSuccess;
+          end.status = 200;
+          end.body = "done";
+          break;
+        case FakeAnswer::kError:
+          end.outcome = AttemptOutcome::kServerError;
+          end.status = 500;
+          break;
+        case FakeAnswer::kShed:
+          end.outcome = AttemptOutcome::kShed;
+          end.status = 503;
+          break;
+        case FakeAnswer::kBroken:
+          end.outcome = AttemptOutcome::kBroken;
+          end.reportedLoad.reset();
+          break;
+        case FakeAnswer::kRefused:
+          end.outcome = AttemptOutcome::kRefused;
+          end.reportedLoad.reset();
+          break;
+      }
+      const Duration service = m_queue.Now() - arrived;
+      m_queue.At(m_queue.Now() + back,
+                 [this, aHost, generation, aAttempt, end, service] {
+                   HostState& sender = m_hosts[aHost];
+                   if (sender.generation != generation) {
+                     return;
+                   }
+                   const auto running = sender.running.find(aAttempt);
+                   if (running != sender.running.end()) {
+                     running->second.serviceTime = service;
+                   }
+                   EndAttempt(aHost, aAttempt, end);
+                 });
+    });
+}
+
+void
+EntryFleet::EndAttempt(std::size_t aHost,
+                       AttemptId aAttempt,
+                       const AttemptEnd& aEnd)
+{
+  HostState& host = m_hosts[aHost];
+  const auto it = host.running.find(aAttempt);
+  if (it == host.running.end()) {
+    return;
+  }
+  RunningAttempt attempt = it->second;
+  host.running.erase(it);
+  m_attemptKeys.erase({ aHost, aAttempt });
+  const bool whole = aEnd.outcome == AttemptOutcome::kSuccess ||
+                     aEnd.outcome == AttemptOutcome::kServerError ||
+                     aEnd.outcome == AttemptOutcome::kShed;
+  if (whole) {
+    attempt.connection->lastUsed = m_queue.Now();
+    host.idle[attempt.server].push_back(*attempt.connection);
+  } else {
+    m_servers[attempt.server]->Cancel(attempt.serverRequest);
+  }
+  host.lastService = attempt.serviceTime;
+  host.driver.onAttemptEnd(aEnd, m_queue.Now());
+}
+
+void
+EntryFleet::CancelAttempt(std::size_t aHost, AttemptId aAttempt)
+{
+  HostState& host = m_hosts[aHost];
+  const auto it = host.running.find(aAttempt);
+  if (it == host.running.end()) {
+    return;
+  }
+  m_servers[it->second.server]->Cancel(it->second.serverRequest);
+  m_attemptKeys.erase({ aHost, aAttempt });
+  host.running.erase(it);
+}
+
+void
+EntryFleet::OnAnswer(std::size_t aHost, const FinalAnswer& aAnswer)
+{
+  HostState& host = m_hosts[aHost];
+  const auto it = host.pending.find(aAnswer.request);
+  if (it == host.pending.end()) {
+    return;
+  }
+  const PendingRequest pending = it->second;
+  host.pending.erase(it);
+  FleetAnswer answer;
+  answer.outcome = aAnswer.outcome;
+  answer.status = aAnswer.status;
+  answer.latency = m_queue.Now() - pending.startedAt;
+  answer.added = answer.latency - host.lastService;
+  answer.keyed = !pending.key.empty();
+  answer.key = pending.key;
+  answer.poison = pending.poison;
+  m_answers.push_back(answer);
+  if (answer.keyed) {
+    m_lastOutcome[pending.key] = answer.outcome;
+  }
+  // The caller of a poison request sends it again, and so do some callers of
+  // work that must not repeat.
+  const bool again =
+    pending.poison
+      ? pending.sends < kPoisonSends
+      : answer.keyed && pending.sends < 3 &&
+          (answer.outcome != CallerOutcome::kAnswered || m_random.Chance(0.1));
+  if (again) {
+    m_queue.At(m_queue.Now() + std::chrono::seconds(1), [this, pending] {
+      SendRequest(pending.key, pending.poison, pending.sends + 1);
+    });
+  }
+}
+
+void
+EntryFleet::OnControlMessage(const HostId& aFrom,
+                             const wire::Envelope& aMessage)
+{
+  if (!m_controlUp) {
+    return;
+  }
+  wire::Envelope reply;
+  if (aMessage.has_lists_pull()) {
+    const ListsState& lists = m_lists.ListsPart();
+    wire::ListsPush* push = reply.mutable_lists_push();
+    push->set_pull_id(aMessage.lists_pull().pull_id());
+    push->set_confirmed(true);
+    push->set_leader(kControlHost);
+    push->add_group_leaders(kControlHost);
+    push->add_group_leaders(kControlHost);
+    push->set_current_version(lists.Current().Version().Value());
+    for (const wire::ListsDelta& delta :
+         lists.Since(ListsVersion(aMessage.lists_pull().have_version()))) {
+      *push->add_deltas() = delta;
+    }
+  } else if (aMessage.has_control_request()) {
+    wire::Command command = aMessage.control_request().command();
+    command.set_leader_time_us(ToMicros(m_queue.Now()));
+    wire::ControlReply* answer = reply.mutable_control_reply();
+    answer->set_request_id(aMessage.control_request().request_id());
+    answer->set_group(aMessage.control_request().group());
+    answer->set_leader(kControlHost);
+    *answer->mutable_result() = m_ledger.Apply(command);
+  } else {
+    return;
+  }
+  m_queue.At(m_queue.Now() + kControlDelay, [this, aFrom, reply] {
+    m_network.Send(HostId(kControlHost), aFrom, reply, m_queue.Now());
+  });
+}
+
+Region
+EntryFleet::RegionOfHost(std::size_t aIndex) const
+{
+  return m_hosts[aIndex].region;
+}
+
+void
+EntryFleet::CutPath(std::size_t aHost, std::size_t aServer)
+{
+  m_cutPaths.insert({ aHost, aServer });
+}
+
+void
+EntryFleet::SilenceConnections()
+{
+  for (HostState& host : m_hosts) {
+    for (auto& [server, connections] : host.idle) {
+      for (Connection& connection : connections) {
+        connection.silent = true;
+      }
+    }
+  }
+}
+
+void
+EntryFleet::SetAnnouncing(std::size_t aServer, bool aAnnouncing)
+{
+  if (aAnnouncing) {
+    m_silentServers.erase(aServer);
+  } else {
+    m_silentServers.insert(aServer);
+  }
+}
+
+bool
+EntryFleet::IsRestricted(std::size_t aHost, std::size_t aServer) const
+{
+  const HostState& host = m_hosts[aHost];
+  return host.up && host.driver.isRestricted(m_servers[aServer]->Options().id);
+}
+
+std::size_t
+EntryFleet::RestrictedBy(std::size_t aServer) const
+{
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    count += IsRestricted(i, aServer) ? 1 : 0;
+  }
+  return count;
+}
+
+std::vector<FleetAnswer>
+EntryFleet::TakeAnswers()
+{
+  std::vector<FleetAnswer> answers;
+  answers.swap(m_answers);
+  return answers;
+}
+
+std::size_t
+EntryFleet::DoubleRuns() const
+{
+  std::map<std::string, int> runs;
+  for (const auto& server : m_servers) {
+    for (const auto& [key, count] : server->Runs()) {
+      runs[key] += count;
+    }
+  }
+  return static_cast<std::size_t>(
+    std::count_if(runs.begin(), runs.end(), [](const auto& aRun) {
+      return aRun.second > 1;
+    }));
+}
+
+std::size_t
+EntryFleet::FalseNotRuns() const
+{
+  std::set<std::string> ran;
+  for (const auto& server : m_servers) {
+    for (const auto& [key, count] : server->Runs()) {
+      ran.insert(key);
+    }
+  }
+  return static_cast<std::size_t>(std::count_if(
+    m_lastOutcome.begin(), m_lastOutcome.end(), [&](const auto& aItem) {
+      return aItem.second == CallerOutcome::kNotRun &&
+             ran.count(aItem.first) != 0;
+    }));
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/testing/entry_fleet.h
@@ -0,0 +1,223 @@
+// Entry hosts, fake backend servers and callers in one event queue, for seeded
+// runs of the shipped decision logic.
+//
+// Control is a fake that confirms the lists and applies ledger commands in one
+// GroupState, with a delay. Another policy can stand in for the entry hosts.
+//
+//   EntryFleet fleet(AdzoaProfile(), FleetOptions{ seed });
+//   fleet.Start();
+//   fleet.Run(std::chrono::seconds(20));
+//   fleet.Server(3).SetFaults({ 1.0 });
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "entry/entry_node.h"
+#include "state/group_state.h"
+#include "testing/event_queue.h"
+#include "testing/fake_network.h"
+#include "testing/fake_server.h"
+
+namespace fuchsiaramp {
+
+// One service of one customer's deployment.
+struct Deployment
+{
+  std::string name;
+  std::size_t servers = 24;
+  std::uint32_t slots = 2;
+  std::size_t entryHosts = 30;
+  std::size_t regions = 3;
+  std::size_t domainsPerRegion = 2;
+  Duration domainDelay = std::chrono::microseconds(500); // one way
+  Duration regionDelay = std::chrono::milliseconds(20);  // one way
+  double meanServiceSeconds = 0.025;
+  RoutingSettings routing;
+};
+
+Deployment
+AdzoaProfile();
+Deployment
+CalculosCalc();
+
+// The parts of an entry host that the fleet drives.
+struct EntryDriver
+{
+  std::function<void(const RequestHead&, TimePoint)> onRequest;
+  std::function<void(const AttemptEnd&, TimePoint)> onAttemptEnd;
+  std::function<void(const HostId&, const wire::Envelope&, TimePoint)>
+    onMessage;
+  std::function<void(const wire::BackendServerRecord&, TimePoint)>
+    onAnnouncement;
+  std::function<void(TimePoint)> tick;
+  // Whether the host keeps regular work from a server.
+  std::function<bool(const BackendServerId&)> isRestricted;
+  std::shared_ptr<void> owner;
+};
+
+using DriverFactory = std::function<
+  EntryDriver(const EntryOptions&, const EntryHooks&, Random, TimePoint)>;
+
+// Makes the shipped entry node.
+EntryDriver
+MakeEntryNode(const EntryOptions& aOptions,
+              const EntryHooks& aHooks,
+              Random aRandom,
+              TimePoint aNow);
+
+struct FleetOptions
+{
+  std::uint64_t seed = 1;
+  DriverFactory factory = MakeEntryNode;
+  double load = 0.5;   // share of the capacity of all slots
+  double keyed = 0.05; // share of requests that must not repeat
+  double poison = 0.0; // poison requests a second, each resent by its caller
+};
+
+// One finished request.
+struct FleetAnswer
+{
+  CallerOutcome outcome = CallerOutcome::kNotRun;
+  std::uint32_t status = 0;
+  Duration latency{};
+  // The latency without the service time of the answering attempt.
+  Duration added{};
+  bool keyed = false;
+  bool poison = false;
+  std::string key;
+};
+
+class EntryFleet
+{
+public:
+  EntryFleet(Deployment aDeployment, FleetOptions aOptions);
+
+  // Brings the hosts up and starts the callers.
+  void Start();
+  void Run(Duration aSpan);
+
+  EventQueue& Queue() { return m_queue; }
+  FakeNetwork<wire::Envelope>& Network() { return m_network; }
+  FakeServer& Server(std::size_t aIndex) { return *m_servers[aIndex]; }
+  std::size_t ServerCount() const { return m_servers.size(); }
+  HostId Host(std::size_t aIndex) const { return m_hosts[aIndex].id; }
+  std::size_t HostCount() const { return m_hosts.size(); }
+  Region RegionOfHost(std::size_t aIndex) const;
+
+  void SetLoad(double aLoad) { m_options.load = aLoad; }
+  void SetPoison(double aRate) { m_options.poison = aRate; }
+  // Requests of the host to these servers vanish from now on.
+  void CutPath(std::size_t aHost, std::size_t aServer);
+  void HealPaths() { m_cutPaths.clear(); }
+  // All idle connections go silent; new ones work.
+  void SilenceConnections();
+  void KillHost(std::size_t aHost);
+  void StartHost(std::size_t aHost);
+  void SetAnnouncing(std::size_t aServer, bool aAnnouncing);
+  void SetLeaving(std::size_t aServer) { m_leaving.insert(aServer); }
+  void SetControlReachable(bool aReachable) { m_controlUp = aReachable; }
+
+  // Entry hosts that keep regular work from the server.
+  std::size_t RestrictedBy(std::size_t aServer) const;
+  bool IsRestricted(std::size_t aHost, std::size_t aServer) const;
+  const std::vector<FleetAnswer>& Answers() const { return m_answers; }
+  std::vector<FleetAnswer> TakeAnswers();
+  // Requests of a key that ran more than once, over all servers.
+  std::size_t DoubleRuns() const;
+  // Keys whose callers heard not-run last although the work ran.
+  std::size_t FalseNotRuns() const;
+  // Called for each attempt that reaches a server.
+  std::function<void(std::size_t aServer)> onServed;
+  // Called for each event that a host records.
+  std::function<void(const HostId&, const Event&)> onEvent;
+
+private:
+  struct Connection
+  {
+    TimePoint lastUsed;
+    bool silent = false;
+  };
+
+  struct RunningAttempt
+  {
+    std::size_t server = 0;
+    std::uint64_t serverRequest = 0;
+    TimePoint startedAt;
+    Duration serviceTime{};
+    std::optional<Connection> connection;
+    bool proven = true;
+  };
+
+  struct PendingRequest
+  {
+    TimePoint startedAt;
+    bool poison = false;
+    std::string key;
+    int sends = 0;
+  };
+
+  struct HostState
+  {
+    HostId id;
+    Region region;
+    FailureDomain domain;
+    std::uint64_t incarnation = 1;
+    bool up = false;
+    std::uint64_t generation = 0;
+    EntryDriver driver;
+    std::map<std::size_t, std::vector<Connection>> idle;
+    std::map<AttemptId, RunningAttempt> running;
+    std::map<RequestId, PendingRequest> pending;
+    Duration lastService{};
+  };
+
+  void Tick();
+  void Announce(std::size_t aServer);
+  void ScheduleCaller();
+  void SchedulePoison();
+  void SendRequest(const std::string& aKey, bool aPoison, int aSends);
+  bool StartAttempt(std::size_t aHost, const AttemptStart& aStart);
+  void Arrive(std::size_t aHost, AttemptId aAttempt, bool aPoison);
+  void EndAttempt(std::size_t aHost,
+                  AttemptId aAttempt,
+                  const AttemptEnd& aEnd);
+  void CancelAttempt(std::size_t aHost, AttemptId aAttempt);
+  void OnAnswer(std::size_t aHost, const FinalAnswer& aAnswer);
+  void OnControlMessage(const HostId& aFrom, const wire::Envelope& aMessage);
+  EntryHooks HooksOf(std::size_t aHost);
+  EntryOptions OptionsOf(std::size_t aHost) const;
+  Duration DelayTo(const HostState& aHost, const FakeServer& aServer) const;
+  std::size_t IndexOf(const BackendServerId& aServer) const;
+
+  Deployment m_deployment;
+  FleetOptions m_options;
+  Random m_random;
+  EventQueue m_queue;
+  FakeNetwork<wire::Envelope> m_network;
+  std::vector<std::unique_ptr<FakeServer>> m_servers;
+  std::map<BackendServerId, std::size_t> m_serverIndex;
+  std::vector<HostState> m_hosts;
+  GroupState m_lists{ LedgerOptions() };
+  GroupState m_ledger{ LedgerOptions() };
+  bool m_controlUp = true;
+  std::set<std::pair<std::size_t, std::size_t>> m_cutPaths;
+  std::set<std::size_t> m_silentServers; // do not announce
+  std::set<std::size_t> m_leaving;
+  // Keys of running attempts, by host and attempt.
+  std::map<std::pair<std::size_t, AttemptId>, std::string> m_attemptKeys;
+  std::vector<FleetAnswer> m_answers;
+  std::map<std::string, CallerOutcome> m_lastOutcome;
+  std::uint64_t m_nextRequest = 1;
+  std::uint64_t m_nextServerRequest = 1;
+  std::uint64_t m_nextKey = 1;
+};
+
+} // namespace fuchsiaramp
--- a/packages/testing/fake_network.h
+++ b/packages/testing/fake_network.h
@@ -7,6 +7,7 @@
 //   while (auto delivery = network.Next(now)) { ... }
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,6 +27,8 @@
   double duplicate = 0.0; // share of messages that arrive twice
   double late = 0.0;      // share of messages delayed by up to lateDelay
   Duration lateDelay = std::chrono::seconds(5);
+  // Added to the drawn delay; unset means none.
+  std::function<Duration(const HostId& aFrom, const HostId& aTo)> distance;
 };
 
 template<class Message>
@@ -90,8 +93,10 @@
     const Duration most = late ? m_options.lateDelay : m_options.maxDelay;
     const auto span =
       static_cast<std::uint64_t>((most - m_options.minDelay).count());
-    const Duration delay =
-      m_options.minDelay + Duration(m_random.Below(span + 1));
+    Duration delay = m_options.minDelay + Duration(m_random.Below(span + 1));
+    if (m_options.distance) {
+      delay += m_options.distance(aDelivery.from, aDelivery.to);
+    }
     m_queue.emplace(aNow + delay, std::move(aDelivery));
   }
 
--- a/packages/wire/freshness_test.cc
+++ b/packages/wire/freshness_test.cc
@@ -40,8 +40,9 @@
   FreshnessFilter filter;
   std::uint64_t sequence = 1;
   // The receiver's clock gains one part in ten thousand over ten days.
-  for (std::int64_t minute = 0; minute < 10 * 24 * 60; ++minute) {
-    const std::int64_t sent = minute * 60'000'000;
+  for (std::int64_t minute = 0; minute < std::int64_t{ 10 } * 24 * 60;
+       ++minute) {
+    const std::int64_t sent = minute * std::int64_t{ 60'000'000 };
     const std::int64_t received = sent + sent / 10'000;
     BOOST_REQUIRE(
       filter.Accept(Message(1, sequence++, sent), FromMicros(received + 500)));
