Judge slow answers against a baseline of at least one in ten

Ruled out: a higher threshold, which would delay the detection of failures too. Change: the baseline rate of slow answers is at least 0.1.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -464,7 +464,9 @@
          "        sick served    goodput/s      added p99 ms"
          "   not-run/s      unknown/s      floor viol.    double runs\n";
     for (const Scenario& scenario : Scenarios()) {
-      if (!aOnly.empty() && scenario.name != aOnly) {
+      if (!aOnly.empty() &&
+          ("," + aOnly + ",").find("," + scenario.name + ",") ==
+            std::string::npos) {
         continue;
       }
       std::cout << scenario.name << std::endl;
@@ -500,7 +502,7 @@
   TCLAP::ValueArg<std::uint64_t> seeds(
     "", "seeds", "Seeds.", false, 20, "N", line);
   TCLAP::ValueArg<std::string> only(
-    "", "only", "One scenario.", false, "", "NAME", line);
+    "", "only", "Scenarios, separated by commas.", false, "", "NAME", line);
   TCLAP::ValueArg<std::string> deployment(
     "", "deployment", "One deployment.", false, "", "NAME", line);
   TCLAP::SwitchArg alone("", "alone", "Without the baselines.", line);
--- a/packages/routing/health_judge.cc
+++ b/packages/routing/health_judge.cc
@@ -14,6 +14,8 @@
 static constexpr double kPriorSlowRate = 0.03;
 static constexpr double kServiceWeight = 10.0; // requests of the whole service
 static constexpr double kLowestRate = 0.005;
+// Slow answers come in bursts also from healthy servers.
+static constexpr double kLowestSlowRate = 0.1;
 static constexpr double kHighestRate = 0.8;
 // Failure rates that a sick server may have, as shares of what is left above
 // the rate of the rest of the service.
@@ -85,17 +87,18 @@
       }
     }
   }
-  const auto rate = [&](double aRest, double aAll, double aPrior) {
-    const double service = aAll / std::max(1.0, all.total);
-    const double sum = std::max(0.0, aRest) +
-                       kServiceWeight * std::clamp(service, 0.0, 1.0) +
-                       kPriorRequests * aPrior;
-    const double requests =
-      std::max(0.0, rest.total) + kServiceWeight + kPriorRequests;
-    return std::clamp(sum / requests, kLowestRate, kHighestRate);
-  };
-  return { rate(rest.failures, all.failures, kPriorFailureRate),
-           rate(rest.slow, all.slow, kPriorSlowRate) };
+  const auto rate =
+    [&](double aRest, double aAll, double aPrior, double aLowest) {
+      const double service = aAll / std::max(1.0, all.total);
+      const double sum = std::max(0.0, aRest) +
+                         kServiceWeight * std::clamp(service, 0.0, 1.0) +
+                         kPriorRequests * aPrior;
+      const double requests =
+        std::max(0.0, rest.total) + kServiceWeight + kPriorRequests;
+      return std::clamp(sum / requests, aLowest, kHighestRate);
+    };
+  return { rate(rest.failures, all.failures, kPriorFailureRate, kLowestRate),
+           rate(rest.slow, all.slow, kPriorSlowRate, kLowestSlowRate) };
 }
 
 void
