Forget reported load over the time that a request takes

Cause: reported load was held for 0.2 s, eight times the service time, so hosts avoided servers that had long become free. Change: its half-life follows the service's usual latency.

--- a/packages/routing/latency_tracker.cc
+++ b/packages/routing/latency_tracker.cc
@@ -48,9 +48,9 @@
   }
   if (--m_untilUpdate <= 0 && m_total >= kEnough) {
     m_untilUpdate = kUpdateEvery;
-    const Duration usual = Quantile(kSlowQuantile);
+    m_usual = Quantile(kSlowQuantile);
     m_cached = Duration(static_cast<Duration::rep>(
-      kSlowFactor * static_cast<double>(usual.count())));
+      kSlowFactor * static_cast<double>(m_usual.count())));
   }
 }
 
--- a/packages/routing/latency_tracker.h
+++ b/packages/routing/latency_tracker.h
@@ -20,6 +20,8 @@
   // while up to half of them are slow. Before enough answers were seen, a
   // generous bound.
   Duration SlowThreshold() const;
+  // The 40th percentile, as of the last update.
+  Duration Usual() const { return m_usual; }
   // aShare in (0, 1).
   Duration Quantile(double aShare) const;
 
@@ -31,6 +33,7 @@
 
   std::array<double, kBuckets> m_weights{};
   double m_total = 0.0;
+  Duration m_usual = std::chrono::milliseconds(100);
   Duration m_cached = std::chrono::seconds(1);
   int m_untilUpdate = 0;
 };
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -10,7 +10,8 @@
 
 static constexpr double kSmoothing = 0.1; // weight of the newest outcome
 static constexpr double kFailurePenalty = 10.0;
-static constexpr double kLoadHalfLifeSeconds = 0.2;
+// Reported load is forgotten over about the time that a request takes.
+static constexpr double kLeastLoadHalfLife = 0.002; // seconds
 static constexpr Duration kAvoidRefused = std::chrono::milliseconds(500);
 static constexpr Duration kBrokenBurst = std::chrono::milliseconds(250);
 static constexpr Duration kColdStart = std::chrono::seconds(10);
@@ -163,8 +164,9 @@
 ServiceRouter::Load(const ServerView& aView, TimePoint aNow) const
 {
   const double age = ToSeconds(aNow - aView.othersLoadAt);
-  const double others =
-    aView.othersLoad * std::exp2(-age / kLoadHalfLifeSeconds);
+  const double halfLife =
+    std::max(kLeastLoadHalfLife, ToSeconds(m_latency.Usual()));
+  const double others = aView.othersLoad * std::exp2(-age / halfLife);
   return (aView.outstanding + others) / aView.server.slots;
 }
 
