Let a request wait a moment after three servers shed it

Cause: with two slots a server is full at once; a request that met four full servers was refused although slots became free every few milliseconds. Change: after three sheds a request waits about half a service time and queues again, within the patience that it had from the start.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -6,7 +6,9 @@
 
 namespace fuchsiaramp {
 
-static constexpr int kMaxAttempts = 4; // of one request
+static constexpr int kMaxAttempts = 4; // of one request, sheds not counted
+static constexpr int kShedsInARow = 3; // before a request waits a moment
+static constexpr double kParkQuantile = 0.5;
 static constexpr Duration kRetrySoon = std::chrono::seconds(1);
 
 void
@@ -144,6 +146,9 @@
 {
   const bool proven = ProvesNotRun(aEnd.outcome);
   aRequest.mayHaveRun = aRequest.mayHaveRun || !proven;
+  if (aEnd.outcome == AttemptOutcome::kShed) {
+    ++aRequest.shed;
+  }
   if (aEnd.outcome == AttemptOutcome::kSilent) {
     aRequest.forceFresh = true;
     aRequest.excluded.erase(aAttempt.server);
@@ -196,7 +201,8 @@
 EntryNode::Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow)
 {
   ServiceRouter* router = m_services->Find(aRequest.head.service);
-  if (aRequest.started >= kMaxAttempts || IsDue(aRequest.head.deadline, aNow) ||
+  const int tried = aRequest.started - aRequest.shed;
+  if (tried >= kMaxAttempts || IsDue(aRequest.head.deadline, aNow) ||
       aRequest.callerGone) {
     return false;
   }
@@ -205,6 +211,10 @@
     return false;
   }
   ++m_counters.retries;
+  if (aRequest.shed > 0 && aRequest.shed % kShedsInARow == 0) {
+    Park(aRequest, aNow);
+    return true;
+  }
   const auto server =
     router->Choose({ aRequest.repeatable, aRequest.excluded }, aNow);
   if (server) {
@@ -212,10 +222,46 @@
     return true;
   }
   // All servers are full or were tried: wait for a slot of any of them.
+  return Requeue(aRequest, aNow);
+}
+
+// Several servers were full: asking more of them at once would only add load,
+// so the request waits for about the time in which a slot becomes free.
+void
+EntryNode::Park(Request& aRequest, TimePoint aNow)
+{
+  const ServiceRouter* router = m_services->Find(aRequest.head.service);
+  const double usual = ToSeconds(router->LatencyQuantile(kParkQuantile));
+  const Duration wait = FromSeconds(usual * (0.25 + 0.5 * m_random.Unit()));
+  aRequest.stage = Stage::kParked;
+  m_parked.emplace(aNow + wait, aRequest.head.id);
+}
+
+void
+EntryNode::ReleaseParked(TimePoint aNow)
+{
+  while (!m_parked.empty() && IsDue(m_parked.begin()->first, aNow)) {
+    const RequestId id = m_parked.begin()->second;
+    m_parked.erase(m_parked.begin());
+    const auto it = m_requests.find(id);
+    if (it == m_requests.end() || it->second.stage != Stage::kParked) {
+      continue;
+    }
+    Request& request = it->second;
+    const bool late = IsDue(request.queuedUntil, aNow);
+    if (late || !Requeue(request, aNow)) {
+      GiveUp(request, nullptr, "the service is full", kRetrySoon, aNow);
+    }
+  }
+}
+
+// Returns whether the request has a place in the queue. Its patience goes on
+// from where it first waited.
+bool
+EntryNode::Requeue(Request& aRequest, TimePoint aNow)
+{
   aRequest.excluded.clear();
   aRequest.stage = Stage::kQueued;
-  const Duration patience = m_options.settings.routing.queueTimeout;
-  aRequest.queuedUntil = std::min(aRequest.head.deadline, aNow + patience);
   const auto dropped = m_gates[aRequest.head.service].queue.Push(
     aRequest.head.id, aRequest.priority, aRequest.queuedUntil);
   if (dropped && *dropped == aRequest.head.id) {
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -21,6 +21,7 @@
                      TimePoint aNow)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
+  , m_random(aRandom.Bits())
   , m_now(aNow)
   , m_directory(
       [this](const HostId& aHost, std::uint64_t aIncarnation) {
@@ -246,6 +247,7 @@
   m_claims->Tick(aNow);
   m_services->Tick(aNow);
   m_limiter->Tick(aNow);
+  ReleaseParked(aNow);
   CheckOverdue(aNow);
   CheckDeadlines(aNow);
   std::vector<ServiceName> waiting;
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -115,6 +115,7 @@
   enum class Stage
   {
     kQueued,
+    kParked, // waits a moment after servers shed it
     kClaiming,
     kAttempting,
     kFencing,
@@ -132,6 +133,7 @@
     std::vector<AttemptId> attempts; // running
     std::vector<BackendServerId> broken;
     int started = 0;
+    int shed = 0; // attempts that servers refused for overload
     bool mayHaveRun = false;
     bool hedged = false;
     bool forceFresh = false;
@@ -202,6 +204,9 @@
                  const AttemptEnd& aEnd,
                  TimePoint aNow);
   bool Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow);
+  void Park(Request& aRequest, TimePoint aNow);
+  void ReleaseParked(TimePoint aNow);
+  bool Requeue(Request& aRequest, TimePoint aNow);
   bool OnBrokenConnection(Request& aRequest,
                           const Attempt& aAttempt,
                           TimePoint aNow);
@@ -228,6 +233,7 @@
 
   EntryOptions m_options;
   EntryHooks m_hooks;
+  Random m_random;
   TimePoint m_now; // time of the call that is running
   Directory m_directory;
   std::unique_ptr<Membership> m_membership;
@@ -238,6 +244,7 @@
   std::unordered_map<RequestId, Request> m_requests;
   std::unordered_map<AttemptId, Attempt> m_attempts;
   std::unordered_map<ServiceName, Gate> m_gates;
+  std::multimap<TimePoint, RequestId> m_parked; // by release time
   AttemptId m_nextAttempt{ 1 };
   std::uint64_t m_nextClaim = 1;
   std::uint64_t m_addressQueries = 0;
