Compare hosts only over the time of the accusation when the path is suspected

Cause: a hanging or slow server was cleared as path trouble, since hosts that had used it well before the fault counted as healthy witnesses. Change: witnesses count with what they saw since the sums were last zero.

--- a/packages/routing/health_judge.cc
+++ b/packages/routing/health_judge.cc
@@ -173,9 +173,11 @@
   }
   if (Score(aServer) == 0.0) {
     aServer.evidence.clear();
-  } else if (strongest > 0.0) {
-    aServer.evidence[aReporter] += strongest;
+    return;
   }
+  Testimony& testimony = aServer.evidence[aReporter];
+  testimony.against += std::max(0.0, strongest);
+  testimony.counts += aCounts;
 }
 
 void
@@ -204,45 +206,41 @@
 // The path from some places is at fault when nearly all evidence comes from one
 // host or one region while another one, with traffic, sees a healthy server.
 bool
-HealthJudge::IsPathTrouble(const ServerRecord& aServer, TimePoint aNow) const
+HealthJudge::IsPathTrouble(const ServerRecord& aServer) const
 {
   double sum = 0.0;
-  std::map<HostId, double> byHost = aServer.evidence;
   std::map<Region, double> byRegion;
-  for (const auto& [host, evidence] : aServer.evidence) {
-    sum += evidence;
-    const auto reporter = m_reporters.find(host);
-    if (reporter != m_reporters.end()) {
-      byRegion[reporter->second.region] += evidence;
-    }
+  const auto regionOf = [this](const HostId& aHost) {
+    const auto reporter = m_reporters.find(aHost);
+    return reporter == m_reporters.end() ? Region() : reporter->second.region;
+  };
+  for (const auto& [host, testimony] : aServer.evidence) {
+    sum += testimony.against;
+    byRegion[regionOf(host)] += testimony.against;
   }
   const auto healthyElsewhere = [&](const auto& aIsAccuser) {
     OutcomeCounts others;
-    for (const auto& [host, counts] : aServer.byReporter) {
-      const auto reporter = m_reporters.find(host);
-      if (reporter != m_reporters.end() &&
-          !aIsAccuser(host, reporter->second.region)) {
-        others += counts.At(aNow);
+    for (const auto& [host, testimony] : aServer.evidence) {
+      if (!aIsAccuser(host)) {
+        others += testimony.counts;
       }
     }
     const double bad = std::max(others.failures, others.slow);
     return others.total >= kEnoughRequests && bad < kHealthyRate * others.total;
   };
-  for (const auto& [host, evidence] : byHost) {
+  for (const auto& [host, testimony] : aServer.evidence) {
     const HostId accuser = host;
-    if (evidence >= kOnePlaceShare * sum &&
-        healthyElsewhere([&](const HostId& aHost, const Region&) {
-          return aHost == accuser;
-        })) {
+    if (testimony.against >= kOnePlaceShare * sum &&
+        healthyElsewhere(
+          [&](const HostId& aHost) { return aHost == accuser; })) {
       return true;
     }
   }
-  for (const auto& [region, evidence] : byRegion) {
+  for (const auto& [region, against] : byRegion) {
     const Region accuser = region;
-    if (evidence >= kOnePlaceShare * sum &&
-        healthyElsewhere([&](const HostId&, const Region& aRegion) {
-          return aRegion == accuser;
-        })) {
+    if (against >= kOnePlaceShare * sum &&
+        healthyElsewhere(
+          [&](const HostId& aHost) { return regionOf(aHost) == accuser; })) {
       return true;
     }
   }
@@ -266,7 +264,7 @@
   if (aServer.state == HealthState::kEjected || Score(aServer) < needed) {
     return;
   }
-  if (IsPathTrouble(aServer, aNow)) {
+  if (IsPathTrouble(aServer)) {
     m_record(Event("path_trouble").With("server", aServer.server.id));
     ClearEvidence(aServer);
     return;
--- a/packages/routing/health_judge.h
+++ b/packages/routing/health_judge.h
@@ -108,6 +108,12 @@
 private:
   static constexpr std::size_t kAlternatives = 3;
 
+  struct Testimony
+  {
+    double against = 0.0; // log-likelihood ratio
+    OutcomeCounts counts;
+  };
+
   struct ServerRecord
   {
     JudgedServer server;
@@ -122,8 +128,8 @@
     double sickness = 0.0; // rate of bad outcomes when it was ejected
     std::array<double, kAlternatives> failureSums{};
     double slowSum = 0.0;
-    // Positive evidence per reporter since the sums were last zero.
-    std::map<HostId, double> evidence;
+    // What each reporter said since the sums were last zero.
+    std::map<HostId, Testimony> evidence;
     std::map<HostId, DecayedCounts> byReporter;
   };
 
@@ -149,7 +155,7 @@
   void AddTrialEvidence(ServerRecord& aServer, const OutcomeCounts& aCounts);
   double Score(const ServerRecord& aServer) const;
   bool IsSuspect(const ServerRecord& aServer) const;
-  bool IsPathTrouble(const ServerRecord& aServer, TimePoint aNow) const;
+  bool IsPathTrouble(const ServerRecord& aServer) const;
   void Consider(ServerRecord& aServer, TimePoint aNow);
   void Eject(ServerRecord& aServer, TimePoint aNow);
   void Reinstate(ServerRecord& aServer, TimePoint aNow, const char* aWhy);
