Compare with the rest of the service over the last second as well

Cause: a change that strikes all servers or all paths of a host at once showed in the ten-second baseline only after the first servers were ejected. Change: the baseline is the larger of the rates over ten seconds and over 0.7 s. Conclusion: kept; silent connections have another cause: their requests count against servers that did not get them.

--- a/packages/routing/decayed_counts.h
+++ b/packages/routing/decayed_counts.h
@@ -1,6 +1,6 @@
 // Counts of outcomes that fade with a half-life.
 //
-//   DecayedCounts counts;
+//   DecayedCounts counts(std::chrono::seconds(10));
 //   counts.Add({ 10, 1, 0 }, now);
 //   double rate = counts.At(now).failures / counts.At(now).total;
 #pragma once
@@ -37,7 +37,10 @@
 class DecayedCounts
 {
 public:
-  static constexpr Duration kHalfLife = std::chrono::seconds(10);
+  explicit DecayedCounts(Duration aHalfLife = std::chrono::seconds(10))
+    : m_halfLife(aHalfLife)
+  {
+  }
 
   void Add(const OutcomeCounts& aCounts, TimePoint aNow)
   {
@@ -49,13 +52,14 @@
   OutcomeCounts At(TimePoint aNow) const
   {
     const double factor =
-      std::exp2(-ToSeconds(aNow - m_at) / ToSeconds(kHalfLife));
+      std::exp2(-ToSeconds(aNow - m_at) / ToSeconds(m_halfLife));
     return { m_counts.total * factor,
              m_counts.failures * factor,
              m_counts.slow * factor };
   }
 
 private:
+  Duration m_halfLife;
   OutcomeCounts m_counts;
   TimePoint m_at;
 };
--- a/packages/routing/health_judge.cc
+++ b/packages/routing/health_judge.cc
@@ -66,12 +66,25 @@
 HealthJudge::BaselineFor(const HostId& aReporter,
                          const ServerRecord& aServer,
                          TimePoint aNow) const
+{
+  const Baseline usual = BaselineFrom(&Memory::usual, aReporter, aServer, aNow);
+  const Baseline recent =
+    BaselineFrom(&Memory::recent, aReporter, aServer, aNow);
+  return { std::max(usual.failures, recent.failures),
+           std::max(usual.slow, recent.slow) };
+}
+
+HealthJudge::Baseline
+HealthJudge::BaselineFrom(DecayedCounts Memory::*aMemory,
+                          const HostId& aReporter,
+                          const ServerRecord& aServer,
+                          TimePoint aNow) const
 {
   OutcomeCounts rest;
-  OutcomeCounts all = m_all.At(aNow);
+  OutcomeCounts all = (m_all.*aMemory).At(aNow);
   const auto reporter = m_reporters.find(aReporter);
   if (reporter != m_reporters.end()) {
-    rest = reporter->second.total.At(aNow);
+    rest = (reporter->second.total.*aMemory).At(aNow);
   }
   // Servers that are suspected themselves would hide the others.
   for (const auto& [id, other] : m_servers) {
@@ -80,7 +93,7 @@
       continue;
     }
     for (const auto& [host, counts] : other.byReporter) {
-      const OutcomeCounts own = counts.At(aNow);
+      const OutcomeCounts own = (counts.*aMemory).At(aNow);
       all -= own;
       if (host == aReporter) {
         rest -= own;
@@ -279,8 +292,8 @@
 HealthJudge::BadRate(const ServerRecord& aServer, TimePoint aNow) const
 {
   OutcomeCounts counts;
-  for (const auto& [host, decayed] : aServer.byReporter) {
-    counts += decayed.At(aNow);
+  for (const auto& [host, memory] : aServer.byReporter) {
+    counts += memory.usual.At(aNow);
   }
   return std::max(counts.failures, counts.slow) / std::max(1.0, counts.total);
 }
@@ -438,7 +451,7 @@
     }
   }
   for (auto it = m_reporters.begin(); it != m_reporters.end();) {
-    const bool silent = it->second.total.At(aNow).total < 0.01;
+    const bool silent = it->second.total.usual.At(aNow).total < 0.01;
     it = silent ? m_reporters.erase(it) : ++it;
   }
 }
--- a/packages/routing/health_judge.h
+++ b/packages/routing/health_judge.h
@@ -108,6 +108,20 @@
 private:
   static constexpr std::size_t kAlternatives = 3;
 
+  // Counts over ten seconds and over the last second or so: a change that
+  // strikes the whole service shows in the second first.
+  struct Memory
+  {
+    DecayedCounts usual{ std::chrono::seconds(10) };
+    DecayedCounts recent{ std::chrono::milliseconds(700) };
+
+    void Add(const OutcomeCounts& aCounts, TimePoint aNow)
+    {
+      usual.Add(aCounts, aNow);
+      recent.Add(aCounts, aNow);
+    }
+  };
+
   struct Testimony
   {
     double against = 0.0; // log-likelihood ratio
@@ -130,13 +144,13 @@
     double slowSum = 0.0;
     // What each reporter said since the sums were last zero.
     std::map<HostId, Testimony> evidence;
-    std::map<HostId, DecayedCounts> byReporter;
+    std::map<HostId, Memory> byReporter;
   };
 
   struct ReporterRecord
   {
     Region region;
-    DecayedCounts total;
+    Memory total;
   };
 
   struct Baseline
@@ -148,6 +162,10 @@
   Baseline BaselineFor(const HostId& aReporter,
                        const ServerRecord& aServer,
                        TimePoint aNow) const;
+  Baseline BaselineFrom(DecayedCounts Memory::*aMemory,
+                        const HostId& aReporter,
+                        const ServerRecord& aServer,
+                        TimePoint aNow) const;
   void AddEvidence(const HostId& aReporter,
                    ServerRecord& aServer,
                    const OutcomeCounts& aCounts,
@@ -171,7 +189,7 @@
   EventHook m_record;
   std::map<BackendServerId, ServerRecord> m_servers;
   std::map<HostId, ReporterRecord> m_reporters;
-  DecayedCounts m_all;
+  Memory m_all;
   std::uint64_t m_version = 1;
 };
 
