Test a suspected connection by a new one to the same server

Ruled out: trusting connections used within 0.5 s, since a forgotten connection looks just as recent. Change: the first delay on a reused connection starts a second attempt on a new connection to the same server and counts for nothing; each doubling of the age counts.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -229,7 +229,9 @@
     , m_restricted(aFleet.ServerCount(), false)
     , m_served(aFleet.ServerCount(), 0)
   {
-    m_fleet.onServed = [this](std::size_t aServer) { ++m_served[aServer]; };
+    for (std::size_t i = 0; i < m_fleet.ServerCount(); ++i) {
+      m_served[i] = m_fleet.Server(i).Served();
+    }
   }
 
   // A server that crashed under a poison request is out of use rightly.
@@ -246,10 +248,12 @@
     }
     CheckFloor(aResult);
     for (std::size_t server : m_sick) {
-      m_samples[server].push_back(static_cast<double>(m_served[server]));
-      aResult.sickServed += static_cast<double>(m_served[server]);
+      const std::uint64_t served = m_fleet.Server(server).Served();
+      const auto added = static_cast<double>(served - m_served[server]);
+      m_served[server] = served;
+      m_samples[server].push_back(added);
+      aResult.sickServed += added;
     }
-    std::fill(m_served.begin(), m_served.end(), 0);
     m_fair = aFairPerSample;
   }
 
@@ -300,7 +304,7 @@
   double m_floor;
   double m_fair = 0.0;
   std::vector<bool> m_restricted;
-  std::vector<std::size_t> m_served;
+  std::vector<std::uint64_t> m_served;
   std::map<std::size_t, std::vector<double>> m_samples;
 };
 
--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -7,6 +7,7 @@
 namespace fuchsiaramp {
 
 static constexpr int kMaxAttempts = 4; // of one request, sheds not counted
+static constexpr int kMaxHedges = 2;   // of one request
 static constexpr int kShedsInARow = 3; // before a request waits a moment
 static constexpr double kParkQuantile = 0.5;
 static constexpr Duration kRetrySoon = std::chrono::seconds(1);
@@ -58,8 +59,10 @@
                    .With("request", aRequest.head.id)
                    .With("attempt", start.id)
                    .With("server", aServer));
+  attempt.overdueSpan = router->SlowThreshold();
+  attempt.overdueAt = aNow + attempt.overdueSpan;
   m_attempts[start.id] = attempt;
-  m_attempts[start.id].proven = m_hooks.startAttempt(start);
+  m_attempts[start.id].connection = m_hooks.startAttempt(start);
 }
 
 void
@@ -78,7 +81,7 @@
   report.outcome = aEnd.outcome;
   report.latency = aNow - attempt.startedAt;
   report.reportedLoad = aEnd.reportedLoad;
-  report.countedAsSlow = attempt.overdue;
+  report.countedAsSlow = attempt.countedAsSlow;
   const double running = static_cast<double>(router->Outstanding());
   router->OnFinished(attempt.server, report, aNow);
   if (aEnd.outcome == AttemptOutcome::kShed) {
@@ -315,46 +318,71 @@
   Answer(aRequest, answer, aNow);
 }
 
-// An attempt that takes longer than a slow answer is evidence at once. A second
-// attempt elsewhere then spares the caller the wait.
 void
 EntryNode::CheckOverdue(TimePoint aNow)
 {
-  std::vector<RequestId> late;
-  for (auto& [id, attempt] : m_attempts) {
-    ServiceRouter* router = m_services->Find(attempt.service);
-    if (attempt.overdue ||
-        aNow - attempt.startedAt <= router->SlowThreshold()) {
-      continue;
-    }
-    attempt.overdue = true;
-    // On a connection that had been idle, the connection may be at fault.
-    if (attempt.proven) {
-      router->OnOverdue(attempt.server, aNow);
+  std::vector<AttemptId> late;
+  for (const auto& [id, attempt] : m_attempts) {
+    if (IsDue(attempt.overdueAt, aNow)) {
+      late.push_back(id);
     }
-    late.push_back(attempt.request);
   }
-  for (RequestId id : late) {
-    const auto it = m_requests.find(id);
-    if (it != m_requests.end()) {
-      Hedge(it->second, aNow);
-    }
+  for (AttemptId id : late) {
+    OnOverdue(id, aNow);
   }
 }
 
+// An attempt that takes longer than a slow answer is evidence before it ends,
+// and again each time its age doubles, so that a server whose slots are all
+// held by requests that hang is found. On a reused connection the first delay
+// may be the connection's fault: a new one to the same server tells.
 void
-EntryNode::Hedge(Request& aRequest, TimePoint aNow)
+EntryNode::OnOverdue(AttemptId aAttempt, TimePoint aNow)
 {
-  if (!aRequest.repeatable || aRequest.hedged ||
-      aRequest.started >= kMaxAttempts || aRequest.callerGone) {
+  const auto it = m_attempts.find(aAttempt);
+  if (it == m_attempts.end()) {
+    return;
+  }
+  Attempt& attempt = it->second;
+  ServiceRouter* router = m_services->Find(attempt.service);
+  const bool first =
+    attempt.overdueSpan == attempt.overdueAt - attempt.startedAt;
+  const bool suspectConnection =
+    first && attempt.connection == ConnectionKind::kReused;
+  if (!suspectConnection) {
+    attempt.countedAsSlow = true;
+    router->OnOverdue(attempt.server, aNow);
+  }
+  attempt.overdueAt += attempt.overdueSpan;
+  attempt.overdueSpan *= 2;
+  const Attempt late = attempt;
+  const auto owner = m_requests.find(late.request);
+  if (owner != m_requests.end()) {
+    Hedge(owner->second, late, aNow);
+  }
+}
+
+// A second attempt spares the caller the wait: on a new connection to the same
+// server when the old connection is suspected, otherwise on another server.
+void
+EntryNode::Hedge(Request& aRequest, const Attempt& aLate, TimePoint aNow)
+{
+  if (!aRequest.repeatable || aRequest.hedges >= kMaxHedges ||
+      aRequest.callerGone) {
     return;
   }
   ServiceRouter* router = m_services->Find(aRequest.head.service);
-  const auto server = router->Choose({ true, aRequest.excluded }, aNow);
+  const bool sameServer = aRequest.hedges == 0 &&
+                          aLate.connection == ConnectionKind::kReused &&
+                          router->HasFreeSlot(aLate.server);
+  std::optional<BackendServerId> server = aLate.server;
+  if (!sameServer) {
+    server = router->Choose({ true, aRequest.excluded }, aNow);
+  }
   if (!server || !router->Retries().TryRetry()) {
     return;
   }
-  aRequest.hedged = true;
+  ++aRequest.hedges;
   aRequest.forceFresh = true;
   ++m_counters.hedges;
   StartAttempt(aRequest, *server, aNow);
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -47,8 +47,7 @@
 struct EntryHooks
 {
   SendHook send;
-  // Returns whether the connection is known to work: new, or used just now.
-  std::function<bool(const AttemptStart&)> startAttempt;
+  std::function<ConnectionKind(const AttemptStart&)> startAttempt;
   std::function<void(AttemptId)> cancelAttempt;
   std::function<void(const FinalAnswer&)> answer;
   // A host was heard of or changed; the adapter keeps its address.
@@ -135,7 +134,7 @@
     int started = 0;
     int shed = 0; // attempts that servers refused for overload
     bool mayHaveRun = false;
-    bool hedged = false;
+    int hedges = 0;
     bool forceFresh = false;
     std::string claimAttempt; // set while this request holds its key
     std::optional<BackendServerId> reserved;
@@ -148,8 +147,11 @@
     ServiceName service;
     BackendServerId server;
     TimePoint startedAt;
-    bool proven = true;
-    bool overdue = false;
+    ConnectionKind connection = ConnectionKind::kNew;
+    // When the attempt next counts as too slow; the span doubles each time.
+    TimePoint overdueAt;
+    Duration overdueSpan{};
+    bool countedAsSlow = false;
   };
 
   // Admission of one service.
@@ -216,7 +218,8 @@
               Duration aRetryAfter,
               TimePoint aNow);
   void CheckOverdue(TimePoint aNow);
-  void Hedge(Request& aRequest, TimePoint aNow);
+  void OnOverdue(AttemptId aAttempt, TimePoint aNow);
+  void Hedge(Request& aRequest, const Attempt& aLate, TimePoint aNow);
   void CancelAttempts(Request& aRequest, TimePoint aNow);
   void CheckDeadlines(TimePoint aNow);
 
--- a/packages/entry/request.h
+++ b/packages/entry/request.h
@@ -49,6 +49,13 @@
   bool freshConnection = false;
 };
 
+// The connection that carries an attempt.
+enum class ConnectionKind
+{
+  kNew,
+  kReused, // something between the two ends may have lost track of it
+};
+
 // How an attempt ended.
 struct AttemptEnd
 {
--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -58,13 +58,12 @@
 
   void Start(const AttemptStart& aStart,
              const BackendRequest& aRequest,
-             bool aConnected,
-             bool aProven)
+             ConnectionKind aKind)
   {
     m_attempt = aStart.id;
     m_deadline = aStart.deadline;
     m_request = aRequest;
-    m_proven = aProven;
+    m_kind = aKind;
     m_wrote = false;
     m_received = false;
     m_parser.emplace();
@@ -72,7 +71,7 @@
     if (m_request.method() == http::verb::head) {
       m_parser->skip(true);
     }
-    if (aConnected) {
+    if (aKind == ConnectionKind::kReused) {
       Write();
       return;
     }
@@ -179,8 +178,8 @@
     const bool timeout = aError == beast::error::timeout;
     if (!m_wrote && !timeout) {
       End(AttemptOutcome::kNothingWritten, false);
-    } else if (!m_received && !m_proven) {
-      // An idle connection that the server or something between had dropped.
+    } else if (!m_received && m_kind == ConnectionKind::kReused) {
+      // The server or something between may have dropped the connection.
       End(AttemptOutcome::kSilent, false);
     } else {
       End(timeout ? AttemptOutcome::kTimeout : AttemptOutcome::kBroken, false);
@@ -244,7 +243,7 @@
   AttemptId m_attempt;
   TimePoint m_deadline;
   TimePoint m_lastUsed;
-  bool m_proven = false;
+  ConnectionKind m_kind = ConnectionKind::kNew;
   bool m_wrote = false;
   bool m_received = false;
   bool m_abandoned = false;
@@ -267,7 +266,7 @@
 }
 
 BackendClient::ConnectionPtr
-BackendClient::TakeIdle(const std::string& aAddress, bool aOnlyProven)
+BackendClient::TakeIdle(const std::string& aAddress, bool aOnlyRecent)
 {
   const auto it = m_idle.find(aAddress);
   if (it == m_idle.end()) {
@@ -280,7 +279,7 @@
     idle.pop_back();
     const Duration age = now - connection->LastUsed();
     const bool usable = age < m_options.idleLifetime && connection->IsQuiet() &&
-                        (!aOnlyProven || age < m_options.recentUse);
+                        (!aOnlyRecent || age < m_options.recentUse);
     if (usable) {
       return connection;
     }
@@ -289,25 +288,23 @@
   return nullptr;
 }
 
-bool
+ConnectionKind
 BackendClient::Start(const AttemptStart& aStart,
                      const BackendRequest& aRequest,
-                     bool aOnlyProven)
+                     bool aOnlyRecent)
 {
   ConnectionPtr connection;
   if (!aStart.freshConnection) {
-    connection = TakeIdle(aStart.address, aOnlyProven);
+    connection = TakeIdle(aStart.address, aOnlyRecent);
   }
-  const bool reused = connection != nullptr;
-  bool proven = true;
-  if (reused) {
-    proven = MonotonicNow() - connection->LastUsed() < m_options.recentUse;
-  } else {
+  const ConnectionKind kind =
+    connection == nullptr ? ConnectionKind::kNew : ConnectionKind::kReused;
+  if (kind == ConnectionKind::kNew) {
     connection = std::make_shared<Connection>(*this, aStart.address);
   }
   m_running[aStart.id] = connection;
-  connection->Start(aStart, aRequest, reused, proven);
-  return proven;
+  connection->Start(aStart, aRequest, kind);
+  return kind;
 }
 
 void
--- a/packages/net/backend_client.h
+++ b/packages/net/backend_client.h
@@ -6,7 +6,7 @@
 // whole, since a cut could not be told from its end.
 //
 //   BackendClient client(io, options, onEnd);
-//   bool proven = client.Start(start, request);
+//   ConnectionKind kind = client.Start(start, request, onlyRecent);
 //   client.Cancel(id);
 #pragma once
 
@@ -31,7 +31,7 @@
 {
   std::uint64_t answerBytes = 8 << 20;
   std::uint64_t keptAnswerBytes = 16 << 10; // for the ledger
-  // An idle connection used within this span is known to work.
+  // An idle connection used within this span carries work that must not repeat.
   Duration recentUse = std::chrono::milliseconds(500);
   Duration idleLifetime = std::chrono::seconds(30);
   Duration connectTimeout = std::chrono::seconds(1);
@@ -57,11 +57,10 @@
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
 
-  // Returns whether the connection is known to work. With aOnlyProven an idle
-  // connection without recent use is not used.
-  bool Start(const AttemptStart& aStart,
-             const BackendRequest& aRequest,
-             bool aOnlyProven);
+  // With aOnlyRecent an idle connection without recent use is not used.
+  ConnectionKind Start(const AttemptStart& aStart,
+                       const BackendRequest& aRequest,
+                       bool aOnlyRecent);
   // Closes the attempt's connection; the end hook is not called.
   void Cancel(AttemptId aAttempt);
   std::size_t Running() const { return m_running.size(); }
@@ -70,7 +69,7 @@
   class Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  ConnectionPtr TakeIdle(const std::string& aAddress, bool aOnlyProven);
+  ConnectionPtr TakeIdle(const std::string& aAddress, bool aOnlyRecent);
   void Finished(const ConnectionPtr& aConnection,
                 const AttemptEnd& aEnd,
                 BackendResponse* aResponse,
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -128,7 +128,7 @@
     HttpExchangePtr exchange;
     BackendRequest request;
     TimePoint startedAt;
-    bool onlyProven = false;
+    bool onlyRecent = false;
   };
 
   MessageTransportOptions TransportOptions(const std::string& aSecretKey) const
@@ -244,7 +244,7 @@
     Pending& pending = m_pending[head.id];
     pending.exchange = aExchange;
     pending.startedAt = now;
-    pending.onlyProven = !head.key.IsEmpty();
+    pending.onlyRecent = !head.key.IsEmpty();
     pending.request = ForwardedRequest(message);
     aExchange->OnGone(
       [this, id = head.id] { m_node->OnCallerGone(id, MonotonicNow()); });
@@ -291,7 +291,7 @@
     return request;
   }
 
-  bool StartAttempt(const AttemptStart& aStart)
+  ConnectionKind StartAttempt(const AttemptStart& aStart)
   {
     Pending& pending = m_pending.at(aStart.request);
     const Duration left = aStart.deadline - MonotonicNow();
@@ -300,7 +300,7 @@
     pending.request.set(
       "Fuchsiaramp-Deadline-Ms",
       std::to_string(std::max<std::int64_t>(milliseconds, 1)));
-    return m_backends.Start(aStart, pending.request, pending.onlyProven);
+    return m_backends.Start(aStart, pending.request, pending.onlyRecent);
   }
 
   void OnAttemptEnd(const AttemptEnd& aEnd, BackendResponse* aResponse)
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -182,6 +182,14 @@
   return score;
 }
 
+bool
+ServiceRouter::HasFreeSlot(const BackendServerId& aServer) const
+{
+  const auto it = m_servers.find(aServer);
+  return it != m_servers.end() &&
+         it->second.outstanding < it->second.server.slots;
+}
+
 void
 ServiceRouter::OnStarted(const BackendServerId& aServer)
 {
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -36,8 +36,8 @@
   kRefused,        // no connection could be made
   kNothingWritten, // the connection failed before a byte was written
   kBroken,         // the connection broke after bytes were written
-  kTimeout,        // no whole answer in time on a connection known to work
-  kSilent,         // no byte in time on a connection that had been idle
+  kTimeout,        // no whole answer in time
+  kSilent,         // no byte in time on a reused connection
   kCancelled,      // given up for another reason
 };
 
@@ -76,6 +76,8 @@
   // A server with a free slot; empty when none is free now.
   std::optional<BackendServerId> Choose(const ChoiceRequest& aRequest,
                                         TimePoint aNow);
+  // As far as this host's own requests go.
+  bool HasFreeSlot(const BackendServerId& aServer) const;
   void OnStarted(const BackendServerId& aServer);
   void OnFinished(const BackendServerId& aServer,
                   const AttemptReport& aReport,
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -369,7 +369,7 @@
   return m_serverIndex.at(aServer);
 }
 
-bool
+ConnectionKind
 EntryFleet::StartAttempt(std::size_t aHost, const AttemptStart& aStart)
 {
   HostState& host = m_hosts[aHost];
@@ -395,13 +395,12 @@
   if (fresh) {
     attempt.connection = Connection();
     delay += kConnectTime + 2 * DelayTo(host, *m_servers[server]);
-  } else {
-    attempt.proven = now - attempt.connection->lastUsed < kRecentUse;
   }
   if (keyed) {
     m_attemptKeys[{ aHost, aStart.id }] = pending->second.key;
   }
-  const bool proven = attempt.proven;
+  const ConnectionKind kind =
+    fresh ? ConnectionKind::kNew : ConnectionKind::kReused;
   const bool silent = attempt.connection->silent;
   host.running[aStart.id] = attempt;
   const bool poison = pending != host.pending.end() && pending->second.poison;
@@ -417,7 +416,7 @@
   };
   AttemptEnd timeout;
   timeout.id = aStart.id;
-  timeout.outcome = proven ? AttemptOutcome::kTimeout : AttemptOutcome::kSilent;
+  timeout.outcome = fresh ? AttemptOutcome::kTimeout : AttemptOutcome::kSilent;
   later(aStart.deadline, timeout);
   if (cut && fresh) {
     AttemptEnd refused;
@@ -426,14 +425,14 @@
     later(std::min(aStart.deadline, now + kConnectTimeout), refused);
   }
   if (cut || silent) {
-    return proven;
+    return kind;
   }
   m_queue.At(now + delay, [this, aHost, generation, id = aStart.id, poison] {
     if (m_hosts[aHost].generation == generation) {
       Arrive(aHost, id, poison);
     }
   });
-  return proven;
+  return kind;
 }
 
 void
@@ -450,9 +449,6 @@
   if (owner != m_attemptKeys.end()) {
     key = owner->second;
   }
-  if (onServed) {
-    onServed(server);
-  }
   const TimePoint arrived = m_queue.Now();
   const std::uint64_t generation = host.generation;
   const Duration back = DelayTo(host, *m_servers[server]);
--- a/packages/testing/entry_fleet.h
+++ b/packages/testing/entry_fleet.h
@@ -134,8 +134,6 @@
   std::size_t DoubleRuns() const;
   // Keys whose callers heard not-run last although the work ran.
   std::size_t FalseNotRuns() const;
-  // Called for each attempt that reaches a server.
-  std::function<void(std::size_t aServer)> onServed;
   // Called for each event that a host records.
   std::function<void(const HostId&, const Event&)> onEvent;
 
@@ -153,7 +151,6 @@
     TimePoint startedAt;
     Duration serviceTime{};
     std::optional<Connection> connection;
-    bool proven = true;
   };
 
   struct PendingRequest
@@ -184,7 +181,7 @@
   void ScheduleCaller();
   void SchedulePoison();
   void SendRequest(const std::string& aKey, bool aPoison, int aSends);
-  bool StartAttempt(std::size_t aHost, const AttemptStart& aStart);
+  ConnectionKind StartAttempt(std::size_t aHost, const AttemptStart& aStart);
   void Arrive(std::size_t aHost, AttemptId aAttempt, bool aPoison);
   void EndAttempt(std::size_t aHost,
                   AttemptId aAttempt,
