Wait for other witnesses when one host or region accuses a server

Cause: a host that was cut off from all servers crossed the threshold before others had said enough in the time of the accusation (56 false ejections an hour). Change: three findings: shared, path, undecided; undecided waits.

--- a/packages/routing/health_judge.cc
+++ b/packages/routing/health_judge.cc
@@ -216,10 +216,11 @@
          Score(aServer) > m_options.threshold / 2;
 }
 
-// The path from some places is at fault when nearly all evidence comes from one
-// host or one region while another one, with traffic, sees a healthy server.
-bool
-HealthJudge::IsPathTrouble(const ServerRecord& aServer) const
+// Nearly all evidence may come from one host or one region. While another one
+// that uses the server sees it healthy, the path is at fault; while the others
+// have said too little since the accusation began, they are waited for.
+HealthJudge::Accusation
+HealthJudge::Weigh(const ServerRecord& aServer, TimePoint aNow) const
 {
   double sum = 0.0;
   std::map<Region, double> byRegion;
@@ -231,33 +232,47 @@
     sum += testimony.against;
     byRegion[regionOf(host)] += testimony.against;
   }
-  const auto healthyElsewhere = [&](const auto& aIsAccuser) {
-    OutcomeCounts others;
+  const auto hearOthers = [&](const auto& aIsAccuser) {
+    OutcomeCounts said;
     for (const auto& [host, testimony] : aServer.evidence) {
       if (!aIsAccuser(host)) {
-        others += testimony.counts;
+        said += testimony.counts;
       }
     }
-    const double bad = std::max(others.failures, others.slow);
-    return others.total >= kEnoughRequests && bad < kHealthyRate * others.total;
+    double usual = 0.0;
+    for (const auto& [host, memory] : aServer.byReporter) {
+      usual += aIsAccuser(host) ? 0.0 : memory.usual.At(aNow).total;
+    }
+    if (usual < kEnoughRequests) {
+      return Accusation::kShared; // nobody else could tell
+    }
+    if (said.total < kEnoughRequests) {
+      return Accusation::kUndecided;
+    }
+    const bool healthy =
+      std::max(said.failures, said.slow) < kHealthyRate * said.total;
+    return healthy ? Accusation::kPath : Accusation::kShared;
+  };
+  Accusation result = Accusation::kShared;
+  const auto note = [&result](Accusation aFound) {
+    if (result == Accusation::kShared || aFound == Accusation::kPath) {
+      result = aFound;
+    }
   };
   for (const auto& [host, testimony] : aServer.evidence) {
-    const HostId accuser = host;
-    if (testimony.against >= kOnePlaceShare * sum &&
-        healthyElsewhere(
-          [&](const HostId& aHost) { return aHost == accuser; })) {
-      return true;
+    if (testimony.against >= kOnePlaceShare * sum) {
+      const HostId accuser = host;
+      note(hearOthers([&](const HostId& aHost) { return aHost == accuser; }));
     }
   }
   for (const auto& [region, against] : byRegion) {
-    const Region accuser = region;
-    if (against >= kOnePlaceShare * sum &&
-        healthyElsewhere(
-          [&](const HostId& aHost) { return regionOf(aHost) == accuser; })) {
-      return true;
+    if (against >= kOnePlaceShare * sum) {
+      const Region accuser = region;
+      note(hearOthers(
+        [&](const HostId& aHost) { return regionOf(aHost) == accuser; }));
     }
   }
-  return false;
+  return result;
 }
 
 void
@@ -277,9 +292,12 @@
   if (aServer.state == HealthState::kEjected || Score(aServer) < needed) {
     return;
   }
-  if (IsPathTrouble(aServer)) {
+  const Accusation accusation = Weigh(aServer, aNow);
+  if (accusation == Accusation::kPath) {
     m_record(Event("path_trouble").With("server", aServer.server.id));
     ClearEvidence(aServer);
+  }
+  if (accusation != Accusation::kShared) {
     return;
   }
   if (!MakeRoom(aServer, aNow)) {
--- a/packages/routing/health_judge.h
+++ b/packages/routing/health_judge.h
@@ -108,6 +108,14 @@
 private:
   static constexpr std::size_t kAlternatives = 3;
 
+  // Who accuses a server.
+  enum class Accusation
+  {
+    kShared,    // several places, or nobody else can tell
+    kPath,      // one place, and others see a healthy server
+    kUndecided, // one place, and others have not said enough yet
+  };
+
   // Counts over ten seconds and over the last second or so: a change that
   // strikes the whole service shows in the second first.
   struct Memory
@@ -173,7 +181,7 @@
   void AddTrialEvidence(ServerRecord& aServer, const OutcomeCounts& aCounts);
   double Score(const ServerRecord& aServer) const;
   bool IsSuspect(const ServerRecord& aServer) const;
-  bool IsPathTrouble(const ServerRecord& aServer) const;
+  Accusation Weigh(const ServerRecord& aServer, TimePoint aNow) const;
   void Consider(ServerRecord& aServer, TimePoint aNow);
   void Eject(ServerRecord& aServer, TimePoint aNow);
   void Reinstate(ServerRecord& aServer, TimePoint aNow, const char* aWhy);
