Count one crash once over all hosts; add process tests

Change: broken connections are reported apart and counted once in 0.5 s by the arbiter; the poison callers work; scripts with real daemons that are killed.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -114,7 +114,7 @@
   // another server could run it.
   ServiceRouter* router = m_services->Find(aRequest.head.service);
   for (const BackendServerId& server : aRequest.broken) {
-    router->CountBroken(server, aNow);
+    router->CountBroken(server);
   }
   if (!aRequest.broken.empty()) {
     m_services->Poison().OnSuccess(aRequest.head.fingerprint);
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -202,6 +202,7 @@
     out->set_successes(static_cast<std::uint32_t>(std::max(0.0, good)));
     out->set_failures(static_cast<std::uint32_t>(item.counts.failures));
     out->set_slow(static_cast<std::uint32_t>(item.counts.slow));
+    out->set_broken(item.broken ? 1 : 0);
   }
   m_hooks.send(aService.arbiter, evidence);
   if (aService.verdictDueBy == kNever) {
@@ -239,10 +240,10 @@
   for (const wire::ServerCounts& item : aReport.counts()) {
     const double failures = item.failures();
     const double slow = item.slow();
-    counts.push_back(
-      { BackendServerId(item.server()),
-        item.incarnation(),
-        { item.successes() + failures + slow, failures, slow } });
+    counts.push_back({ BackendServerId(item.server()),
+                       item.incarnation(),
+                       { item.successes() + failures + slow, failures, slow },
+                       item.broken() != 0 });
   }
   Service& service = it->second;
   service.reporters[aFrom] = aNow + kReporterKept;
--- a/packages/routing/health_judge.cc
+++ b/packages/routing/health_judge.cc
@@ -31,6 +31,7 @@
 static constexpr double kOnePlaceShare = 0.8;
 static constexpr double kEnoughRequests = 10.0;
 static constexpr double kHealthyRate = 0.08;
+static constexpr Duration kBrokenBurst = std::chrono::milliseconds(500);
 static constexpr double kSwapMargin = 0.2;
 static constexpr double kRampThresholdShare = 0.6;
 
@@ -123,25 +124,39 @@
   reporter.region = aReporter.region;
   // All counts come in before any is judged, so that a fault of the whole
   // service or of the reporter shows in the baseline first.
+  std::vector<std::pair<ServerRecord*, OutcomeCounts>> accepted;
   for (const ReportedCounts& reported : aCounts) {
     const auto it = m_servers.find(reported.server);
     if (it == m_servers.end() ||
         it->second.server.incarnation != reported.incarnation) {
       continue;
     }
-    it->second.byReporter[aReporter.host].Add(reported.counts, aNow);
-    reporter.total.Add(reported.counts, aNow);
-    m_all.Add(reported.counts, aNow);
+    const OutcomeCounts counts = WithBroken(it->second, reported, aNow);
+    it->second.byReporter[aReporter.host].Add(counts, aNow);
+    reporter.total.Add(counts, aNow);
+    m_all.Add(counts, aNow);
+    accepted.emplace_back(&it->second, counts);
   }
-  for (const ReportedCounts& reported : aCounts) {
-    const auto it = m_servers.find(reported.server);
-    if (it == m_servers.end() ||
-        it->second.server.incarnation != reported.incarnation) {
-      continue;
-    }
-    AddEvidence(aReporter.host, it->second, reported.counts, aNow);
-    Consider(it->second, aNow);
+  for (const auto& [server, counts] : accepted) {
+    AddEvidence(aReporter.host, *server, counts, aNow);
+    Consider(*server, aNow);
+  }
+}
+
+// One crash breaks the requests of several hosts; together they are one piece
+// of evidence.
+OutcomeCounts
+HealthJudge::WithBroken(ServerRecord& aServer,
+                        const ReportedCounts& aReported,
+                        TimePoint aNow) const
+{
+  OutcomeCounts counts = aReported.counts;
+  if (aReported.broken && IsDue(aServer.brokenCountedUntil, aNow)) {
+    aServer.brokenCountedUntil = aNow + kBrokenBurst;
+    counts.total += 1.0;
+    counts.failures += 1.0;
   }
+  return counts;
 }
 
 static double
--- a/packages/routing/health_judge.h
+++ b/packages/routing/health_judge.h
@@ -59,6 +59,8 @@
   BackendServerId server;
   std::uint64_t incarnation = 0;
   OutcomeCounts counts;
+  // Whether connections broke under requests; not among the counts.
+  bool broken = false;
 };
 
 enum class HealthState
@@ -145,6 +147,7 @@
     TimePoint since;
     TimePoint until; // end of the ejection or ramp
     int ejections = 0;
+    TimePoint brokenCountedUntil;
     TimePoint forgetEjectionsAt;
     double trialScore = 0.0;
     double sickness = 0.0; // rate of bad outcomes when it was ejected
@@ -167,6 +170,10 @@
     double slow = 0.0;
   };
 
+  // The counts with broken connections among the failures.
+  OutcomeCounts WithBroken(ServerRecord& aServer,
+                           const ReportedCounts& aReported,
+                           TimePoint aNow) const;
   Baseline BaselineFor(const HostId& aReporter,
                        const ServerRecord& aServer,
                        TimePoint aNow) const;
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -13,7 +13,6 @@
 // Reported load is forgotten over about the time that a request takes.
 static constexpr double kLeastLoadHalfLife = 0.002; // seconds
 static constexpr Duration kAvoidRefused = std::chrono::milliseconds(500);
-static constexpr Duration kBrokenBurst = std::chrono::milliseconds(250);
 static constexpr Duration kColdStart = std::chrono::seconds(10);
 static constexpr double kColdStartWeight = 0.25;
 // Trial requests a second to one server over all entry hosts.
@@ -275,17 +274,15 @@
   m_hasBadEvidence = true;
 }
 
-// One crash breaks all requests that a server is running; together they are one
-// piece of evidence.
 void
-ServiceRouter::CountBroken(const BackendServerId& aServer, TimePoint aNow)
+ServiceRouter::CountBroken(const BackendServerId& aServer)
 {
   const auto it = m_servers.find(aServer);
-  if (it == m_servers.end() || !IsDue(it->second.brokenCountedUntil, aNow)) {
-    return;
+  if (it != m_servers.end()) {
+    it->second.broken = true;
+    m_hasEvidence = true;
+    m_hasBadEvidence = true;
   }
-  it->second.brokenCountedUntil = aNow + kBrokenBurst;
-  CountFailure(it->second);
 }
 
 void
@@ -313,9 +310,10 @@
   std::vector<ReportedCounts> evidence;
   for (auto& [id, view] : m_servers) {
     const OutcomeCounts& counts = view.counts;
-    if (counts.total != 0.0 || counts.slow != 0.0) {
-      evidence.push_back({ id, view.server.incarnation, counts });
+    if (counts.total != 0.0 || view.broken) {
+      evidence.push_back({ id, view.server.incarnation, counts, view.broken });
       view.counts = OutcomeCounts();
+      view.broken = false;
     }
   }
   m_hasEvidence = false;
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -85,7 +85,7 @@
   // The attempt already takes longer than a slow answer.
   void OnOverdue(const BackendServerId& aServer, TimePoint aNow);
   // A broken connection turned out not to be the request's own fault.
-  void CountBroken(const BackendServerId& aServer, TimePoint aNow);
+  void CountBroken(const BackendServerId& aServer);
 
   // Restrictions by the arbiter; they hold until aUntil.
   void SetRestrictions(const std::vector<ServerHealth>& aHealth,
@@ -124,7 +124,7 @@
     double othersLoad = 0.0;  // requests of other hosts, from reported load
     TimePoint othersLoadAt;
     TimePoint avoidUntil;
-    TimePoint brokenCountedUntil;
+    bool broken = false; // since the last report
     TimePoint trialAt;
     std::optional<ServerHealth> restriction;
     OutcomeCounts counts;
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -324,14 +324,11 @@
 void
 EntryFleet::SchedulePoison()
 {
-  const double rate = std::max(m_options.poison, 0.001);
-  m_queue.At(m_queue.Now() + FromSeconds(m_random.Exponential(1.0 / rate)),
-             [this] {
-               if (m_options.poison > 0.0) {
-                 SendRequest("", true, 1);
-               }
-               SchedulePoison();
-             });
+  static constexpr Duration kInterval = std::chrono::milliseconds(100);
+  if (m_random.Chance(m_options.poison * ToSeconds(kInterval))) {
+    SendRequest("", true, 1);
+  }
+  m_queue.At(m_queue.Now() + kInterval, [this] { SchedulePoison(); });
 }
 
 void
--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -163,3 +163,34 @@
     --token demo-token --seconds "$seconds" --keyed "$keyed" "$@"
 }
 double_runs() { cut -d' ' -f1 "$FLEET/runs.log" | sort | uniq -d | wc -l; }
+
+fail() {
+  echo "FAILED: $*" >&2
+  tail -n 5 "$FLEET"/logs/*.log >&2
+  exit 1
+}
+
+# check_load RESULT_FILE: no answer was wrong and no key ran twice, and no key
+# whose last outcome was not-run appears in the run log.
+check_load() {
+  cat "$1" | grep -v '^key_'
+  grep -q ' wrong=0 ' "$1" || fail "a caller got a wrong answer"
+  [ "$(double_runs)" -eq 0 ] || fail "a key ran twice"
+  sed -n 's/^key_not_run=//p' "$1" | sort -u >"$FLEET/not_run.txt"
+  cut -d' ' -f1 "$FLEET/runs.log" | sort -u >"$FLEET/ran.txt"
+  [ -z "$(comm -12 "$FLEET/not_run.txt" "$FLEET/ran.txt")" ] || fail "a key was told not-run but ran"
+  sed -n 's/^key_answered=//p' "$1" | sort -u >"$FLEET/answered.txt"
+  [ -z "$(comm -23 "$FLEET/answered.txt" "$FLEET/ran.txt")" ] || fail "a key was answered but did not run"
+}
+
+# standard_fleet FOLDER PORT: 3 control hosts, 3 entry hosts, 4 servers, lists.
+standard_fleet() {
+  fleet_prepare "$1" "$2" 3 3
+  trap fleet_stop EXIT
+  local i
+  for i in 1 2 3; do start_control $i; start_entry $i; done
+  for i in 1 2 3 4; do start_backend $i profile; done
+  put_lists samples/demo-lists.yaml 0 || fail "the lists were not accepted"
+  wait_serving 1 2 3
+  wait_servers profile 4
+}
