--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -7,6 +7,9 @@
 namespace fuchsiaramp {
 
 static constexpr int kMaxAttempts = 4; // of one request, sheds not counted
+// Delays of an attempt on a reused connection that count for nothing: a second
+// attempt elsewhere has an answer by then if the connection was at fault.
+static constexpr int kSuspicions = 2;
 static constexpr int kMaxHedges = 2;   // of one request
 static constexpr int kShedsInARow = 3; // before a request waits a moment
 static constexpr double kParkQuantile = 0.5;
@@ -43,7 +46,9 @@
   if (aRequest.repeatable) {
     start.deadline = std::min(start.deadline, aNow + patience);
   }
-  start.freshConnection = aRequest.forceFresh;
+  // A lost connection would leave the fate of work that must not repeat
+  // unknown, so it gets a new one each time.
+  start.freshConnection = aRequest.forceFresh || !aRequest.repeatable;
   Attempt attempt;
   attempt.request = aRequest.head.id;
   attempt.service = aRequest.head.service;
@@ -161,7 +166,12 @@
     return;
   }
   if (!aRequest.attempts.empty()) {
-    return; // another attempt of the request still runs
+    // Another attempt of the request still runs. A second one that was shed
+    // was no help, so a later delay may start another.
+    if (aEnd.outcome == AttemptOutcome::kShed && aRequest.hedges > 0) {
+      --aRequest.hedges;
+    }
+    return;
   }
   if (aRequest.repeatable || !aRequest.mayHaveRun) {
     if (Retry(aRequest, proven, aNow)) {
@@ -345,14 +355,15 @@
   }
   Attempt& attempt = it->second;
   ServiceRouter* router = m_services->Find(attempt.service);
-  const bool first =
-    attempt.overdueSpan == attempt.overdueAt - attempt.startedAt;
+  const bool reused = attempt.connection == ConnectionKind::kReused;
   const bool suspectConnection =
-    first && attempt.connection == ConnectionKind::kReused;
+    reused && (attempt.overdueTimes < kSuspicions ||
+               router->AnsweredSince(attempt.server, attempt.startedAt));
   if (!suspectConnection) {
     attempt.countedAsSlow = true;
     router->OnOverdue(attempt.server, aNow);
   }
+  ++attempt.overdueTimes;
   attempt.overdueAt += attempt.overdueSpan;
   attempt.overdueSpan *= 2;
   const Attempt late = attempt;
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -343,6 +343,7 @@
   }
   switch (aResult->code()) {
     case wire::CommandResult::GRANTED: {
+      request.keyIsFree = true;
       const BackendServerId server = *request.reserved;
       ReleaseReservation(request, aNow);
       StartAttempt(request, server, aNow);
@@ -365,9 +366,17 @@
       answer.retryAfter = kRetrySoon;
       break;
     case wire::CommandResult::BODY_MISMATCH:
+      // Whatever ran with the key was another request.
+      request.keyIsFree = true;
       answer.status = 422;
       answer.reason = "the Idempotency-Key was used with another request";
       break;
+    case wire::CommandResult::FULL:
+      // A known key is never refused for room.
+      request.keyIsFree = true;
+      answer.reason = "the ledger takes no new work: " + aResult->text();
+      answer.retryAfter = kRetrySoon;
+      break;
     default:
       answer.reason = "the ledger takes no new work: " + aResult->text();
       answer.retryAfter = kRetrySoon;
@@ -392,21 +401,23 @@
   finish->set_attempt(aRequest.claimAttempt);
   finish->set_state(wire::LedgerRecord::NOT_RUN);
   const RequestId id = aRequest.head.id;
-  m_claims->Submit(std::move(command),
-                   aNow + kFenceTimeout,
-                   aNow,
-                   [this, id, aAnswer](const wire::CommandResult* aResult) {
-                     const auto it = m_requests.find(id);
-                     if (it == m_requests.end()) {
-                       return;
-                     }
-                     FinalAnswer answer = aAnswer;
-                     if (aResult == nullptr) {
-                       answer.outcome = CallerOutcome::kUnknown;
-                       answer.status = 503;
-                     }
-                     Answer(it->second, answer, m_now);
-                   });
+  m_claims->Submit(
+    std::move(command),
+    aNow + kFenceTimeout,
+    aNow,
+    [this, id, aAnswer](const wire::CommandResult* aResult) {
+      const auto it = m_requests.find(id);
+      if (it == m_requests.end()) {
+        return;
+      }
+      // OK means that no attempt holds the key or ran.
+      const bool free =
+        aResult != nullptr && aResult->code() == wire::CommandResult::OK;
+      it->second.keyIsFree = free;
+      FinalAnswer answer = aAnswer;
+      answer.outcome = free ? CallerOutcome::kNotRun : CallerOutcome::kUnknown;
+      Answer(it->second, answer, m_now);
+    });
 }
 
 void
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -11,6 +11,7 @@
 // How long the news that a host leaves may take to reach every host that gives
 // out addresses.
 static constexpr Duration kSpreadTime = std::chrono::seconds(3);
+static constexpr std::uint32_t kUnauthorized = 401;
 static constexpr std::size_t kAddressesPerAnswer = 8;
 // Entry hosts that share the callers of one service.
 static constexpr std::size_t kHostsPerService = 24;
@@ -281,12 +282,21 @@
 void
 EntryNode::Answer(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow)
 {
-  CheckInvariant(aAnswer.outcome != CallerOutcome::kNotRun ||
+  FinalAnswer answer = aAnswer;
+  const bool keyed = !aRequest.head.key.IsEmpty();
+  const bool identified = answer.status != kUnauthorized;
+  // A request with the same key may have come before, through any host; only
+  // the ledger can tell that its work did not run.
+  if (answer.outcome == CallerOutcome::kNotRun && keyed && identified &&
+      !aRequest.keyIsFree) {
+    answer.outcome = CallerOutcome::kUnknown;
+  }
+  CheckInvariant(answer.outcome != CallerOutcome::kNotRun ||
                    (!aRequest.mayHaveRun && aRequest.attempts.empty()),
                  "a request that is told not-run did not run");
   CancelAttempts(aRequest, aNow);
   ReleaseReservation(aRequest, aNow);
-  switch (aAnswer.outcome) {
+  switch (answer.outcome) {
     case CallerOutcome::kAnswered:
       ++m_counters.answered;
       break;
@@ -301,17 +311,17 @@
                    .With("request", aRequest.head.id)
                    .With("service", aRequest.head.service)
                    .With("customer", aRequest.customer)
-                   .With("outcome", ToText(aAnswer.outcome))
-                   .With("status", aAnswer.status)
+                   .With("outcome", ToText(answer.outcome))
+                   .With("status", answer.status)
                    .With("attempts", aRequest.started)
-                   .With("reason", aAnswer.reason));
+                   .With("reason", answer.reason));
   const ServiceName service = aRequest.head.service;
   const auto gate = m_gates.find(service);
   if (gate != m_gates.end()) {
     gate->second.queue.Remove(aRequest.head.id);
   }
   m_requests.erase(aRequest.head.id);
-  m_hooks.answer(aAnswer);
+  m_hooks.answer(answer);
 }
 
 } // namespace fuchsiaramp
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -134,6 +134,8 @@
     int started = 0;
     int shed = 0; // attempts that servers refused for overload
     bool mayHaveRun = false;
+    // The ledger said that no earlier request with the key ran or may run.
+    bool keyIsFree = false;
     int hedges = 0;
     bool forceFresh = false;
     std::string claimAttempt; // set while this request holds its key
@@ -151,6 +153,7 @@
     // When the attempt next counts as too slow; the span doubles each time.
     TimePoint overdueAt;
     Duration overdueSpan{};
+    int overdueTimes = 0;
     bool countedAsSlow = false;
   };
 
@@ -223,6 +226,8 @@
   void CancelAttempts(Request& aRequest, TimePoint aNow);
   void CheckDeadlines(TimePoint aNow);
 
+  // Refuses a request that did not run. With a key whose earlier fate the
+  // ledger has not told, the caller hears unknown.
   void Refuse(Request& aRequest,
               CallerOutcome aOutcome,
               std::uint32_t aStatus,
--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -266,7 +266,7 @@
 }
 
 BackendClient::ConnectionPtr
-BackendClient::TakeIdle(const std::string& aAddress, bool aOnlyRecent)
+BackendClient::TakeIdle(const std::string& aAddress)
 {
   const auto it = m_idle.find(aAddress);
   if (it == m_idle.end()) {
@@ -278,8 +278,7 @@
     ConnectionPtr connection = idle.back();
     idle.pop_back();
     const Duration age = now - connection->LastUsed();
-    const bool usable = age < m_options.idleLifetime && connection->IsQuiet() &&
-                        (!aOnlyRecent || age < m_options.recentUse);
+    const bool usable = age < m_options.idleLifetime && connection->IsQuiet();
     if (usable) {
       return connection;
     }
@@ -289,13 +288,11 @@
 }
 
 ConnectionKind
-BackendClient::Start(const AttemptStart& aStart,
-                     const BackendRequest& aRequest,
-                     bool aOnlyRecent)
+BackendClient::Start(const AttemptStart& aStart, const BackendRequest& aRequest)
 {
   ConnectionPtr connection;
   if (!aStart.freshConnection) {
-    connection = TakeIdle(aStart.address, aOnlyRecent);
+    connection = TakeIdle(aStart.address);
   }
   const ConnectionKind kind =
     connection == nullptr ? ConnectionKind::kNew : ConnectionKind::kReused;
--- a/packages/net/backend_client.h
+++ b/packages/net/backend_client.h
@@ -6,7 +6,7 @@
 // whole, since a cut could not be told from its end.
 //
 //   BackendClient client(io, options, onEnd);
-//   ConnectionKind kind = client.Start(start, request, onlyRecent);
+//   ConnectionKind kind = client.Start(start, request);
 //   client.Cancel(id);
 #pragma once
 
@@ -31,8 +31,6 @@
 {
   std::uint64_t answerBytes = 8 << 20;
   std::uint64_t keptAnswerBytes = 16 << 10; // for the ledger
-  // An idle connection used within this span carries work that must not repeat.
-  Duration recentUse = std::chrono::milliseconds(500);
   Duration idleLifetime = std::chrono::seconds(30);
   Duration connectTimeout = std::chrono::seconds(1);
   std::size_t idlePerServer = 8;
@@ -57,10 +55,8 @@
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
 
-  // With aOnlyRecent an idle connection without recent use is not used.
   ConnectionKind Start(const AttemptStart& aStart,
-                       const BackendRequest& aRequest,
-                       bool aOnlyRecent);
+                       const BackendRequest& aRequest);
   // Closes the attempt's connection; the end hook is not called.
   void Cancel(AttemptId aAttempt);
   std::size_t Running() const { return m_running.size(); }
@@ -69,7 +65,7 @@
   class Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  ConnectionPtr TakeIdle(const std::string& aAddress, bool aOnlyRecent);
+  ConnectionPtr TakeIdle(const std::string& aAddress);
   void Finished(const ConnectionPtr& aConnection,
                 const AttemptEnd& aEnd,
                 BackendResponse* aResponse,
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -128,7 +128,6 @@
     HttpExchangePtr exchange;
     BackendRequest request;
     TimePoint startedAt;
-    bool onlyRecent = false;
   };
 
   MessageTransportOptions TransportOptions(const std::string& aSecretKey) const
@@ -244,7 +243,6 @@
     Pending& pending = m_pending[head.id];
     pending.exchange = aExchange;
     pending.startedAt = now;
-    pending.onlyRecent = !head.key.IsEmpty();
     pending.request = ForwardedRequest(message);
     aExchange->OnGone(
       [this, id = head.id] { m_node->OnCallerGone(id, MonotonicNow()); });
@@ -300,7 +298,7 @@
     pending.request.set(
       "Fuchsiaramp-Deadline-Ms",
       std::to_string(std::max<std::int64_t>(milliseconds, 1)));
-    return m_backends.Start(aStart, pending.request, pending.onlyRecent);
+    return m_backends.Start(aStart, pending.request);
   }
 
   void OnAttemptEnd(const AttemptEnd& aEnd, BackendResponse* aResponse)
--- a/packages/routing/health_judge.cc
+++ b/packages/routing/health_judge.cc
@@ -30,6 +30,7 @@
 // requests sees a healthy server, points to the path.
 static constexpr double kOnePlaceShare = 0.8;
 static constexpr double kEnoughRequests = 10.0;
+static constexpr Duration kWitnessWait = std::chrono::seconds(1);
 static constexpr double kHealthyRate = 0.08;
 static constexpr Duration kBrokenBurst = std::chrono::milliseconds(500);
 static constexpr double kSwapMargin = 0.2;
@@ -203,6 +204,9 @@
     aServer.evidence.clear();
     return;
   }
+  if (aServer.evidence.empty()) {
+    aServer.accusedAt = aNow;
+  }
   Testimony& testimony = aServer.evidence[aReporter];
   testimony.against += std::max(0.0, strongest);
   testimony.counts += aCounts;
@@ -261,10 +265,13 @@
     if (usual < kEnoughRequests) {
       return Accusation::kShared; // nobody else could tell
     }
-    if (said.total < kEnoughRequests) {
+    // Others may be silent because the server has no slot left for them.
+    const bool waited = IsDue(aServer.accusedAt + kWitnessWait, aNow);
+    if (said.total < kEnoughRequests && !waited) {
       return Accusation::kUndecided;
     }
     const bool healthy =
+      said.total > 0.0 &&
       std::max(said.failures, said.slow) < kHealthyRate * said.total;
     return healthy ? Accusation::kPath : Accusation::kShared;
   };
--- a/packages/routing/health_judge.h
+++ b/packages/routing/health_judge.h
@@ -148,6 +148,7 @@
     TimePoint until; // end of the ejection or ramp
     int ejections = 0;
     TimePoint brokenCountedUntil;
+    TimePoint accusedAt; // when the evidence began
     TimePoint forgetEjectionsAt;
     double trialScore = 0.0;
     double sickness = 0.0; // rate of bad outcomes when it was ejected
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -181,6 +181,14 @@
   return score;
 }
 
+bool
+ServiceRouter::AnsweredSince(const BackendServerId& aServer,
+                             TimePoint aTime) const
+{
+  const auto it = m_servers.find(aServer);
+  return it != m_servers.end() && it->second.answeredStart > aTime;
+}
+
 bool
 ServiceRouter::HasFreeSlot(const BackendServerId& aServer) const
 {
@@ -216,6 +224,7 @@
   switch (aReport.outcome) {
     case AttemptOutcome::kSuccess: {
       view.failureRate *= 1.0 - kSmoothing;
+      view.answeredStart = std::max(view.answeredStart, aNow - aReport.latency);
       const bool slow = aReport.latency > m_latency.SlowThreshold();
       if (!aReport.countedAsSlow) {
         view.counts.total += 1.0;
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -76,6 +76,8 @@
   // A server with a free slot; empty when none is free now.
   std::optional<BackendServerId> Choose(const ChoiceRequest& aRequest,
                                         TimePoint aNow);
+  // Whether the server answered well a request that this host sent after aTime.
+  bool AnsweredSince(const BackendServerId& aServer, TimePoint aTime) const;
   // As far as this host's own requests go.
   bool HasFreeSlot(const BackendServerId& aServer) const;
   void OnStarted(const BackendServerId& aServer);
@@ -120,6 +122,7 @@
     TimePoint firstSeen;
     bool inSubset = true;
     std::uint32_t outstanding = 0;
+    TimePoint answeredStart;  // start of the newest good attempt
     double failureRate = 0.0; // smoothed, this host's own requests
     double othersLoad = 0.0;  // requests of other hosts, from reported load
     TimePoint othersLoadAt;
--- a/packages/state/ledger.cc
+++ b/packages/state/ledger.cc
@@ -130,29 +130,27 @@
   } else {
     *record.mutable_key() = aFinish.key();
   }
-  if (notRun && !IsFenced(record, aFinish.attempt())) {
-    record.add_fenced(aFinish.attempt());
-  }
-  const bool holds =
-    it == m_records.end() || (record.state() == wire::LedgerRecord::RUNNING &&
-                              record.attempt() == aFinish.attempt());
-  if (!holds) {
-    // The attempt never held the key, or this is a repeated report.
-    const bool repeated = record.attempt() == aFinish.attempt() &&
-                          record.state() == aFinish.state();
-    if (notRun) {
-      CheckInvariant(record.attempt() != aFinish.attempt() ||
-                       record.state() == wire::LedgerRecord::NOT_RUN,
-                     "an attempt that ended otherwise is not reported not-run");
-      Store(key, std::move(record));
-      return Result(wire::CommandResult::OK, "");
-    }
+  const bool known = it != m_records.end();
+  const bool holds = known && record.state() == wire::LedgerRecord::RUNNING &&
+                     record.attempt() == aFinish.attempt();
+  const bool ended = known && !holds && record.attempt() == aFinish.attempt();
+  if (ended || (!holds && !notRun)) {
+    // A repeated report, or one of an attempt that never held the key.
+    const bool repeated = ended && record.state() == aFinish.state();
     return Result(repeated ? wire::CommandResult::OK
                            : wire::CommandResult::STALE_ATTEMPT,
                   "");
   }
-  CheckInvariant(notRun || it != m_records.end(),
-                 "only a claimed key can finish");
+  if (notRun && !IsFenced(record, aFinish.attempt())) {
+    record.add_fenced(aFinish.attempt());
+  }
+  if (known && !holds) {
+    // Another attempt holds or held the key; only the fence is kept.
+    const bool free = record.state() == wire::LedgerRecord::NOT_RUN;
+    Store(key, std::move(record));
+    return Result(
+      free ? wire::CommandResult::OK : wire::CommandResult::IN_PROGRESS, "");
+  }
   record.set_state(aFinish.state());
   record.set_attempt(aFinish.attempt());
   record.set_touched_at_us(aTime);
--- a/packages/state/ledger_test.cc
+++ b/packages/state/ledger_test.cc
@@ -60,6 +60,20 @@
   BOOST_TEST(ledger.Claim(Claim("k", "c"), 7).code() == Code::GRANTED);
 }
 
+BOOST_AUTO_TEST_CASE(ReportsOfAttemptsThatNeverHeldTheKeyChangeNothing)
+{
+  Ledger ledger({});
+  BOOST_TEST(
+    ledger.Finish(Finish("k", "x", wire::LedgerRecord::FINISHED), 1).code() ==
+    Code::STALE_ATTEMPT);
+  BOOST_TEST(ledger.Claim(Claim("k", "a"), 2).code() == Code::GRANTED);
+  ledger.Finish(Finish("k", "a", wire::LedgerRecord::FINISHED), 3);
+  BOOST_TEST(
+    ledger.Finish(Finish("k", "a", wire::LedgerRecord::NOT_RUN), 4).code() ==
+    Code::STALE_ATTEMPT);
+  BOOST_TEST(ledger.Claim(Claim("k", "b"), 5).code() == Code::ALREADY_FINISHED);
+}
+
 BOOST_AUTO_TEST_CASE(UnknownIsNeverGrantedAgain)
 {
   Ledger ledger({});
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -10,7 +10,6 @@
 static constexpr Duration kTick = std::chrono::milliseconds(20);
 static constexpr Duration kConnectTime = std::chrono::milliseconds(1);
 static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
-static constexpr Duration kRecentUse = std::chrono::milliseconds(500);
 static constexpr Duration kRenewInterval = std::chrono::milliseconds(600);
 static constexpr Duration kControlDelay = std::chrono::milliseconds(20);
 static constexpr Duration kDeadline = std::chrono::seconds(10);
@@ -216,6 +215,10 @@
                  });
     }
   }
+  // The host's next life numbers its attempts from one again.
+  for (auto it = m_attemptKeys.begin(); it != m_attemptKeys.end();) {
+    it = it->first.first == aHost ? m_attemptKeys.erase(it) : ++it;
+  }
   host.idle.clear();
   host.running.clear();
   host.pending.clear();
@@ -348,6 +351,8 @@
   head.bodyHash = aKey;
   head.fingerprint = Fingerprint(aPoison ? 666 : head.id.Value() + 1000);
   head.deadline = m_queue.Now() + kDeadline;
+  // What an earlier send was told says nothing about this one.
+  m_lastOutcome.erase(aKey);
   host.pending[head.id] = { m_queue.Now(), aPoison, aKey, aSends };
   host.driver.onRequest(head, m_queue.Now());
 }
@@ -383,9 +388,7 @@
   while (!aStart.freshConnection && !idle.empty() && !attempt.connection) {
     const Connection connection = idle.back();
     idle.pop_back();
-    if (!keyed || now - connection.lastUsed < kRecentUse) {
-      attempt.connection = connection;
-    }
+    attempt.connection = connection;
   }
   Duration delay = DelayTo(host, *m_servers[server]);
   const bool fresh = !attempt.connection.has_value();
--- a/packages/testing/fake_network.h
+++ b/packages/testing/fake_network.h
@@ -85,6 +85,7 @@
   }
   void HealAll() { m_cuts.clear(); }
   void SetOptions(const FakeNetworkOptions& aOptions) { m_options = aOptions; }
+  const FakeNetworkOptions& Options() const { return m_options; }
 
 private:
   void Schedule(Delivery aDelivery, TimePoint aNow)
--- /dev/null
+++ b/tests/randomised/entry_run_test.cc
@@ -0,0 +1,170 @@
+// Randomised runs of entry hosts, fake servers and callers.
+//
+// Each run draws faults of the brief from its seed. Checked throughout: the
+// invariants inside the program, no key runs twice, no key whose caller heard
+// not-run last has run, and no host restricts more servers than the floor lets.
+#define BOOST_TEST_MODULE entry_run
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+#include <stdexcept>
+
+#include "base/invariant.h"
+#include "testing/entry_fleet.h"
+#include "testing/run_options.h"
+
+namespace fuchsiaramp {
+
+class EntryRun
+{
+public:
+  explicit EntryRun(std::uint64_t aSeed)
+    : m_random(aSeed * 31 + 7)
+    , m_fleet(SmallDeployment(), Options(aSeed))
+  {
+    SetInvariantHandler(
+      [](const std::string& aText) { throw std::logic_error(aText); });
+  }
+
+  void Run()
+  {
+    m_fleet.Start();
+    m_fleet.Run(std::chrono::seconds(10));
+    for (int i = 0; i < 100; ++i) {
+      if (m_random.Chance(0.5)) {
+        Fault();
+      }
+      m_fleet.Run(std::chrono::milliseconds(300));
+      CheckFloor();
+    }
+    Check(m_fleet.Answers().size() > 1000, "callers get answers");
+    Check(m_fleet.DoubleRuns() == 0, "no key runs twice");
+    Check(m_fleet.FalseNotRuns() == 0, "not-run is true");
+  }
+
+private:
+  static Deployment SmallDeployment()
+  {
+    Deployment deployment = AdzoaProfile();
+    deployment.servers = 12;
+    deployment.entryHosts = 6;
+    return deployment;
+  }
+
+  static FleetOptions Options(std::uint64_t aSeed)
+  {
+    FleetOptions options;
+    options.seed = aSeed;
+    options.keyed = 0.5;
+    return options;
+  }
+
+  static void Check(bool aHolds, const char* aText)
+  {
+    if (!aHolds) {
+      throw std::logic_error(aText);
+    }
+  }
+
+  void CheckFloor() const
+  {
+    const double servers = static_cast<double>(m_fleet.ServerCount());
+    const auto most = static_cast<std::size_t>(
+      servers - std::ceil(SmallDeployment().routing.floor * servers));
+    for (std::size_t host = 0; host < m_fleet.HostCount(); ++host) {
+      std::size_t out = 0;
+      for (std::size_t i = 0; i < m_fleet.ServerCount(); ++i) {
+        out += m_fleet.IsRestricted(host, i) ? 1 : 0;
+      }
+      Check(out <= most, "ejection leaves the floor in use");
+    }
+  }
+
+  void Fault()
+  {
+    const std::size_t server = m_random.Below(m_fleet.ServerCount());
+    const std::size_t host = m_random.Below(m_fleet.HostCount());
+    ServerFaults faults;
+    switch (m_random.Below(12)) {
+      case 0:
+        faults.fail = m_random.Unit();
+        m_fleet.Server(server).SetFaults(faults);
+        break;
+      case 1:
+        faults.latencyFactor = 1.0 + 20.0 * m_random.Unit();
+        m_fleet.Server(server).SetFaults(faults);
+        break;
+      case 2:
+        faults.hang = m_random.Unit();
+        m_fleet.Server(server).SetFaults(faults);
+        break;
+      case 3:
+        for (std::size_t i = 0; i < m_fleet.ServerCount(); ++i) {
+          if (!m_fleet.Server(i).Faults().down) {
+            m_fleet.Server(i).SetFaults({});
+          }
+        }
+        break;
+      case 4:
+        m_fleet.Server(server).Crash();
+        break;
+      case 5:
+        m_fleet.Server(server).Restart();
+        break;
+      case 6:
+        m_fleet.KillHost(host);
+        break;
+      case 7:
+        m_fleet.KillHost(host);
+        m_fleet.StartHost(host);
+        break;
+      case 8:
+        m_fleet.CutPath(host, server);
+        break;
+      case 9:
+        m_fleet.HealPaths();
+        m_fleet.Network().HealAll();
+        m_fleet.SetControlReachable(true);
+        break;
+      case 10:
+        m_fleet.Network().Cut(m_fleet.Host(host), HostId("control-1"));
+        m_fleet.SetControlReachable(m_random.Chance(0.8));
+        break;
+      default:
+        DisturbNetwork();
+        break;
+    }
+  }
+
+  void DisturbNetwork()
+  {
+    FakeNetworkOptions options = m_fleet.Network().Options();
+    options.drop = m_random.Chance(0.5) ? 0.0 : 0.1;
+    options.duplicate = m_random.Chance(0.5) ? 0.0 : 0.1;
+    options.late = m_random.Chance(0.5) ? 0.0 : 0.05;
+    m_fleet.Network().SetOptions(options);
+    if (m_random.Chance(0.3)) {
+      m_fleet.SilenceConnections();
+    }
+    m_fleet.SetPoison(m_random.Chance(0.2) ? 0.5 : 0.0);
+  }
+
+  Random m_random;
+  EntryFleet m_fleet;
+};
+
+BOOST_AUTO_TEST_CASE(FaultsOfTheBrief)
+{
+  const SeedRange seeds = SeedsOf(60);
+  for (std::uint64_t i = 0; i < seeds.count; ++i) {
+    const std::uint64_t seed = seeds.first + i;
+    try {
+      EntryRun(seed).Run();
+    } catch (const std::exception& error) {
+      BOOST_ERROR("seed " << seed << ": " << error.what());
+      return;
+    }
+  }
+}
+
+} // namespace fuchsiaramp
