--- /dev/null
+++ b/packages/routing/health_judge_test.cc
@@ -0,0 +1,183 @@
+#define BOOST_TEST_MODULE health_judge
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "routing/health_judge.h"
+
+namespace fuchsiaramp {
+
+class JudgeFixture
+{
+public:
+  JudgeFixture()
+    : m_judge(JudgeOptions(), [this](const Event& aEvent) {
+      m_events.push_back(aEvent.Name());
+    })
+  {
+    for (int i = 0; i < 10; ++i) {
+      m_servers.push_back({ Server(i), 1, 2 });
+    }
+    m_judge.SetServers(m_servers, m_now);
+    // Everybody has used every server well for a while.
+    for (int second = 0; second < 20; ++second) {
+      for (const char* host : { "a", "b", "c" }) {
+        Report(host, -1, 0, 0);
+      }
+      m_now += std::chrono::seconds(1);
+    }
+  }
+
+  static BackendServerId Server(int aIndex)
+  {
+    return BackendServerId("s" + std::to_string(aIndex));
+  }
+
+  // Four good answers of each server, but for aServer the given counts.
+  void Report(const std::string& aHost, int aServer, double aBad, double aGood,
+              bool aBroken = false)
+  {
+    std::vector<ReportedCounts> counts;
+    for (int i = 0; i < 10; ++i) {
+      OutcomeCounts outcome{ 4.0, 0.0, 0.0 };
+      if (i == aServer) {
+        outcome = { aBad + aGood, aBad, 0.0 };
+      }
+      counts.push_back({ Server(i),
+                         m_servers[static_cast<std::size_t>(i)].incarnation,
+                         outcome,
+                         aBroken && i == aServer });
+    }
+    m_judge.OnReport({ HostId(aHost), Region(aHost == "c" ? "r2" : "r1") },
+                     counts,
+                     m_now);
+  }
+
+  HealthState StateOf(int aServer)
+  {
+    for (const ServerHealth& health : m_judge.Restricted(m_now)) {
+      if (health.id == Server(aServer)) {
+        return health.state;
+      }
+    }
+    return HealthState::kInUse;
+  }
+
+  std::size_t Ejected()
+  {
+    const auto all = m_judge.Restricted(m_now);
+    return static_cast<std::size_t>(
+      std::count_if(all.begin(), all.end(), [](const ServerHealth& aHealth) {
+        return aHealth.state == HealthState::kEjected;
+      }));
+  }
+
+  void Pass(Duration aSpan)
+  {
+    m_now += aSpan;
+    m_judge.Tick(m_now);
+  }
+
+  std::vector<std::string> m_events;
+  TimePoint m_now = FromMicros(1'000'000'000);
+  HealthJudge m_judge;
+  std::vector<JudgedServer> m_servers;
+};
+
+BOOST_FIXTURE_TEST_CASE(EjectsAServerThatFailsForSeveralHosts, JudgeFixture)
+{
+  Report("a", 3, 1, 0);
+  Report("b", 3, 1, 0);
+  Report("c", 3, 1, 0);
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+  BOOST_TEST(Ejected() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(ABadPathOfOneHostEjectsNobody, JudgeFixture)
+{
+  Report("a", 3, 6, 0);
+  BOOST_TEST((StateOf(3) == HealthState::kInUse));
+  Report("b", 3, 0, 12);
+  Report("c", 3, 0, 12);
+  Report("a", 3, 3, 0);
+  BOOST_TEST((StateOf(3) == HealthState::kInUse));
+  BOOST_TEST((std::count(m_events.begin(), m_events.end(), "path_trouble") >
+              0));
+}
+
+BOOST_FIXTURE_TEST_CASE(AFaultOfTheWholeServiceEjectsNobody, JudgeFixture)
+{
+  for (int round = 0; round < 20; ++round) {
+    for (const char* host : { "a", "b", "c" }) {
+      std::vector<ReportedCounts> counts;
+      for (int i = 0; i < 10; ++i) {
+        counts.push_back({ Server(i), 1, { 4.0, 2.0, 0.0 }, false });
+      }
+      m_judge.OnReport({ HostId(host), Region("r1") }, counts, m_now);
+    }
+    Pass(std::chrono::milliseconds(200));
+  }
+  BOOST_TEST(Ejected() == 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsTheFloorAlsoWhenServersLeave, JudgeFixture)
+{
+  for (int server = 0; server < 8; ++server) {
+    for (int i = 0; i < 4; ++i) {
+      for (const char* host : { "a", "b", "c" }) {
+        Report(host, server, 4, 0);
+      }
+    }
+  }
+  BOOST_TEST(Ejected() == 4u); // of 10, with a floor of 0.6
+  m_servers.resize(5);
+  m_judge.SetServers(m_servers, m_now);
+  BOOST_TEST(Ejected() <= 2u);
+}
+
+BOOST_FIXTURE_TEST_CASE(OneCrashIsOnePieceOfEvidence, JudgeFixture)
+{
+  for (const char* host : { "a", "b", "c" }) {
+    Report(host, 3, 0, 0, true);
+  }
+  BOOST_TEST((StateOf(3) == HealthState::kInUse));
+}
+
+BOOST_FIXTURE_TEST_CASE(ANewIncarnationStartsWithoutHistory, JudgeFixture)
+{
+  for (const char* host : { "a", "b", "c" }) {
+    Report(host, 3, 2, 0);
+  }
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+  m_servers[3].incarnation = 2;
+  m_judge.SetServers(m_servers, m_now);
+  BOOST_TEST((StateOf(3) == HealthState::kInUse));
+}
+
+BOOST_FIXTURE_TEST_CASE(ReturnsByTrialAndRampAndStaysOutLongerWhenFlapping,
+                        JudgeFixture)
+{
+  const auto eject = [this] {
+    for (int i = 0; i < 3; ++i) {
+      for (const char* host : { "a", "b", "c" }) {
+        Report(host, 3, 3, 0);
+      }
+    }
+  };
+  eject();
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+  Pass(std::chrono::seconds(9));
+  BOOST_TEST((StateOf(3) == HealthState::kTrial));
+  Report("a", 3, 0, 12);
+  BOOST_TEST((StateOf(3) == HealthState::kRamp));
+  eject();
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+  Pass(std::chrono::seconds(9));
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+  Pass(std::chrono::seconds(9));
+  BOOST_TEST((StateOf(3) == HealthState::kTrial));
+  Report("b", 3, 1, 0);
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+}
+
+} // namespace fuchsiaramp
