--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -29,7 +29,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
-static constexpr Duration kTick = std::chrono::milliseconds(10);
+static constexpr Duration kTick = std::chrono::milliseconds(20);
 static constexpr Duration kHandover = std::chrono::milliseconds(1500);
 static constexpr std::uint64_t kMaxDocumentBytes = 256 << 20;
 static constexpr std::uint64_t kSegmentSlack = 256 << 20; // bytes
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -29,7 +29,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
-static constexpr Duration kTick = std::chrono::milliseconds(10);
+static constexpr Duration kTick = std::chrono::milliseconds(20);
 
 class EntryService::Impl
 {
--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <zmq.h>
 
 #include "net/monotonic.h"
@@ -151,11 +152,27 @@
   } catch (const zmq::error_t&) {
     ++m_counters.dropped;
   }
+  ReadLater(socket);
+}
+
+// A send can consume the signal that something arrived, so what is there to
+// read is read from the event loop.
+void
+MessageTransport::ReadLater(zmq::socket_t& aSocket)
+{
+  const bool readable = (aSocket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0;
+  if (!readable || m_readScheduled) {
+    return;
+  }
+  m_readScheduled = true;
+  boost::asio::post(m_incomingFd.get_executor(), [this] {
+    m_readScheduled = false;
+    Poll();
+  });
 }
 
 // ZeroMQ signals on its descriptor only that its state may have changed, so the
-// socket is read until it is empty each time. A send may consume the signal;
-// the poll timer of the services covers that case.
+// socket is read until it is empty each time.
 void
 MessageTransport::Watch(zmq::socket_t& aSocket,
                         boost::asio::posix::stream_descriptor& aDescriptor,
--- a/packages/net/message_transport.h
+++ b/packages/net/message_transport.h
@@ -72,8 +72,7 @@
                const std::string& aPublicKey);
   // A host without a known address is reached over the connection it made.
   void Send(const HostId& aTo, const wire::Envelope& aMessage);
-  // Reads what has arrived; called regularly, since a send can consume the
-  // signal that something arrived.
+  // Reads what has arrived; called regularly, in case a signal was missed.
   void Poll();
   const TransportCounters& Counters() const { return m_counters; }
 
@@ -91,6 +90,7 @@
              boost::asio::posix::stream_descriptor& aDescriptor,
              bool aAuthentication);
   void ReadAll(zmq::socket_t& aSocket);
+  void ReadLater(zmq::socket_t& aSocket);
   void AnswerAuthentication();
   void OnPayload(const std::string& aFrom, const zmq::message_t& aPayload);
 
@@ -108,6 +108,7 @@
   std::unordered_map<HostId, Peer> m_peers;
   FreshnessFilter m_freshness;
   std::uint64_t m_sequence = 0;
+  bool m_readScheduled = false;
   TransportCounters m_counters;
 };
 
