--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -20,6 +20,7 @@
   , m_random(aRandom)
   , m_startedAt(aNow)
   , m_pullAt(aNow)
+  , m_startInterval(m_options.startInterval)
   , m_answeredAt(aNow)
 {
 }
@@ -43,12 +44,15 @@
   if (!IsDue(m_pullAt, aNow)) {
     return;
   }
-  m_pullAt =
-    aNow + (m_serving ? m_options.pullInterval : m_options.startInterval);
+  m_pullAt = aNow + (m_serving ? m_options.pullInterval : m_startInterval);
+  // The first answer may carry the whole lists, so a host that waits for them
+  // asks less and less often.
+  m_startInterval =
+    std::min(2 * m_startInterval, m_options.longestStartInterval);
   PullFromControl(aNow);
   const bool controlSilent = IsDue(m_answeredAt + kLeaderSilence, aNow);
   if (controlSilent || !m_serving) {
-    PullFromPeer();
+    PullFromPeer(aNow);
   }
 }
 
@@ -56,16 +60,10 @@
 ListsFollower::PullFromControl(TimePoint aNow)
 {
   const bool leaderSilent = IsDue(m_answeredAt + kLeaderSilence, aNow);
-  if (m_serving && !m_leader.IsEmpty() && !leaderSilent) {
+  if (!m_leader.IsEmpty() && !leaderSilent) {
     m_hooks.sendPull(m_leader, Pull(true));
     return;
   }
-  if (!m_serving) {
-    for (const HostId& host : m_options.controlHosts) {
-      m_hooks.sendPull(host, Pull(true));
-    }
-    return;
-  }
   const std::size_t index = m_nextControl++ % m_options.controlHosts.size();
   m_hooks.sendPull(m_options.controlHosts[index], Pull(true));
 }
@@ -73,15 +71,19 @@
 // A peer relays the pull to control, so that a host with a one-way cut to
 // control is not held back, and answers with what it has itself.
 void
-ListsFollower::PullFromPeer()
+ListsFollower::PullFromPeer(TimePoint aNow)
 {
   std::vector<HostId> peers = m_hooks.aliveHosts();
   peers.erase(std::remove(peers.begin(), peers.end(), m_options.self),
               peers.end());
   m_random.Shuffle(peers);
   static constexpr std::size_t kPeersAsked = 3;
+  // Only their majority needs all of them, and by then this host has the lists,
+  // so that the answers are short.
+  const bool needsAll =
+    !m_serving && IsDue(m_startedAt + m_options.peerFallback, aNow);
   const std::size_t count =
-    m_serving ? std::min(peers.size(), kPeersAsked) : peers.size();
+    needsAll ? peers.size() : std::min(peers.size(), kPeersAsked);
   for (std::size_t i = 0; i < count; ++i) {
     wire::ListsPull pull = Pull(true);
     pull.set_relay_for(m_options.self.Value());
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -31,7 +31,9 @@
 {
   HostId self;
   std::vector<HostId> controlHosts;
+  // Doubles with each pull until the host serves.
   Duration startInterval = std::chrono::milliseconds(200);
+  Duration longestStartInterval = std::chrono::seconds(2);
   Duration pullInterval = std::chrono::seconds(1);
   // Without any confirmation for this long after a start, peers may confirm.
   Duration peerFallback = std::chrono::seconds(10);
@@ -82,7 +84,7 @@
   void Adopt(const wire::ListsPush& aPush);
   void Serve(const char* aWhy);
   void PullFromControl(TimePoint aNow);
-  void PullFromPeer();
+  void PullFromPeer(TimePoint aNow);
   void CountPeerAnswer(const HostId& aPeer, const wire::ListsPush& aPush);
   wire::ListsPull Pull(bool aConfirm);
   bool IsControlHost(const HostId& aHost) const;
@@ -96,6 +98,7 @@
   TimePoint m_startedAt;
   TimePoint m_confirmedAt;
   TimePoint m_pullAt;
+  Duration m_startInterval;
   TimePoint m_answeredAt; // when control last answered
   HostId m_leader;
   std::size_t m_nextControl = 0;
