Drop arguments and a field that nothing reads

Cause: reading the whole change once more: two functions took the time and ignored it, and the fake's connections kept a time of last use that nothing reads since work that must not repeat always gets a new connection. Ruled out: folding the two message switches and the two services' constructors together, which share their shape and not their logic. Change: the arguments and the field are gone; behaviour is the same.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -361,7 +361,7 @@
                router->AnsweredSince(attempt.server, attempt.startedAt));
   if (!suspectConnection) {
     attempt.countedAsSlow = true;
-    router->OnOverdue(attempt.server, aNow);
+    router->OnOverdue(attempt.server);
   }
   ++attempt.overdueTimes;
   attempt.overdueAt += attempt.overdueSpan;
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -43,7 +43,7 @@
   }
   if (IsDue(m_spreadAt, aNow)) {
     m_spreadAt = aNow + m_options.spreadInterval;
-    Spread(aNow);
+    Spread();
   }
 }
 
@@ -383,7 +383,7 @@
 }
 
 void
-Membership::Spread(TimePoint)
+Membership::Spread()
 {
   if (m_hostUpdates.empty() && m_serverUpdates.empty()) {
     return;
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -102,7 +102,7 @@
   void CheckProbe(TimePoint aNow);
   void CheckSuspects(TimePoint aNow);
   void CheckWatches(TimePoint aNow);
-  void Spread(TimePoint aNow);
+  void Spread();
   void Suspect(const HostId& aHost, TimePoint aNow);
   bool MergeHost(const wire::HostRecord& aRecord, TimePoint aNow);
   void MergeServer(const wire::BackendServerRecord& aRecord);
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -271,7 +271,7 @@
 }
 
 void
-ServiceRouter::OnOverdue(const BackendServerId& aServer, TimePoint)
+ServiceRouter::OnOverdue(const BackendServerId& aServer)
 {
   const auto it = m_servers.find(aServer);
   if (it == m_servers.end()) {
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -85,7 +85,7 @@
                   const AttemptReport& aReport,
                   TimePoint aNow);
   // The attempt already takes longer than a slow answer.
-  void OnOverdue(const BackendServerId& aServer, TimePoint aNow);
+  void OnOverdue(const BackendServerId& aServer);
   // A broken connection turned out not to be the request's own fault.
   void CountBroken(const BackendServerId& aServer);
 
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -517,7 +517,6 @@
                      aEnd.outcome == AttemptOutcome::kServerError ||
                      aEnd.outcome == AttemptOutcome::kShed;
   if (whole) {
-    attempt.connection->lastUsed = m_queue.Now();
     host.idle[attempt.server].push_back(*attempt.connection);
   } else {
     m_servers[attempt.server]->Cancel(attempt.serverRequest);
--- a/packages/testing/entry_fleet.h
+++ b/packages/testing/entry_fleet.h
@@ -140,7 +140,6 @@
 private:
   struct Connection
   {
-    TimePoint lastUsed;
     bool silent = false;
   };
 
