--- a/packages/consensus/node.cc
+++ b/packages/consensus/node.cc
@@ -1,6 +1,7 @@
 #include "consensus/node.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/error.h"
@@ -9,6 +10,8 @@
 namespace fuchsiaramp {
 
 static constexpr Duration kProbeInterval = std::chrono::milliseconds(300);
+// A member that lost its leader asks less often than a blank one.
+static constexpr Duration kRejoinInterval = std::chrono::seconds(1);
 
 Node::Node(NodeOptions aOptions,
            StoredState aStored,
@@ -31,6 +34,7 @@
   , m_applied(m_snapshotMeta.index())
   , m_appliedConfiguration(m_snapshotMeta.configuration())
   , m_bootstrap(Self(), m_options.hosts)
+  , m_knownHosts(m_options.hosts)
   , m_probeAt(aNow)
 {
   RecomputeConfiguration();
@@ -108,13 +112,10 @@
   if (IsBlank()) {
     if (IsDue(m_probeAt, aNow)) {
       m_probeAt = aNow + kProbeInterval;
-      for (const HostId& host : m_options.hosts) {
-        if (host != m_options.self) {
-          Send(host, 0, Message(wire::RaftMessage::BLANK_PROBE));
-        }
-      }
+      ProbeHosts();
     }
-    if (m_bootstrap.IsUnanimous(aNow)) {
+    if (m_options.mayFound && IsNamed(m_options.self) &&
+        m_bootstrap.IsUnanimous(aNow)) {
       FormGroup(m_bootstrap.InitialConfiguration(), aNow);
     }
     return;
@@ -141,6 +142,15 @@
     }
     return;
   }
+  // A member that was removed while it was away does not know it, since nobody
+  // sends to it any more.
+  const TimePoint missingSince =
+    m_leaderContactUntil + m_options.electionTimeout;
+  if (m_options.openMembership && IsDue(missingSince, aNow) &&
+      IsDue(m_probeAt, aNow)) {
+    m_probeAt = aNow + kRejoinInterval;
+    ProbeHosts();
+  }
   if (IsDue(m_electionDeadline, aNow)) {
     if (IsVoter(m_configuration, Self())) {
       StartPreVote(aNow);
@@ -188,6 +198,10 @@
     AdvanceCommit();
   }
   ApplyCommitted();
+  if (m_leasedCommit != 0 && m_applied >= m_leasedCommit) {
+    m_currentAt = m_leasedAt;
+    m_leasedCommit = 0;
+  }
 }
 
 bool
@@ -240,6 +254,35 @@
   return aNow < FromMicros(sent) + lease;
 }
 
+bool
+Node::IsCurrent(TimePoint aNow, Duration aAge) const
+{
+  if (HasLease(aNow)) {
+    return true;
+  }
+  const bool heard = m_currentAt > TimePoint();
+  return !m_stopped && heard && aNow < m_currentAt + aAge;
+}
+
+void
+Node::SetKnownHosts(std::vector<HostId> aHosts)
+{
+  m_knownHosts = std::move(aHosts);
+}
+
+void
+Node::ProbeHosts()
+{
+  std::set<HostId> hosts(m_knownHosts.begin(), m_knownHosts.end());
+  for (const wire::Member& member : m_configuration.members()) {
+    hosts.insert(HostId(member.host()));
+  }
+  hosts.erase(m_options.self);
+  for (const HostId& host : hosts) {
+    Send(host, 0, Message(wire::RaftMessage::BLANK_PROBE));
+  }
+}
+
 // The latest time such that a majority acked messages sent then or later.
 std::uint64_t
 Node::QuorumSendTime() const
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -40,6 +40,16 @@
   HostId self;
   std::vector<HostId> hosts; // the control hosts of the settings
   std::uint32_t group = 0;
+  // Whether this host may found the group together with the other hosts.
+  bool mayFound = true;
+  // Any control host may join, as a learner that is promoted when a voter is
+  // missing; otherwise the hosts of the settings are the members.
+  bool openMembership = false;
+  std::size_t maxVoters = 5; // with open membership; survives two losses
+  // With open membership: a voter this long silent gives its place to a
+  // learner, and a learner is forgotten.
+  Duration voterSilence = std::chrono::seconds(3);
+  Duration learnerSilence = std::chrono::seconds(15);
   Duration electionTimeout = std::chrono::milliseconds(1000);
   Duration heartbeatInterval = std::chrono::milliseconds(150);
   std::uint64_t maxAppendBytes = 256 << 10;
@@ -95,6 +105,13 @@
   bool IsBlank() const { return m_hardState.cluster_id() == 0; }
   // Whether reads of applied state are linearizable at aNow.
   bool HasLease(TimePoint aNow) const;
+  // Whether all that was acknowledged until aAge before aNow is applied here,
+  // by this member's own lease or by the word of a leader with a lease.
+  bool IsCurrent(TimePoint aNow, Duration aAge) const;
+  // Whether this leader heard from the host within its silence limit.
+  bool Hears(const HostId& aHost, TimePoint aNow) const;
+  // Hosts to ask for a place in the group, besides the members known.
+  void SetKnownHosts(std::vector<HostId> aHosts);
   const HostId& Leader() const { return m_leader; }
   std::uint64_t Term() const { return m_hardState.term(); }
   std::uint64_t Commit() const { return m_commit; }
@@ -206,6 +223,12 @@
   bool AddReplacedHost(TimePoint aNow);
   bool RemoveOrPromote(TimePoint aNow);
   bool RemoveUnnamedHost(TimePoint aNow);
+  bool RemoveSilent(TimePoint aNow);
+  bool IsSilent(const MemberId& aMember, Duration aLimit, TimePoint aNow) const;
+  bool IsCaughtUp(const MemberId& aMember) const;
+  bool IsNamed(const HostId& aHost) const;
+  std::size_t VoterCount() const;
+  void ProbeHosts();
   bool HasLiveQuorum(const wire::Configuration& aConfiguration,
                      TimePoint aNow) const;
   void ProposeConfiguration(const wire::Configuration& aConfiguration,
@@ -258,6 +281,12 @@
     TimePoint validUntil;
   };
   Bootstrap m_bootstrap;
+  std::vector<HostId> m_knownHosts;
+  TimePoint m_leaderSince; // of this member's own leadership
+  // A leader with a lease said that this index was committed; when heard.
+  std::uint64_t m_leasedCommit = 0;
+  TimePoint m_leasedAt;
+  TimePoint m_currentAt; // when m_applied last reached m_leasedCommit
   TimePoint m_probeAt;
   std::map<HostId, BlankReport> m_blankReports;
 
--- a/packages/consensus/node_election.cc
+++ b/packages/consensus/node_election.cc
@@ -132,6 +132,7 @@
   m_progress.clear();
   m_transferring = false;
   m_heartbeatAt = aNow;
+  m_leaderSince = aNow;
   m_quorumCheckAt = aNow + m_options.electionTimeout;
   SyncProgress();
   // Members get a whole election timeout to answer for the first time.
--- a/packages/consensus/node_members.cc
+++ b/packages/consensus/node_members.cc
@@ -81,7 +81,95 @@
   if (AddReplacedHost(aNow) || RemoveOrPromote(aNow)) {
     return;
   }
-  RemoveUnnamedHost(aNow);
+  if (m_options.openMembership) {
+    RemoveSilent(aNow);
+  } else {
+    RemoveUnnamedHost(aNow);
+  }
+}
+
+bool
+Node::IsNamed(const HostId& aHost) const
+{
+  return std::find(m_options.hosts.begin(), m_options.hosts.end(), aHost) !=
+         m_options.hosts.end();
+}
+
+std::size_t
+Node::VoterCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_configuration.members().begin(),
+                  m_configuration.members().end(),
+                  [](const wire::Member& aMember) { return aMember.voter(); }));
+}
+
+bool
+Node::IsCaughtUp(const MemberId& aMember) const
+{
+  const auto progress = m_progress.find(aMember);
+  return progress != m_progress.end() && progress->second.heard &&
+         progress->second.match + kCaughtUpLag >= m_commit &&
+         progress->second.match > 0;
+}
+
+bool
+Node::IsSilent(const MemberId& aMember, Duration aLimit, TimePoint aNow) const
+{
+  const auto progress = m_progress.find(aMember);
+  if (aMember == Self() || progress == m_progress.end()) {
+    return false;
+  }
+  const TimePoint heardAt =
+    std::max(m_leaderSince, progress->second.ackedSendTime);
+  return IsDue(heardAt + aLimit, aNow);
+}
+
+bool
+Node::Hears(const HostId& aHost, TimePoint aNow) const
+{
+  if (aHost == m_options.self) {
+    return true;
+  }
+  return std::any_of(
+    m_progress.begin(), m_progress.end(), [&](const auto& aItem) {
+      return aItem.first.host == aHost &&
+             !IsSilent(aItem.first, m_options.voterSilence, aNow);
+    });
+}
+
+// A silent voter leaves only for a learner that can take its place at once, so
+// that the group never has fewer voters for longer than two commits.
+bool
+Node::RemoveSilent(TimePoint aNow)
+{
+  const bool standby = std::any_of(
+    m_configuration.members().begin(),
+    m_configuration.members().end(),
+    [&](const wire::Member& aMember) {
+      return !aMember.voter() && IsCaughtUp(IdOf(aMember)) &&
+             !IsSilent(IdOf(aMember), m_options.electionTimeout, aNow);
+    });
+  for (const wire::Member& candidate : m_configuration.members()) {
+    const Duration limit =
+      candidate.voter() ? m_options.voterSilence : m_options.learnerSilence;
+    const bool leaves =
+      IsSilent(IdOf(candidate), limit, aNow) && (standby || !candidate.voter());
+    if (!leaves) {
+      continue;
+    }
+    wire::Configuration next;
+    for (const wire::Member& member : m_configuration.members()) {
+      if (IdOf(member) != IdOf(candidate)) {
+        *next.add_members() = member;
+      }
+    }
+    if (HasLiveQuorum(next, aNow)) {
+      ProposeConfiguration(next, "silent_member_removed");
+      return true;
+    }
+  }
+  return false;
 }
 
 bool
@@ -89,9 +177,7 @@
 {
   for (const auto& [host, report] : m_blankReports) {
     const MemberId joining{ host, report.diskId };
-    const bool named =
-      std::find(m_options.hosts.begin(), m_options.hosts.end(), host) !=
-      m_options.hosts.end();
+    const bool named = m_options.openMembership || IsNamed(host);
     if (!named || IsDue(report.validUntil, aNow) ||
         IsMember(m_configuration, joining)) {
       continue;
@@ -116,12 +202,8 @@
 Node::RemoveOrPromote(TimePoint aNow)
 {
   for (const wire::Member& learner : m_configuration.members()) {
-    const auto progress = m_progress.find(IdOf(learner));
-    const bool caughtUp = progress != m_progress.end() &&
-                          progress->second.heard &&
-                          progress->second.match + kCaughtUpLag >= m_commit &&
-                          progress->second.match > 0;
-    if (learner.voter() || !caughtUp) {
+    if (learner.voter() || !IsCaughtUp(IdOf(learner)) ||
+        IsSilent(IdOf(learner), m_options.electionTimeout, aNow)) {
       continue;
     }
     wire::Configuration next;
@@ -134,6 +216,11 @@
       }
     }
     if (!replaces) {
+      const bool full =
+        m_options.openMembership && VoterCount() >= m_options.maxVoters;
+      if (full) {
+        continue;
+      }
       for (wire::Member& member : *next.mutable_members()) {
         member.set_voter(member.voter() || IdOf(member) == IdOf(learner));
       }
@@ -150,11 +237,7 @@
 Node::RemoveUnnamedHost(TimePoint aNow)
 {
   for (const wire::Member& candidate : m_configuration.members()) {
-    const bool named = std::any_of(
-      m_options.hosts.begin(), m_options.hosts.end(), [&](const HostId& aHost) {
-        return aHost.Value() == candidate.host();
-      });
-    if (named) {
+    if (IsNamed(HostId(candidate.host()))) {
       continue;
     }
     wire::Configuration next;
--- a/packages/consensus/node_replication.cc
+++ b/packages/consensus/node_replication.cc
@@ -55,6 +55,7 @@
   message.set_log_index(previous);
   message.set_log_term(*previousTerm);
   message.set_commit(m_commit);
+  message.set_leased(HasLease(aNow));
   message.set_sent_at_us(ToMicros(aNow));
   std::uint64_t bytes = 0;
   const std::uint64_t last =
@@ -96,6 +97,10 @@
   MergeEntries(aMessage);
   const std::uint64_t matched = previous + aMessage.entries_size();
   m_commit = std::max(m_commit, std::min(aMessage.commit(), matched));
+  if (aMessage.leased()) {
+    m_leasedCommit = std::max<std::uint64_t>(aMessage.commit(), 1);
+    m_leasedAt = aNow;
+  }
   reply.set_granted(true);
   reply.set_match_index(std::max(matched, m_log.SnapshotIndex()));
   Send(aFrom, aMessage.from_disk(), reply);
--- a/packages/entry/claim_client.cc
+++ b/packages/control/command_client.cc
@@ -1,4 +1,4 @@
-#include "entry/claim_client.h"
+#include "control/command_client.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,14 +10,20 @@
 static constexpr Duration kResend = std::chrono::milliseconds(250);
 static constexpr std::size_t kMaxWaiting = 10'000; // calls
 
-ClaimClient::ClaimClient(std::vector<HostId> aControlHosts, SendHook aSend)
+CommandClient::CommandClient(std::vector<HostId> aControlHosts, SendHook aSend)
   : m_controlHosts(std::move(aControlHosts))
   , m_send(std::move(aSend))
 {
 }
 
 void
-ClaimClient::SetGroupLeaders(const std::vector<std::string>& aLeaders)
+CommandClient::SetControlHosts(std::vector<HostId> aControlHosts)
+{
+  m_controlHosts = std::move(aControlHosts);
+}
+
+void
+CommandClient::SetGroupLeaders(const std::vector<std::string>& aLeaders)
 {
   m_leaders.resize(aLeaders.size());
   for (std::size_t i = 0; i < aLeaders.size(); ++i) {
@@ -28,7 +34,7 @@
 }
 
 std::uint32_t
-ClaimClient::GroupOf(const wire::ClaimKey& aKey) const
+CommandClient::GroupOf(const wire::ClaimKey& aKey) const
 {
   const std::string text =
     aKey.customer() + '\n' + aKey.service() + '\n' + aKey.key();
@@ -37,25 +43,31 @@
 }
 
 std::uint32_t
-ClaimClient::GroupOf(const wire::Command& aCommand) const
+CommandClient::GroupOf(const wire::Command& aCommand) const
 {
+  if (aCommand.has_server()) {
+    return 0; // beside the lists
+  }
   return GroupOf(aCommand.has_claim() ? aCommand.claim().key()
                                       : aCommand.finish().key());
 }
 
 bool
-ClaimClient::IsReachable() const
+CommandClient::IsReachable() const
 {
   return m_leaders.size() > 1 && m_waiting.size() < kMaxWaiting;
 }
 
 void
-ClaimClient::Submit(wire::Command aCommand,
-                    TimePoint aDeadline,
-                    TimePoint aNow,
-                    DoneHook aDone)
+CommandClient::Submit(wire::Command aCommand,
+                      TimePoint aDeadline,
+                      TimePoint aNow,
+                      DoneHook aDone)
 {
   const std::uint64_t id = m_nextId++;
+  if (m_leaders.empty()) {
+    m_leaders.resize(1); // the lists group always exists
+  }
   Call& call = m_waiting[id];
   call.group = GroupOf(aCommand);
   call.command = std::move(aCommand);
@@ -68,7 +80,7 @@
 }
 
 void
-ClaimClient::Send(std::uint64_t aId, Call& aCall, TimePoint aNow)
+CommandClient::Send(std::uint64_t aId, Call& aCall, TimePoint aNow)
 {
   aCall.resendAt = aNow + kResend;
   wire::Envelope envelope;
@@ -80,15 +92,17 @@
 }
 
 void
-ClaimClient::TryNextHost(std::uint32_t aGroup)
+CommandClient::TryNextHost(std::uint32_t aGroup)
 {
-  m_leaders[aGroup] = m_controlHosts[m_nextHost++ % m_controlHosts.size()];
+  if (!m_controlHosts.empty()) {
+    m_leaders[aGroup] = m_controlHosts[m_nextHost++ % m_controlHosts.size()];
+  }
 }
 
 void
-ClaimClient::OnReply(const HostId& aFrom,
-                     const wire::ControlReply& aReply,
-                     TimePoint aNow)
+CommandClient::OnReply(const HostId& aFrom,
+                       const wire::ControlReply& aReply,
+                       TimePoint aNow)
 {
   const auto it = m_waiting.find(aReply.request_id());
   if (it == m_waiting.end()) {
@@ -117,7 +131,7 @@
 }
 
 void
-ClaimClient::Tick(TimePoint aNow)
+CommandClient::Tick(TimePoint aNow)
 {
   std::vector<DoneHook> expired;
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
--- a/packages/entry/claim_client.h
+++ b/packages/control/command_client.h
@@ -1,7 +1,9 @@
-// Talks to the ledger on behalf of one entry host: finds the leader of a key's
-// group, repeats what got no answer, and gives up at a deadline.
+// Submits commands to the consensus groups on behalf of one host: finds the
+// leader of a command's group, repeats what got no answer, and gives up at a
+// deadline.
 //
-// Repeating is safe because claims and reports name their attempt.
+// Repeating is safe because claims and reports name their attempt, and reports
+// of backend servers their sequence number.
 //
 //   client.Submit(command, deadline, now, [](const wire::CommandResult* r) {
 //     // null: no answer by the deadline; the command may still be committed
@@ -21,13 +23,14 @@
 
 namespace fuchsiaramp {
 
-class ClaimClient
+class CommandClient
 {
 public:
   using DoneHook = std::function<void(const wire::CommandResult* aResult)>;
 
-  ClaimClient(std::vector<HostId> aControlHosts, SendHook aSend);
+  CommandClient(std::vector<HostId> aControlHosts, SendHook aSend);
 
+  void SetControlHosts(std::vector<HostId> aControlHosts);
   // Index 0 is the lists group; the others are ledger shards.
   void SetGroupLeaders(const std::vector<std::string>& aLeaders);
   // Whether the shards are known and there is room for another call.
@@ -41,6 +44,7 @@
                const wire::ControlReply& aReply,
                TimePoint aNow);
   void Tick(TimePoint aNow);
+  // Commands that got no answer yet.
   std::size_t Waiting() const { return m_waiting.size(); }
 
 private:
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -1,11 +1,22 @@
 #include "control/control_node.h"
 
+#include <set>
 #include <utility>
 
 #include "state/lists_document.h"
 
 namespace fuchsiaramp {
 
+// A follower vouches for what it holds while the word of a leader with a lease
+// is at most this old.
+static constexpr Duration kFollowerFreshness = std::chrono::seconds(1);
+// Changes are pushed to entry hosts that pulled within this time.
+static constexpr Duration kSubscription = std::chrono::seconds(3);
+static constexpr Duration kEntryHostKept = std::chrono::minutes(10);
+static constexpr Duration kLapseInterval = std::chrono::seconds(1);
+// Within the second that a backend server waits for its answer.
+static constexpr Duration kReportTimeout = std::chrono::milliseconds(900);
+
 wire::CommandResult::Code
 CodeOf(ProposalOutcome aOutcome, const wire::CommandResult& aResult)
 {
@@ -29,6 +40,10 @@
                          TimePoint aNow)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
+  , m_commands(m_options.hosts, m_hooks.send)
+  , m_watch(m_options.self, m_options.serverLifetime)
+  , m_knownHosts(m_options.hosts)
+  , m_lapseAt(aNow)
 {
   for (std::size_t i = 0; i < aStorage.size(); ++i) {
     StartGroup(static_cast<std::uint32_t>(i),
@@ -117,6 +132,9 @@
     case wire::Envelope::kControlRequest:
       OnRequest(aFrom, aMessage.control_request());
       break;
+    case wire::Envelope::kControlReply:
+      m_commands.OnReply(aFrom, aMessage.control_reply(), aNow);
+      break;
     case wire::Envelope::kListsPull:
       OnListsPull(aFrom, aMessage.lists_pull(), aNow);
       break;
@@ -131,6 +149,38 @@
   for (const auto& group : m_groups) {
     group->node->Tick(aNow);
   }
+  UpdateLeaders();
+  m_commands.Tick(aNow);
+  if (IsDue(m_lapseAt, aNow)) {
+    m_lapseAt = aNow + kLapseInterval;
+    LapseServers(aNow);
+  }
+}
+
+void
+ControlNode::SetKnownHosts(const std::vector<HostId>& aHosts)
+{
+  m_knownHosts = aHosts;
+  for (const auto& group : m_groups) {
+    group->node->SetKnownHosts(aHosts);
+  }
+}
+
+void
+ControlNode::UpdateLeaders()
+{
+  std::vector<std::string> leaders;
+  for (const auto& group : m_groups) {
+    leaders.push_back(group->node->Leader().Value());
+  }
+  m_commands.SetGroupLeaders(leaders);
+  std::set<HostId> hosts(m_knownHosts.begin(), m_knownHosts.end());
+  for (const wire::Member& member :
+       m_groups[kListsGroup]->node->Members().members()) {
+    hosts.insert(HostId(member.host()));
+  }
+  hosts.erase(m_options.self);
+  m_commands.SetControlHosts({ hosts.begin(), hosts.end() });
 }
 
 void
@@ -139,6 +189,7 @@
   for (const auto& group : m_groups) {
     group->node->Flush(aNow);
   }
+  PushChanges(aNow);
 }
 
 void
@@ -167,9 +218,10 @@
 {
   const std::uint32_t group = aRequest.group();
   // The lists are changed by operators alone.
-  const bool ledger =
-    aRequest.command().has_claim() || aRequest.command().has_finish();
-  if (group == kListsGroup || group >= m_groups.size() || !ledger) {
+  const wire::Command& command = aRequest.command();
+  const bool ledger = command.has_claim() || command.has_finish();
+  const bool fits = group == kListsGroup ? command.has_server() : ledger;
+  if (group >= m_groups.size() || !fits) {
     return;
   }
   const std::uint64_t requestId = aRequest.request_id();
@@ -192,26 +244,143 @@
                          const wire::ListsPull& aPull,
                          TimePoint aNow)
 {
-  const Group& group = *m_groups[kListsGroup];
-  const HostId asking =
-    aPull.relay_for().empty() ? aFrom : HostId(aPull.relay_for());
-  EntryHostVersion& known = m_entryHosts[asking];
-  known = { ListsVersion(aPull.have_version()), aNow };
+  const bool direct = aPull.relay_for().empty();
+  EntryHostVersion& known =
+    m_entryHosts[direct ? aFrom : HostId(aPull.relay_for())];
+  known.version = ListsVersion(aPull.have_version());
+  known.reportedAt = aNow;
+  known.sentLists = aPull.have_version();
+  known.sentServers = aPull.have_servers_version();
+  known.direct = direct;
   wire::Envelope envelope;
-  wire::ListsPush* push = envelope.mutable_lists_push();
-  push->set_pull_id(aPull.pull_id());
-  push->set_leader(group.node->Leader().Value());
-  push->set_confirmed(group.node->HasLease(aNow));
+  *envelope.mutable_lists_push() = MakePush(known, aNow);
+  envelope.mutable_lists_push()->set_pull_id(aPull.pull_id());
+  m_hooks.send(aFrom, envelope);
+}
+
+wire::ListsPush
+ControlNode::MakePush(EntryHostVersion& aKnown, TimePoint aNow) const
+{
+  const Group& group = *m_groups[kListsGroup];
+  wire::ListsPush push;
+  push.set_leader(group.node->Leader().Value());
+  push.set_confirmed(group.node->IsCurrent(aNow, kFollowerFreshness));
   const ListsState& lists = group.state.ListsPart();
-  push->set_current_version(lists.Current().Version().Value());
-  for (const wire::ListsDelta& delta :
-       lists.Since(ListsVersion(aPull.have_version()))) {
-    *push->add_deltas() = delta;
+  push.set_current_version(lists.Current().Version().Value());
+  for (wire::ListsDelta& delta : lists.Since(ListsVersion(aKnown.sentLists))) {
+    *push.add_deltas() = std::move(delta);
+  }
+  const ServersState& servers = group.state.ServersPart();
+  if (aKnown.sentServers < servers.Version()) {
+    *push.mutable_servers() = servers.Since(aKnown.sentServers);
   }
   for (const auto& other : m_groups) {
-    push->add_group_leaders(other->node->Leader().Value());
+    push.add_group_leaders(other->node->Leader().Value());
+  }
+  for (const wire::Member& member : group.node->Members().members()) {
+    push.add_control_hosts(member.host());
+  }
+  aKnown.sentLists = lists.Current().Version().Value();
+  aKnown.sentServers = servers.Version();
+  return push;
+}
+
+// A push that is lost is made up for by the next pull, which says what the
+// entry host has.
+void
+ControlNode::PushChanges(TimePoint aNow)
+{
+  const GroupState& state = m_groups[kListsGroup]->state;
+  const auto lists = state.ListsPart().Current().Version().Value();
+  const std::uint64_t servers = state.ServersPart().Version();
+  for (auto it = m_entryHosts.begin(); it != m_entryHosts.end();) {
+    auto& [host, known] = *it;
+    if (IsDue(known.reportedAt + kEntryHostKept, aNow)) {
+      it = m_entryHosts.erase(it);
+      continue;
+    }
+    const bool behind = known.sentLists < lists || known.sentServers < servers;
+    const bool subscribed = !IsDue(known.reportedAt + kSubscription, aNow);
+    if (behind && subscribed && known.direct) {
+      wire::Envelope envelope;
+      *envelope.mutable_lists_push() = MakePush(known, aNow);
+      m_hooks.send(host, envelope);
+    }
+    ++it;
+  }
+}
+
+void
+ControlNode::ReportServer(const wire::BackendServerRecord& aRecord,
+                          TimePoint aNow,
+                          const std::function<void(bool)>& aReply)
+{
+  const Group& group = *m_groups[kListsGroup];
+  wire::BackendServerRecord record = aRecord;
+  record.set_watcher(m_options.self.Value());
+  const wire::BackendServerRecord* known =
+    group.state.ServersPart().Find(record.id());
+  if (record.service().empty() && record.incarnation() == 0 &&
+      known != nullptr) {
+    record.set_incarnation(known->incarnation()); // a goodbye without one
+  }
+  m_watch.Heard(record, aNow);
+  // What this member has applied is committed, so a quorum holds it.
+  if (!group.state.ServersPart().IsNews(record)) {
+    aReply(true);
+    return;
+  }
+  wire::Command command;
+  *command.mutable_server() = record;
+  if (group.node->IsLeader()) {
+    Propose(kListsGroup,
+            std::move(command),
+            [aReply](ProposalOutcome aOutcome, const wire::CommandResult&) {
+              aReply(aOutcome == ProposalOutcome::kApplied);
+            });
+    return;
+  }
+  m_commands.Submit(std::move(command),
+                    aNow + kReportTimeout,
+                    aNow,
+                    [aReply](const wire::CommandResult* aResult) {
+                      const bool held =
+                        aResult != nullptr &&
+                        (aResult->code() == wire::CommandResult::OK ||
+                         aResult->code() == wire::CommandResult::STALE_ATTEMPT);
+                      aReply(held);
+                    });
+}
+
+void
+ControlNode::LapseServers(TimePoint aNow)
+{
+  const Group& group = *m_groups[kListsGroup];
+  if (!group.node->IsCurrent(aNow, kFollowerFreshness)) {
+    return;
+  }
+  const auto standsIn = [&](const HostId& aWatcher) {
+    return group.node->IsLeader() && !group.node->Hears(aWatcher, aNow);
+  };
+  for (const wire::BackendServerRecord& record :
+       m_watch.TakeSilent(group.state.ServersPart(), standsIn, aNow)) {
+    m_hooks.record(Event("backend_server_lapsed")
+                     .With("server", record.id())
+                     .With("service", record.service())
+                     .With("watcher", record.watcher()));
+    wire::Command command;
+    *command.mutable_server() = record;
+    if (group.node->IsLeader()) {
+      Propose(kListsGroup,
+              std::move(command),
+              [](ProposalOutcome, const wire::CommandResult&) {});
+    } else {
+      m_commands.Submit(std::move(command),
+                        aNow + kReportTimeout,
+                        aNow,
+                        [](const wire::CommandResult*) {});
+    }
   }
-  m_hooks.send(aFrom, envelope);
 }
 
 void
@@ -222,7 +391,12 @@
   const Group& group = *m_groups[kListsGroup];
   ListsChangeReply reply;
   Findings findings("lists");
-  const wire::ListsDelta content = ReadLists(aChange.document, findings);
+  const wire::ListsDelta content =
+    aChange.content ? *aChange.content : ReadLists(aChange.document, findings);
+  if (aChange.content) {
+    CheckOpenRoutes(
+      content, [](int) { return Place(); }, findings);
+  }
   if (!findings.IsEmpty()) {
     reply.result.set_code(wire::CommandResult::INVALID);
     reply.findings = findings.Text();
@@ -245,7 +419,9 @@
   put->set_digest(DigestOf(content));
   const Lists& current = group.state.ListsPart().Current();
   if (current.Version().Value() == aChange.expectedVersion) {
-    *put->mutable_delta() = Difference(current, content);
+    const ListsVersion next =
+      aChange.newVersion.value_or(current.Version().Next());
+    *put->mutable_delta() = Difference(current, content, next);
   }
   Propose(kListsGroup,
           std::move(command),
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -1,7 +1,8 @@
 // All decisions of one control host: the consensus groups for the lists and the
 // ledger shards, the requests of entry hosts, and the changes of operators.
 //
-// Group 0 holds the lists, groups 1 to N the ledger shards.
+// Group 0 holds the lists and the table of backend servers, groups 1 to N the
+// ledger shards.
 //
 //   ControlNode node(options, std::move(storage), hooks, random, now);
 //   node.OnMessage(from, envelope, now);
@@ -13,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -24,6 +26,8 @@
 #include "base/time.h"
 #include "consensus/node.h"
 #include "consensus/storage.h"
+#include "control/command_client.h"
+#include "control/server_watch.h"
 #include "state/group_state.h"
 #include "wire/messages.h"
 
@@ -37,6 +41,8 @@
   std::vector<HostId> hosts; // the control hosts of the settings
   LedgerOptions ledger;
   NodeOptions consensus; // self, hosts and group are filled in
+  // A backend server that is silent for this long is taken for gone.
+  Duration serverLifetime = std::chrono::seconds(12);
 };
 
 // What one group starts with.
@@ -58,10 +64,13 @@
 // A change of the lists that an operator asks for.
 struct ListsChange
 {
-  std::string document; // YAML
+  std::string document; // YAML; unused where content is given
   std::uint64_t expectedVersion = 0;
   std::string changeId;
   std::string operatorName;
+  std::optional<wire::ListsDelta> content = {}; // full
+  // The version that the change leads to; the next one when empty.
+  std::optional<ListsVersion> newVersion = {};
 };
 
 // The answer to an operator's change.
@@ -71,11 +80,16 @@
   std::string findings; // when the document is invalid
 };
 
-// The version that an entry host has in force, as it last reported.
+// What an entry host has in force, as it last reported.
 struct EntryHostVersion
 {
   ListsVersion version;
   TimePoint reportedAt;
+  // What it was last sent.
+  std::uint64_t sentLists = 0;
+  std::uint64_t sentServers = 0;
+  // Whether it pulls from this host itself, so that changes are pushed to it.
+  bool direct = false;
 };
 
 class ControlNode
@@ -103,6 +117,14 @@
                    TimePoint aNow,
                    const ChangeReplyHook& aReply);
 
+  // What a backend server said of itself. Replies true once the table holds it
+  // for good, false when that is not known in time.
+  void ReportServer(const wire::BackendServerRecord& aRecord,
+                    TimePoint aNow,
+                    const std::function<void(bool aHeld)>& aReply);
+  // Control hosts to look for, besides the members of the group.
+  void SetKnownHosts(const std::vector<HostId>& aHosts);
+
   std::size_t GroupCount() const { return m_groups.size(); }
   const Node& GroupNode(std::size_t aGroup) const;
   const GroupState& State(std::size_t aGroup) const;
@@ -130,6 +152,10 @@
   void OnListsPull(const HostId& aFrom,
                    const wire::ListsPull& aPull,
                    TimePoint aNow);
+  wire::ListsPush MakePush(EntryHostVersion& aKnown, TimePoint aNow) const;
+  void PushChanges(TimePoint aNow);
+  void LapseServers(TimePoint aNow);
+  void UpdateLeaders();
 
   const ControlOptions m_options;
   const ControlHooks m_hooks;
@@ -137,6 +163,10 @@
   std::map<ProposalId, ResultHook> m_waiting;
   ProposalId m_nextProposal{ 1 };
   std::map<HostId, EntryHostVersion> m_entryHosts;
+  CommandClient m_commands; // to the leader, when another host leads
+  ServerWatch m_watch;
+  std::vector<HostId> m_knownHosts;
+  TimePoint m_lapseAt;
 };
 
 // The result code that an entry host or operator sees for an outcome.
--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -6,7 +6,6 @@
 
 namespace fuchsiaramp {
 
-static constexpr int kMaxAttempts = 4; // of one request, sheds not counted
 // Delays of an attempt on a reused connection that count for nothing: a second
 // attempt elsewhere has an answer by then if the connection was at fault.
 static constexpr int kSuspicions = 2;
@@ -33,7 +32,7 @@
   CheckInvariant(aRequest.repeatable || !aRequest.mayHaveRun,
                  "work that must not repeat is attempted only with proof that "
                  "it did not run");
-  CheckInvariant(aRequest.repeatable || !aRequest.claimAttempt.empty(),
+  CheckInvariant(!aRequest.claims || !aRequest.claimAttempt.empty(),
                  "work that must not repeat is claimed before it is attempted");
   const Duration patience = m_options.settings.routing.attemptTimeout;
   AttemptStart start;
@@ -42,6 +41,7 @@
   start.request = aRequest.head.id;
   start.server = aServer;
   start.address = server->address;
+  start.callerId = aRequest.head.callerId;
   start.deadline = aRequest.head.deadline;
   if (aRequest.repeatable) {
     start.deadline = std::min(start.deadline, aNow + patience);
@@ -57,6 +57,7 @@
   aRequest.stage = Stage::kAttempting;
   aRequest.excluded.insert(aServer);
   aRequest.attempts.push_back(start.id);
+  aRequest.reached.insert(aServer);
   ++aRequest.started;
   ++m_counters.attempts;
   router->OnStarted(aServer);
@@ -141,6 +142,7 @@
 ProvesNotRun(AttemptOutcome aOutcome)
 {
   return aOutcome == AttemptOutcome::kRefused ||
+         aOutcome == AttemptOutcome::kOtherServer ||
          aOutcome == AttemptOutcome::kNothingWritten ||
          aOutcome == AttemptOutcome::kNotRun ||
          aOutcome == AttemptOutcome::kShed;
@@ -157,6 +159,11 @@
   if (aEnd.outcome == AttemptOutcome::kShed) {
     ++aRequest.shed;
   }
+  const bool arrived = aEnd.outcome != AttemptOutcome::kRefused &&
+                       aEnd.outcome != AttemptOutcome::kNothingWritten;
+  if (!arrived) {
+    aRequest.reached.erase(aAttempt.server);
+  }
   if (aEnd.outcome == AttemptOutcome::kSilent) {
     aRequest.forceFresh = true;
     aRequest.excluded.erase(aAttempt.server);
@@ -214,13 +221,17 @@
 EntryNode::Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow)
 {
   ServiceRouter* router = m_services->Find(aRequest.head.service);
-  const int tried = aRequest.started - aRequest.shed;
-  if (tried >= kMaxAttempts || IsDue(aRequest.head.deadline, aNow) ||
+  const int tried = aRequest.open ? static_cast<int>(aRequest.reached.size())
+                                  : aRequest.started - aRequest.shed;
+  if (tried >= aRequest.maxServers || IsDue(aRequest.head.deadline, aNow) ||
       aRequest.callerGone) {
     return false;
   }
-  // Attempts that did not run put no load on the service.
-  if (!aProvenNotRun && !router->Retries().TryRetry()) {
+  // Attempts that did not run put no load on the service, but where open routes
+  // share one budget, each arrival at a server draws on it.
+  const bool counts =
+    aRequest.open ? !aRequest.reached.empty() : !aProvenNotRun;
+  if (counts && !router->Retries().TryRetry()) {
     return false;
   }
   ++m_counters.retries;
@@ -382,6 +393,12 @@
       aRequest.callerGone) {
     return;
   }
+  const bool allReached =
+    aRequest.open &&
+    static_cast<int>(aRequest.reached.size()) >= aRequest.maxServers;
+  if (allReached) {
+    return;
+  }
   ServiceRouter* router = m_services->Find(aRequest.head.service);
   const bool sameServer = aRequest.hedges == 0 &&
                           aLate.connection == ConnectionKind::kReused &&
@@ -452,7 +469,9 @@
   request.callerGone = true;
   // Work that must not repeat goes on, so that its outcome can be kept.
   const bool claimed = !request.claimAttempt.empty();
-  if (request.repeatable || (request.stage == Stage::kQueued && !claimed)) {
+  const bool waits =
+    request.stage == Stage::kQueued || request.stage == Stage::kParked;
+  if (request.repeatable || (waits && !claimed)) {
     request.mayHaveRun = true;
     GiveUp(
       request, nullptr, "the caller closed its connection", kRetrySoon, aNow);
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -23,10 +23,10 @@
   Request& request = m_requests[aHead.id];
   request.head = aHead;
   static constexpr Filter kFilters[] = {
-    &EntryNode::CheckServing,    &EntryNode::Authenticate,
-    &EntryNode::FindRoute,       &EntryNode::CheckKey,
-    &EntryNode::CheckQuarantine, &EntryNode::CheckService,
-    &EntryNode::CheckLimits,
+    &EntryNode::CheckServing, &EntryNode::FindOpenRoute,
+    &EntryNode::Authenticate, &EntryNode::FindRoute,
+    &EntryNode::CheckKey,     &EntryNode::CheckQuarantine,
+    &EntryNode::CheckService, &EntryNode::CheckLimits,
   };
   for (const Filter filter : kFilters) {
     if ((this->*filter)(request, aNow) == FilterResult::kDone) {
@@ -51,9 +51,73 @@
   return FilterResult::kDone;
 }
 
+// A caller without a token may use the open routes, which its host and path
+// select.
+EntryNode::FilterResult
+EntryNode::FindOpenRoute(Request& aRequest, TimePoint aNow)
+{
+  RequestHead& head = aRequest.head;
+  if (!head.token.empty()) {
+    return FilterResult::kContinue;
+  }
+  const wire::Route* route =
+    m_lists->Current().FindOpenRoute(head.host, head.path);
+  if (route == nullptr) {
+    if (!head.tokenless) {
+      return FilterResult::kContinue;
+    }
+    Refuse(aRequest,
+           CallerOutcome::kNotRun,
+           404,
+           "no open route has this host and a prefix of this path",
+           std::nullopt,
+           aNow);
+    return FilterResult::kDone;
+  }
+  aRequest.open = true;
+  aRequest.repeatable = route->repeatable();
+  aRequest.claims = false;
+  aRequest.priority = route->priority();
+  aRequest.maxServers = static_cast<int>(route->max_servers());
+  head.deadline = std::min(head.deadline, aNow + Duration(route->timeout_us()));
+  head.service = ChooseService(*route);
+  return FilterResult::kContinue;
+}
+
+// Smooth weighted round robin: each choice goes to the service that is owed
+// most, so that every run of requests is close to the weights.
+ServiceName
+EntryNode::ChooseService(const wire::Route& aRoute)
+{
+  if (aRoute.split().empty()) {
+    return ServiceName(aRoute.service());
+  }
+  std::map<std::string, double>& debts = m_splitDebts[aRoute.name()];
+  double total = 0.0;
+  const std::string* chosen = nullptr;
+  for (const wire::ServiceShare& share : aRoute.split()) {
+    // Hosts start at different points, so that few requests on each of many
+    // hosts do not all go to the largest share.
+    const auto [debt, isNew] =
+      debts.try_emplace(share.service(), share.weight() * m_random.Unit());
+    debt->second += share.weight();
+    total += share.weight();
+    if (share.weight() > 0.0 &&
+        (chosen == nullptr || debt->second > debts[*chosen])) {
+      chosen = &share.service();
+    }
+  }
+  CheckInvariant(chosen != nullptr, "a split has a weight above 0");
+  debts[*chosen] -= total;
+  return ServiceName(*chosen);
+}
+
 EntryNode::FilterResult
 EntryNode::Authenticate(Request& aRequest, TimePoint aNow)
 {
+  if (aRequest.open) {
+    return FilterResult::kContinue;
+  }
   const std::string hash = Sha256Hex(aRequest.head.token);
   const wire::Customer* customer = m_lists->Current().FindByTokenHash(hash);
   const bool known = !aRequest.head.token.empty() && customer != nullptr &&
@@ -74,6 +138,9 @@
 EntryNode::FilterResult
 EntryNode::FindRoute(Request& aRequest, TimePoint aNow)
 {
+  if (aRequest.open) {
+    return FilterResult::kContinue;
+  }
   const Lists& lists = m_lists->Current();
   const wire::Customer* customer =
     lists.FindCustomer(CustomerId(aRequest.customer));
@@ -89,6 +156,7 @@
     return FilterResult::kDone;
   }
   aRequest.repeatable = route->repeatable();
+  aRequest.claims = !aRequest.repeatable;
   aRequest.priority = lists.FindPlan(PlanName(customer->plan()))->priority();
   return FilterResult::kContinue;
 }
@@ -97,7 +165,7 @@
 EntryNode::CheckKey(Request& aRequest, TimePoint aNow)
 {
   const std::string& key = aRequest.head.key.Value();
-  if (!aRequest.repeatable && (key.empty() || key.size() > kMaxKeyLength)) {
+  if (aRequest.claims && (key.empty() || key.size() > kMaxKeyLength)) {
     Refuse(aRequest,
            CallerOutcome::kNotRun,
            400,
@@ -145,6 +213,9 @@
 EntryNode::FilterResult
 EntryNode::CheckLimits(Request& aRequest, TimePoint aNow)
 {
+  if (aRequest.open) {
+    return FilterResult::kContinue;
+  }
   const Lists& lists = m_lists->Current();
   const wire::Customer* customer =
     lists.FindCustomer(CustomerId(aRequest.customer));
@@ -257,7 +328,7 @@
                  const BackendServerId& aServer,
                  TimePoint aNow)
 {
-  if (aRequest.repeatable || !aRequest.claimAttempt.empty()) {
+  if (!aRequest.claims || !aRequest.claimAttempt.empty()) {
     StartAttempt(aRequest, aServer, aNow);
     return;
   }
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -13,6 +13,10 @@
 static constexpr Duration kSpreadTime = std::chrono::seconds(3);
 static constexpr std::uint32_t kUnauthorized = 401;
 static constexpr std::size_t kAddressesPerAnswer = 8;
+// Entry hosts named to a caller that asks for those nearby: at most, and at
+// least where the region has as many, so that the loss of one is borne.
+static constexpr std::size_t kNearbyAddresses = 64;
+static constexpr std::size_t kFewestAddresses = 3;
 // Entry hosts that share the callers of one service.
 static constexpr std::size_t kHostsPerService = 24;
 
@@ -86,6 +90,12 @@
   listsHooks.groupLeaders = [this](const std::vector<std::string>& aLeaders) {
     m_claims->SetGroupLeaders(aLeaders);
   };
+  listsHooks.controlHostsChanged = [this](const std::vector<HostId>& aHosts) {
+    m_claims->SetControlHosts(aHosts);
+  };
+  listsHooks.serverChanged = [this](const wire::BackendServerRecord& aRecord) {
+    m_directory.UpdateFromControl(aRecord);
+  };
   listsHooks.record = m_hooks.record;
   ListsFollowerOptions listsOptions;
   listsOptions.self = settings.host;
@@ -93,7 +103,7 @@
   m_lists = std::make_unique<ListsFollower>(
     listsOptions, std::move(listsHooks), Random(aRandom.Bits()), aNow);
 
-  m_claims = std::make_unique<ClaimClient>(controlHosts, m_hooks.send);
+  m_claims = std::make_unique<CommandClient>(controlHosts, m_hooks.send);
 
   PlanLimiterHooks limiterHooks;
   limiterHooks.send = [this](const HostId& aTo,
@@ -215,6 +225,56 @@
   return answer;
 }
 
+// The entry hosts of the caller's failure domain, and a few more of its region
+// where there are not enough of them to lose one.
+AddressAnswer
+EntryNode::OnNearbyQuery(const Region& aRegion,
+                         const FailureDomain& aDomain,
+                         TimePoint aNow)
+{
+  std::vector<std::pair<int, const wire::HostRecord*>> hosts;
+  for (const auto& [name, record] : m_membership->Table().Hosts()) {
+    if (record.state() != wire::HostRecord::ALIVE) {
+      continue;
+    }
+    const bool sameDomain = record.failure_domain() == aDomain.Value();
+    const bool sameRegion = record.region() == aRegion.Value();
+    hosts.emplace_back(sameDomain ? 0 : (sameRegion ? 1 : 2), &record);
+  }
+  m_random.Shuffle(hosts);
+  std::stable_sort(
+    hosts.begin(), hosts.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
+  AddressAnswer answer;
+  answer.lifetime = m_options.settings.addressLifetime;
+  for (const auto& [distance, record] : hosts) {
+    const std::size_t count = answer.addresses.size();
+    if (count >= kNearbyAddresses ||
+        (distance > 0 && count >= kFewestAddresses)) {
+      break;
+    }
+    answer.addresses.push_back(record->caller_address());
+  }
+  if (!m_leaving) {
+    m_addressesHeldUntil =
+      std::max(m_addressesHeldUntil, aNow + answer.lifetime);
+  }
+  return answer;
+}
+
+void
+EntryNode::AddControlHosts(const std::vector<HostId>& aHosts)
+{
+  m_lists->AddControlHosts(aHosts);
+}
+
+void
+EntryNode::AddSeeds(const std::vector<HostId>& aSeeds)
+{
+  m_membership->AddSeeds(aSeeds);
+}
+
 void
 EntryNode::Leave(TimePoint aNow)
 {
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -24,7 +24,7 @@
 #include "base/ids.h"
 #include "base/random.h"
 #include "base/time.h"
-#include "entry/claim_client.h"
+#include "control/command_client.h"
 #include "entry/lists_follower.h"
 #include "entry/request.h"
 #include "entry/service_plane.h"
@@ -94,6 +94,13 @@
   // A backend server announced itself, renewed, or said that it leaves.
   void OnAnnouncement(const wire::BackendServerRecord& aRecord, TimePoint aNow);
   AddressAnswer OnAddressQuery(const ServiceName& aService, TimePoint aNow);
+  // Entry hosts near a caller, for any service.
+  AddressAnswer OnNearbyQuery(const Region& aRegion,
+                              const FailureDomain& aDomain,
+                              TimePoint aNow);
+  // Hosts of new settings to look for.
+  void AddControlHosts(const std::vector<HostId>& aHosts);
+  void AddSeeds(const std::vector<HostId>& aSeeds);
   void Tick(TimePoint aNow);
 
   // Withdraws this host from address answers.
@@ -126,6 +133,12 @@
     std::string customer;
     std::uint32_t priority = 0;
     bool repeatable = true;
+    // Work that must not repeat is claimed by its key, unless it may run once
+    // for each send of a caller: a send reaches one entry host only.
+    bool claims = false;
+    bool open = false; // found among the open routes
+    int maxServers = kDefaultMaxServers;
+    std::set<BackendServerId> reached; // servers that it was sent to
     Stage stage = Stage::kQueued;
     TimePoint queuedUntil;
     std::set<BackendServerId> excluded;
@@ -143,6 +156,9 @@
     bool callerGone = false;
   };
 
+  // Servers that one request may be sent to where its route says nothing.
+  static constexpr int kDefaultMaxServers = 4;
+
   struct Attempt
   {
     RequestId request;
@@ -175,6 +191,8 @@
   FilterResult CheckServing(Request& aRequest, TimePoint aNow);
   FilterResult Authenticate(Request& aRequest, TimePoint aNow);
   FilterResult FindRoute(Request& aRequest, TimePoint aNow);
+  FilterResult FindOpenRoute(Request& aRequest, TimePoint aNow);
+  ServiceName ChooseService(const wire::Route& aRoute);
   FilterResult CheckKey(Request& aRequest, TimePoint aNow);
   FilterResult CheckQuarantine(Request& aRequest, TimePoint aNow);
   FilterResult CheckService(Request& aRequest, TimePoint aNow);
@@ -246,7 +264,7 @@
   Directory m_directory;
   std::unique_ptr<Membership> m_membership;
   std::unique_ptr<ListsFollower> m_lists;
-  std::unique_ptr<ClaimClient> m_claims;
+  std::unique_ptr<CommandClient> m_claims;
   std::unique_ptr<ServicePlane> m_services;
   std::unique_ptr<PlanLimiter> m_limiter;
   std::unordered_map<RequestId, Request> m_requests;
@@ -255,6 +273,8 @@
   std::multimap<TimePoint, RequestId> m_parked; // by release time
   AttemptId m_nextAttempt{ 1 };
   std::uint64_t m_nextClaim = 1;
+  // What each service of a split is owed, by route.
+  std::unordered_map<std::string, std::map<std::string, double>> m_splitDebts;
   std::uint64_t m_addressQueries = 0;
   EntryCounters m_counters;
   bool m_leaving = false;
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -1,6 +1,7 @@
 #include "entry/lists_follower.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/invariant.h"
@@ -10,6 +11,11 @@
 static constexpr std::size_t kMaxHistory = 256; // deltas
 static constexpr Duration kRelayKept = std::chrono::seconds(5);
 static constexpr Duration kLeaderSilence = std::chrono::seconds(2);
+// A pull that got no answer in this time goes to another control host; several
+// round trips between regions.
+static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
+static constexpr Duration kAvoidSilent = std::chrono::seconds(4);
+static constexpr Duration kAvoidUnconfirmed = std::chrono::milliseconds(500);
 
 ListsFollower::ListsFollower(ListsFollowerOptions aOptions,
                              ListsFollowerHooks aHooks,
@@ -23,6 +29,15 @@
   , m_startInterval(m_options.startInterval)
   , m_answeredAt(aNow)
 {
+  AddControlHosts(m_options.controlHosts);
+}
+
+void
+ListsFollower::AddControlHosts(const std::vector<HostId>& aHosts)
+{
+  for (const HostId& host : aHosts) {
+    m_controlHosts.try_emplace(host);
+  }
 }
 
 wire::ListsPull
@@ -31,6 +46,7 @@
   wire::ListsPull pull;
   pull.set_have_version(m_lists.Version().Value());
   pull.set_confirm(aConfirm);
+  pull.set_have_servers_version(m_serversVersion);
   pull.set_pull_id(m_nextPull++);
   return pull;
 }
@@ -56,16 +72,115 @@
   }
 }
 
+// Until this host serves it asks one control host after the other. From then on
+// it stays with the nearest one that answers; a host whose distance is not
+// known yet is asked once.
 void
 ListsFollower::PullFromControl(TimePoint aNow)
 {
-  const bool leaderSilent = IsDue(m_answeredAt + kLeaderSilence, aNow);
-  if (!m_leader.IsEmpty() && !leaderSilent) {
-    m_hooks.sendPull(m_leader, Pull(true));
+  for (auto& [host, control] : m_controlHosts) {
+    const bool missed =
+      control.pull != 0 && IsDue(control.pulledAt + kAnswerTimeout, aNow);
+    if (missed) {
+      control.pull = 0;
+      control.avoidUntil = aNow + kAvoidSilent;
+    }
+  }
+  if (!m_serving) {
+    auto it = m_controlHosts.begin();
+    std::advance(it, m_nextControl++ % m_controlHosts.size());
+    SendPull(it->first, aNow);
     return;
   }
-  const std::size_t index = m_nextControl++ % m_options.controlHosts.size();
-  m_hooks.sendPull(m_options.controlHosts[index], Pull(true));
+  for (const auto& [host, control] : m_controlHosts) {
+    const bool unknown = control.roundTrip == kUnknownRoundTrip;
+    if (unknown && IsDue(control.avoidUntil, aNow) && control.pull == 0) {
+      SendPull(host, aNow);
+    }
+  }
+  const HostId nearest = NearestControlHost(aNow);
+  if (!nearest.IsEmpty()) {
+    SendPull(nearest, aNow);
+  }
+}
+
+void
+ListsFollower::SendPull(const HostId& aTo, TimePoint aNow)
+{
+  const wire::ListsPull pull = Pull(true);
+  ControlHost& control = m_controlHosts[aTo];
+  if (control.pull == 0) {
+    control.pull = pull.pull_id();
+    control.pulledAt = aNow;
+  }
+  m_hooks.sendPull(aTo, pull);
+}
+
+HostId
+ListsFollower::NearestControlHost(TimePoint aNow) const
+{
+  const auto rank = [&](const auto& aItem) {
+    return std::pair(!IsDue(aItem.second.avoidUntil, aNow),
+                     aItem.second.roundTrip);
+  };
+  const auto it = std::min_element(m_controlHosts.begin(),
+                                   m_controlHosts.end(),
+                                   [&](const auto& aLeft, const auto& aRight) {
+                                     return rank(aLeft) < rank(aRight);
+                                   });
+  return it == m_controlHosts.end() ? HostId() : it->first;
+}
+
+HostId
+ListsFollower::PullsFrom() const
+{
+  const auto it =
+    std::min_element(m_controlHosts.begin(),
+                     m_controlHosts.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.second.roundTrip < aRight.second.roundTrip;
+                     });
+  const bool known =
+    it != m_controlHosts.end() && it->second.roundTrip != kUnknownRoundTrip;
+  return known ? it->first : HostId();
+}
+
+void
+ListsFollower::HearAnswer(const HostId& aFrom,
+                          const wire::ListsPush& aPush,
+                          TimePoint aNow)
+{
+  const auto it = m_controlHosts.find(aFrom);
+  if (it == m_controlHosts.end() || aPush.pull_id() == 0) {
+    return;
+  }
+  ControlHost& control = it->second;
+  if (control.pull == aPush.pull_id()) {
+    control.roundTrip = std::min(control.roundTrip, aNow - control.pulledAt);
+  }
+  control.pull = 0;
+  // A control host that lost its leader cannot tell what is new.
+  control.avoidUntil = aPush.confirmed() ? aNow : aNow + kAvoidUnconfirmed;
+}
+
+// Hosts that control does not name any more stay known: they may come back, and
+// while control is away any of them may be the one that answers.
+void
+ListsFollower::HearControlHosts(const wire::ListsPush& aPush)
+{
+  std::vector<HostId> hosts;
+  for (const std::string& host : aPush.control_hosts()) {
+    hosts.emplace_back(host);
+  }
+  const std::size_t before = m_controlHosts.size();
+  AddControlHosts(hosts);
+  if (m_controlHosts.size() != before) {
+    hosts.clear();
+    for (const auto& [host, control] : m_controlHosts) {
+      hosts.push_back(host);
+    }
+    m_hooks.controlHostsChanged(hosts);
+  }
 }
 
 // A peer relays the pull to control, so that a host with a one-way cut to
@@ -94,9 +209,7 @@
 bool
 ListsFollower::IsControlHost(const HostId& aHost) const
 {
-  return std::find(m_options.controlHosts.begin(),
-                   m_options.controlHosts.end(),
-                   aHost) != m_options.controlHosts.end();
+  return m_controlHosts.count(aHost) != 0;
 }
 
 void
@@ -113,8 +226,11 @@
     return;
   }
   Adopt(aPush);
+  AdoptServers(aPush.servers());
   const bool control = IsControlHost(aFrom);
   if (control) {
+    HearAnswer(aFrom, aPush, aNow);
+    HearControlHosts(aPush);
     m_answeredAt = aNow;
     m_leader = HostId(aPush.leader());
     m_hooks.groupLeaders(
@@ -176,6 +292,34 @@
   }
 }
 
+void
+ListsFollower::AdoptServers(const wire::ServersDelta& aDelta)
+{
+  const bool follows =
+    aDelta.full() || aDelta.from_version() <= m_serversVersion;
+  if (aDelta.to_version() <= m_serversVersion || !follows) {
+    return;
+  }
+  m_serversVersion = aDelta.to_version();
+  std::map<std::string, wire::BackendServerRecord> missing;
+  if (aDelta.full()) {
+    missing.swap(m_servers);
+  }
+  for (const wire::BackendServerRecord& record : aDelta.servers()) {
+    missing.erase(record.id());
+    if (record.state() == wire::BackendServerRecord::GONE) {
+      m_servers.erase(record.id());
+    } else {
+      m_servers[record.id()] = record;
+    }
+    m_hooks.serverChanged(record);
+  }
+  for (auto& [id, record] : missing) {
+    record.set_state(wire::BackendServerRecord::GONE);
+    m_hooks.serverChanged(record);
+  }
+}
+
 void
 ListsFollower::Serve(const char* aWhy)
 {
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -30,7 +30,7 @@
 struct ListsFollowerOptions
 {
   HostId self;
-  std::vector<HostId> controlHosts;
+  std::vector<HostId> controlHosts; // known at the start; answers name more
   // Doubles with each pull until the host serves.
   Duration startInterval = std::chrono::milliseconds(200);
   Duration longestStartInterval = std::chrono::seconds(1);
@@ -46,6 +46,10 @@
   // Live entry hosts, this one included.
   std::function<std::vector<HostId>()> aliveHosts;
   std::function<void(const std::vector<std::string>&)> groupLeaders;
+  // The control hosts that are known now.
+  std::function<void(const std::vector<HostId>&)> controlHostsChanged;
+  // Control says this of a backend server.
+  std::function<void(const wire::BackendServerRecord&)> serverChanged;
   EventHook record;
 };
 
@@ -70,6 +74,11 @@
 
   bool IsServing() const { return m_serving; }
   const Lists& Current() const { return m_lists; }
+  // More control hosts to ask, as from new settings.
+  void AddControlHosts(const std::vector<HostId>& aHosts);
+  std::uint64_t ServersVersion() const { return m_serversVersion; }
+  // The control host that this host pulls from; empty until one answered.
+  HostId PullsFrom() const;
   // When a leader last confirmed the version; the origin when never.
   TimePoint ConfirmedAt() const { return m_confirmedAt; }
 
@@ -81,6 +90,23 @@
     TimePoint forgetAt;
   };
 
+  // What is known of the way to one control host.
+  struct ControlHost
+  {
+    Duration roundTrip = kUnknownRoundTrip; // smallest seen
+    TimePoint avoidUntil;                   // after it did not answer
+    std::uint64_t pull = 0;                 // that waits for its answer
+    TimePoint pulledAt;
+  };
+  static constexpr Duration kUnknownRoundTrip = std::chrono::seconds(10);
+
+  void AdoptServers(const wire::ServersDelta& aDelta);
+  void HearControlHosts(const wire::ListsPush& aPush);
+  void HearAnswer(const HostId& aFrom,
+                  const wire::ListsPush& aPush,
+                  TimePoint aNow);
+  void SendPull(const HostId& aTo, TimePoint aNow);
+  HostId NearestControlHost(TimePoint aNow) const;
   void Adopt(const wire::ListsPush& aPush);
   void Serve(const char* aWhy);
   void PullFromControl(TimePoint aNow);
@@ -101,6 +127,9 @@
   Duration m_startInterval;
   TimePoint m_answeredAt; // when control last answered
   HostId m_leader;
+  std::map<HostId, ControlHost> m_controlHosts;
+  std::uint64_t m_serversVersion = 0;
+  std::map<std::string, wire::BackendServerRecord> m_servers; // not gone
   std::size_t m_nextControl = 0;
   std::uint64_t m_nextPull = 1;
   std::map<std::uint64_t, Relay> m_relays;
--- a/packages/entry/request.h
+++ b/packages/entry/request.h
@@ -28,6 +28,7 @@
 struct RequestHead
 {
   RequestId id;
+  std::string host; // of the Host header, without a port
   ServiceName service;
   std::string path;
   std::string token; // bearer token as received; empty when missing
@@ -35,6 +36,10 @@
   std::string bodyHash; // SHA-256 of method, path and body
   Fingerprint fingerprint;
   TimePoint deadline;
+  // The id that the caller gave to this send, if any; for logs.
+  std::string callerId;
+  // The caller speaks an interface without tokens: only open routes count.
+  bool tokenless = false;
 };
 
 // Asks the adapter to send a request to a backend server.
@@ -43,7 +48,8 @@
   AttemptId id;
   RequestId request;
   BackendServerId server;
-  std::string address; // IP:port
+  std::string address;  // IP:port
+  std::string callerId; // of the request
   TimePoint deadline;
   // Open a new connection instead of using an idle one.
   bool freshConnection = false;
--- a/packages/membership/directory.cc
+++ b/packages/membership/directory.cc
@@ -5,6 +5,9 @@
 
 namespace fuchsiaramp {
 
+// Stands for control among the watchers; no host has an empty name.
+static const std::string kControlWatcher;
+
 Directory::Directory(WatcherAlive aWatcherAlive, ChangedHook aChanged)
   : m_watcherAlive(std::move(aWatcherAlive))
   , m_changed(std::move(aChanged))
@@ -19,6 +22,28 @@
   Evaluate(id);
 }
 
+void
+Directory::UpdateFromControl(const wire::BackendServerRecord& aRecord)
+{
+  const BackendServerId id(aRecord.id());
+  // A server that moved to another service is another one to the routers.
+  const auto known = m_servers.find(id);
+  if (known != m_servers.end() &&
+      known->second.service.Value() != aRecord.service()) {
+    BackendServer former = known->second;
+    former.state = ServerState::kGone;
+    m_servers.erase(known);
+    m_changed(former);
+  }
+  m_watches[id].clear();
+  m_watches[id][kControlWatcher] = aRecord;
+  Evaluate(id);
+  if (aRecord.state() == wire::BackendServerRecord::GONE) {
+    m_watches.erase(id);
+    m_leavingIncarnation.erase(id);
+  }
+}
+
 void
 Directory::WatcherChanged(const HostId& aWatcher)
 {
@@ -70,6 +95,7 @@
       continue;
     }
     const bool alive =
+      watcher == kControlWatcher ||
       m_watcherAlive(HostId(watcher), record.watcher_incarnation());
     up = up || (alive && record.state() != wire::BackendServerRecord::GONE);
     leaving = leaving || record.state() == wire::BackendServerRecord::LEAVING;
@@ -83,6 +109,9 @@
   server.slots = std::max(1U, newest->slots());
   server.maxConnections = newest->max_connections();
   server.incarnation = incarnation;
+  if (newest->has_cold_us()) {
+    server.coldFor = Duration(newest->cold_us());
+  }
   server.state = !up       ? ServerState::kGone
                  : leaving ? ServerState::kLeaving
                            : ServerState::kUp;
--- a/packages/membership/directory.h
+++ b/packages/membership/directory.h
@@ -10,11 +10,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/ids.h"
+#include "base/time.h"
 #include "wire/messages.h"
 
 namespace fuchsiaramp {
@@ -36,6 +38,8 @@
   std::uint32_t slots = 1;
   std::uint32_t maxConnections = 400;
   std::uint64_t incarnation = 0;
+  // How much longer it is slow after its start; empty when it did not say.
+  std::optional<Duration> coldFor;
   ServerState state = ServerState::kUp;
 };
 
@@ -49,6 +53,8 @@
   Directory(WatcherAlive aWatcherAlive, ChangedHook aChanged);
 
   void Update(const wire::BackendServerRecord& aRecord);
+  // What control says of a server counts alone: watchers are not asked.
+  void UpdateFromControl(const wire::BackendServerRecord& aRecord);
   // Re-evaluates the servers that a host watches after its state changed.
   void WatcherChanged(const HostId& aWatcher);
   // The server itself said in an answer that it is leaving.
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -201,6 +201,17 @@
   MergeServer(record);
 }
 
+void
+Membership::AddSeeds(const std::vector<HostId>& aSeeds)
+{
+  for (const HostId& seed : aSeeds) {
+    if (std::find(m_options.seeds.begin(), m_options.seeds.end(), seed) ==
+        m_options.seeds.end()) {
+      m_options.seeds.push_back(seed);
+    }
+  }
+}
+
 void
 Membership::Leave(TimePoint aNow)
 {
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -69,6 +69,8 @@
 
   // A backend server announced itself to this host or renewed.
   void Watch(wire::BackendServerRecord aAnnouncement, TimePoint aNow);
+  // More hosts to look for while this one knows nobody.
+  void AddSeeds(const std::vector<HostId>& aSeeds);
   // This host leaves the fleet.
   void Leave(TimePoint aNow);
 
--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -22,12 +22,9 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-static constexpr char kNotRunHeader[] = "Fuchsiaramp-Not-Run";
-static constexpr char kLoadHeader[] = "Fuchsiaramp-Load";
-static constexpr char kStateHeader[] = "Fuchsiaramp-State";
-static constexpr std::uint32_t kServiceUnavailable = 503;
-static constexpr std::uint32_t kTooManyRequests = 429;
-static constexpr std::uint32_t kFirstServerError = 500;
+// A server that closes idle connections after a span gets no request within
+// this time of its end, which may cross the close.
+static constexpr Duration kIdleMargin = std::chrono::seconds(1);
 
 // One connection to a backend server, which carries one attempt at a time.
 class BackendClient::Connection
@@ -42,7 +39,7 @@
   }
 
   const std::string& Address() const { return m_address; }
-  TimePoint LastUsed() const { return m_lastUsed; }
+  TimePoint UsableUntil() const { return m_lastUsed + m_idleLifetime; }
 
   // An idle connection on which something is to be read was closed by the
   // server, or holds bytes that belong to no request.
@@ -66,11 +63,8 @@
     m_kind = aKind;
     m_wrote = false;
     m_received = false;
-    m_parser.emplace();
-    m_parser->body_limit(m_owner.m_options.answerBytes);
-    if (m_request.method() == http::verb::head) {
-      m_parser->skip(true);
-    }
+    m_sawForeign = false;
+    ResetParser();
     if (aKind == ConnectionKind::kReused) {
       Write();
       return;
@@ -93,6 +87,15 @@
   }
 
 private:
+  void ResetParser()
+  {
+    m_parser.emplace();
+    m_parser->body_limit(m_owner.m_options.answerBytes);
+    if (m_request.method() == http::verb::head) {
+      m_parser->skip(true);
+    }
+  }
+
   void OnConnected(const beast::error_code& aError)
   {
     if (m_abandoned) {
@@ -152,7 +155,7 @@
     const auto& message = m_parser->get();
     const bool bounded =
       m_parser->is_done() || message.chunked() || message.has_content_length();
-    if (!bounded) {
+    if (!bounded && !m_owner.m_options.acceptsUnframedAnswers) {
       // The end of the connection would have to mark the end of the answer.
       End(AttemptOutcome::kBroken, false);
       return;
@@ -189,18 +192,38 @@
   void OnWhole()
   {
     BackendResponse& response = m_parser->get();
-    const std::uint32_t status = response.result_int();
-    const bool notRun = response[kNotRunHeader] == "true";
-    AttemptOutcome outcome = AttemptOutcome::kSuccess;
-    if (status == kServiceUnavailable || status == kTooManyRequests) {
-      // Without the server's word that nothing ran, it is a plain failure.
-      outcome = notRun ? AttemptOutcome::kShed : AttemptOutcome::kServerError;
-    } else if (notRun) {
-      outcome = AttemptOutcome::kNotRun;
-    } else if (status >= kFirstServerError) {
-      outcome = AttemptOutcome::kServerError;
+    m_reading = m_owner.m_readAnswer(response, m_request);
+    if (m_reading.isForeign) {
+      // A late answer to an earlier request of this connection.
+      m_sawForeign = true;
+      ResetParser();
+      ReadHeader();
+      return;
+    }
+    const bool reusable = response.keep_alive() && !m_parser->need_eof() &&
+                          m_buffer.size() == 0 && !m_sawForeign;
+    SetIdleLifetime(response);
+    End(m_reading.outcome, reusable);
+  }
+
+  // Servers name the span in whole seconds, as in "timeout=10, max=100".
+  void SetIdleLifetime(const BackendResponse& aResponse)
+  {
+    static constexpr std::string_view kTimeout = "timeout=";
+    m_idleLifetime = m_owner.m_options.idleLifetime;
+    const std::string_view text = aResponse[http::field::keep_alive];
+    const std::size_t at = text.find(kTimeout);
+    if (at == std::string_view::npos) {
+      return;
+    }
+    std::int64_t seconds = 0;
+    const char* first = text.data() + at + kTimeout.size();
+    const auto parsed =
+      std::from_chars(first, text.data() + text.size(), seconds);
+    if (parsed.ec == std::errc()) {
+      const Duration named = std::chrono::seconds(seconds) - kIdleMargin;
+      m_idleLifetime = std::min(m_idleLifetime, named);
     }
-    End(outcome, response.keep_alive() && m_buffer.size() == 0);
   }
 
   void End(AttemptOutcome aOutcome, bool aReusable)
@@ -213,19 +236,14 @@
     const bool whole = aOutcome == AttemptOutcome::kSuccess ||
                        aOutcome == AttemptOutcome::kServerError ||
                        aOutcome == AttemptOutcome::kShed ||
+                       aOutcome == AttemptOutcome::kOtherServer ||
                        aOutcome == AttemptOutcome::kNotRun;
     if (whole) {
       response = &m_parser->get();
       end.status = response->result_int();
       end.contentType = std::string((*response)[http::field::content_type]);
-      end.serverIsLeaving = (*response)[kStateHeader] == "leaving";
-      const auto load = (*response)[kLoadHeader];
-      std::uint32_t value = 0;
-      const auto parsed =
-        std::from_chars(load.data(), load.data() + load.size(), value);
-      if (!load.empty() && parsed.ec == std::errc()) {
-        end.reportedLoad = value;
-      }
+      end.serverIsLeaving = m_reading.serverIsLeaving;
+      end.reportedLoad = m_reading.reportedLoad;
       if (response->body().size() <= m_owner.m_options.keptAnswerBytes) {
         end.body = response->body();
       }
@@ -243,6 +261,9 @@
   AttemptId m_attempt;
   TimePoint m_deadline;
   TimePoint m_lastUsed;
+  Duration m_idleLifetime{};
+  AnswerReading m_reading;
+  bool m_sawForeign = false;
   ConnectionKind m_kind = ConnectionKind::kNew;
   bool m_wrote = false;
   bool m_received = false;
@@ -251,9 +272,11 @@
 
 BackendClient::BackendClient(asio::io_context& aIo,
                              BackendClientOptions aOptions,
+                             AnswerReader aReadAnswer,
                              EndHook aOnEnd)
   : m_io(aIo)
   , m_options(aOptions)
+  , m_readAnswer(std::move(aReadAnswer))
   , m_onEnd(std::move(aOnEnd))
 {
 }
@@ -277,8 +300,8 @@
   while (!idle.empty()) {
     ConnectionPtr connection = idle.back();
     idle.pop_back();
-    const Duration age = now - connection->LastUsed();
-    const bool usable = age < m_options.idleLifetime && connection->IsQuiet();
+    const bool usable =
+      now < connection->UsableUntil() && connection->IsQuiet();
     if (usable) {
       return connection;
     }
--- a/packages/net/backend_client.h
+++ b/packages/net/backend_client.h
@@ -2,8 +2,8 @@
 //
 // An answer belongs to the one request that its connection carries. A
 // connection whose request was abandoned, or whose answer was not whole, is
-// closed and never used again. An answer without a length or chunks is not
-// whole, since a cut could not be told from its end.
+// closed and never used again. An answer without a length or chunks is whole
+// only where the options accept the orderly end of its connection as its end.
 //
 //   BackendClient client(io, options, onEnd);
 //   ConnectionKind kind = client.Start(start, request);
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,9 @@
   Duration idleLifetime = std::chrono::seconds(30);
   Duration connectTimeout = std::chrono::seconds(1);
   std::size_t idlePerServer = 8;
+  // An answer that ends with its connection counts as whole when the server
+  // closed the connection in order.
+  bool acceptsUnframedAnswers = false;
 };
 
 using BackendRequest =
@@ -41,6 +45,20 @@
 using BackendResponse =
   boost::beast::http::response<boost::beast::http::string_body>;
 
+// What a whole answer says.
+struct AnswerReading
+{
+  // It answers another request: the answer to this one is still to come.
+  bool isForeign = false;
+  AttemptOutcome outcome = AttemptOutcome::kSuccess;
+  std::optional<std::uint32_t> reportedLoad;
+  bool serverIsLeaving = false;
+};
+
+using AnswerReader =
+  std::function<AnswerReading(const BackendResponse& aResponse,
+                              const BackendRequest& aRequest)>;
+
 class BackendClient
 {
 public:
@@ -50,6 +68,7 @@
 
   BackendClient(boost::asio::io_context& aIo,
                 BackendClientOptions aOptions,
+                AnswerReader aReadAnswer,
                 EndHook aOnEnd);
   ~BackendClient();
   BackendClient(const BackendClient&) = delete;
@@ -73,6 +92,7 @@
 
   boost::asio::io_context& m_io;
   BackendClientOptions m_options;
+  AnswerReader m_readAnswer;
   EndHook m_onEnd;
   std::unordered_map<AttemptId, ConnectionPtr> m_running;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> m_idle;
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -1,8 +1,9 @@
 #include "net/control_service.h"
 
-#include <charconv>
 #include <optional>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,19 +22,16 @@
 #include "observe/causal_clock.h"
 #include "observe/event_log.h"
 #include "observe/metrics.h"
-#include "state/lists_document.h"
 
 namespace fuchsiaramp {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 namespace json = boost::json;
 
 static constexpr Duration kTick = std::chrono::milliseconds(20);
 static constexpr Duration kHandover = std::chrono::milliseconds(1500);
 static constexpr std::uint64_t kMaxDocumentBytes = 256 << 20;
 static constexpr std::uint64_t kSegmentSlack = 256 << 20; // bytes
-static constexpr std::uint32_t kMisdirected = 421;
 
 class ControlService::Impl
 {
@@ -41,9 +39,11 @@
   Impl(asio::io_context& aIo,
        const Settings& aSettings,
        const std::string& aSecretKey,
+       ControlDialect aDialect,
        std::error_code& aError)
     : m_io(aIo)
     , m_settings(aSettings)
+    , m_dialect(std::move(aDialect))
     , m_incarnation(static_cast<std::uint64_t>(WallClockMicros()))
     , m_log(aSettings.host, m_incarnation, aSettings.logLevel, m_clock)
     , m_transport(aIo,
@@ -69,6 +69,11 @@
     for (const PeerSettings& peer : m_settings.controlHosts) {
       options.hosts.push_back(peer.host);
     }
+    options.consensus.mayFound = m_settings.group.mayFound;
+    options.consensus.openMembership = m_settings.group.openMembership;
+    options.consensus.electionTimeout = m_settings.group.electionTimeout;
+    options.consensus.heartbeatInterval = m_settings.group.heartbeatInterval;
+    options.serverLifetime = m_settings.group.serverLifetime;
     options.ledger.maxBytes = m_settings.ledger.bytes;
     options.ledger.retention = m_settings.ledger.retention;
     m_node = std::make_unique<ControlNode>(std::move(options),
@@ -99,6 +104,19 @@
     ScheduleFlush();
   }
 
+  void Reload(const Settings& aSettings)
+  {
+    std::vector<HostId> hosts;
+    for (const PeerSettings& peer : aSettings.controlHosts) {
+      hosts.push_back(peer.host);
+      if (peer.host != m_settings.host) {
+        m_transport.SetPeer(peer.host, peer.messageAddress, peer.publicKey);
+      }
+    }
+    m_node->SetKnownHosts(hosts);
+    m_log.Write(Event("settings_reloaded").With("control_hosts", hosts.size()));
+  }
+
   std::error_code FatalError() const { return m_fatal; }
 
 private:
@@ -196,70 +214,82 @@
 
   void OnExchange(const HttpExchangePtr& aExchange)
   {
-    const auto& message = aExchange->Message();
-    const std::string_view target = message.target();
-    if (target.substr(0, kSystemPrefix.size()) != kSystemPrefix) {
-      aExchange->Respond(ErrorAnswer(404, "no such path"));
-      return;
-    }
-    const auto [path, query] = SplitTarget(target.substr(kSystemPrefix.size()));
-    if (path == "metrics") {
-      HttpAnswer answer;
-      answer.contentType = "text/plain; version=0.0.4";
-      answer.body = m_metrics.Text();
-      aExchange->Respond(std::move(answer));
-      return;
-    }
-    if (!IsOperator(message, m_settings)) {
-      aExchange->Respond(
-        ErrorAnswer(401, "the operator token is missing or wrong"));
-      return;
-    }
-    if (path == "status") {
-      aExchange->Respond(Status());
-    } else if (path == "lists" && message.method() == http::verb::put) {
-      ChangeLists(aExchange, query);
-    } else if (path == "lists") {
-      aExchange->Respond(FromLeader([this] { return CurrentLists(); }));
-    } else if (path == "lists/history") {
-      aExchange->Respond(FromLeader([this] { return History(); }));
-    } else if (path == "lists/in-force") {
-      aExchange->Respond(FromLeader([this] { return InForce(); }));
-    } else {
-      aExchange->Respond(ErrorAnswer(404, "no such path"));
-    }
+    ControlPage page = m_dialect.findPage(aExchange->Message());
+    std::visit([&](auto& aPage) { OnPage(aExchange, aPage); }, page);
   }
 
-  // Only a leader with a lease answers, so that no answer is older than what
-  // was acknowledged before.
-  HttpAnswer FromLeader(const std::function<HttpAnswer()>& aAnswer) const
+  void OnPage(const HttpExchangePtr& aExchange, const MetricsPage&)
   {
-    const Node& node = m_node->GroupNode(kListsGroup);
-    if (node.HasLease(MonotonicNow())) {
-      return aAnswer();
-    }
-    return NotLeader(node.Leader().Value());
+    HttpAnswer answer;
+    answer.contentType = "text/plain; version=0.0.4";
+    answer.body = m_metrics.Text();
+    aExchange->Respond(std::move(answer));
   }
 
-  static HttpAnswer NotLeader(const std::string& aLeader)
+  void OnPage(const HttpExchangePtr& aExchange, const StatusPage&)
   {
-    HttpAnswer answer = ErrorAnswer(
-      kMisdirected,
-      aLeader.empty() ? "no control host leads at the moment; try again"
-                      : "the lists are led by " + aLeader);
-    answer.headers.emplace_back("Fuchsiaramp-Leader", aLeader);
-    return answer;
+    aExchange->Respond(Status());
   }
 
-  HttpAnswer CurrentLists() const
+  void OnPage(const HttpExchangePtr& aExchange, const ListsPage&)
   {
-    const Lists& lists = m_node->State(kListsGroup).ListsPart().Current();
-    HttpAnswer answer;
-    answer.contentType = "application/yaml";
-    answer.body = WriteLists(lists.Full());
-    answer.headers.emplace_back("Fuchsiaramp-Lists-Version",
-                                std::to_string(lists.Version().Value()));
-    return answer;
+    FromLeader(aExchange, [this] {
+      return m_dialect.writeLists(
+        m_node->State(kListsGroup).ListsPart().Current());
+    });
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const HistoryPage&)
+  {
+    FromLeader(aExchange, [this] { return History(); });
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const InForcePage&)
+  {
+    FromLeader(aExchange, [this] { return InForce(); });
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const RefusedPage& aPage)
+  {
+    aExchange->Respond(aPage.answer);
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const ChangePage& aPage)
+  {
+    m_node->ChangeLists(aPage.change,
+                        MonotonicNow(),
+                        [this, aExchange](const ListsChangeReply& aReply) {
+                          aExchange->Respond(ChangeAnswer(aReply, *aExchange));
+                        });
+    ScheduleFlush();
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const AnnouncementPage& aPage)
+  {
+    m_node->ReportServer(
+      aPage.record, MonotonicNow(), [this, aExchange](bool aHeld) {
+        aExchange->Respond(m_dialect.writeAnnounced(aHeld));
+      });
+    ScheduleFlush();
+  }
+
+  // Only a leader with a lease answers, so that no answer is older than what
+  // was acknowledged before.
+  void FromLeader(const HttpExchangePtr& aExchange,
+                  const std::function<HttpAnswer()>& aAnswer) const
+  {
+    const Node& node = m_node->GroupNode(kListsGroup);
+    const bool leased = node.HasLease(MonotonicNow());
+    aExchange->Respond(leased ? aAnswer()
+                              : NotLeader(node.Leader(), *aExchange));
+  }
+
+  HttpAnswer NotLeader(const HostId& aLeader,
+                       const HttpExchange& aExchange) const
+  {
+    // A leader without a lease has nobody to point to.
+    const HostId other = aLeader == m_settings.host ? HostId() : aLeader;
+    return m_dialect.writeNotLeader(other, aExchange.Message().target());
   }
 
   HttpAnswer History() const
@@ -290,50 +320,19 @@
     return JsonAnswer(200, { { "version", version }, { "hosts", hosts } });
   }
 
-  void ChangeLists(const HttpExchangePtr& aExchange, const std::string& aQuery)
-  {
-    ListsChange change;
-    change.document = aExchange->Message().body();
-    change.changeId = QueryValue(aQuery, "change-id");
-    change.operatorName = QueryValue(aQuery, "operator");
-    const std::string expected = QueryValue(aQuery, "expected-version");
-    const auto parsed = std::from_chars(expected.data(),
-                                        expected.data() + expected.size(),
-                                        change.expectedVersion);
-    if (change.changeId.empty() || expected.empty() ||
-        parsed.ec != std::errc()) {
-      aExchange->Respond(ErrorAnswer(
-        400, "the query must have change-id=ID and expected-version=NUMBER"));
-      return;
-    }
-    m_node->ChangeLists(
-      change, MonotonicNow(), [aExchange](const ListsChangeReply& aReply) {
-        aExchange->Respond(ChangeAnswer(aReply));
-      });
-    ScheduleFlush();
-  }
-
-  static HttpAnswer ChangeAnswer(const ListsChangeReply& aReply)
+  HttpAnswer ChangeAnswer(const ListsChangeReply& aReply,
+                          const HttpExchange& aExchange) const
   {
     const wire::CommandResult& result = aReply.result;
-    switch (result.code()) {
-      case wire::CommandResult::OK:
-        return JsonAnswer(200, { { "version", result.version() } });
-      case wire::CommandResult::VERSION_CONFLICT:
-        return JsonAnswer(
-          409, { { "error", result.text() }, { "version", result.version() } });
-      case wire::CommandResult::INVALID:
-        return JsonAnswer(
-          422,
-          { { "error",
-              aReply.findings.empty() ? result.text() : aReply.findings } });
-      case wire::CommandResult::NOT_LEADER:
-        return NotLeader(result.text());
-      default:
-        return ErrorAnswer(503,
-                           "the fate of the change is unknown; send it again "
-                           "with the same change id");
+    m_log.Write(
+      Event("lists_change")
+        .With("outcome", wire::CommandResult::Code_Name(result.code()))
+        .With("version", result.version())
+        .With("reason", result.text() + aReply.findings));
+    if (result.code() == wire::CommandResult::NOT_LEADER) {
+      return NotLeader(HostId(result.text()), aExchange);
     }
+    return m_dialect.writeChange(aReply);
   }
 
   HttpAnswer Status() const
@@ -379,9 +378,10 @@
 
   asio::io_context& m_io;
   Settings m_settings;
+  ControlDialect m_dialect;
   std::uint64_t m_incarnation;
   CausalClock m_clock;
-  EventLog m_log;
+  mutable EventLog m_log;
   Metrics m_metrics;
   MessageTransport m_transport;
   asio::steady_timer m_timer;
@@ -397,8 +397,13 @@
 ControlService::ControlService(asio::io_context& aIo,
                                const Settings& aSettings,
                                const std::string& aSecretKey,
+                               ControlDialect aDialect,
                                std::error_code& aError)
-  : m_impl(std::make_unique<Impl>(aIo, aSettings, aSecretKey, aError))
+  : m_impl(std::make_unique<Impl>(aIo,
+                                  aSettings,
+                                  aSecretKey,
+                                  std::move(aDialect),
+                                  aError))
 {
 }
 
@@ -410,6 +415,12 @@
   m_impl->Leave();
 }
 
+void
+ControlService::Reload(const Settings& aSettings)
+{
+  m_impl->Reload(aSettings);
+}
+
 std::error_code
 ControlService::FatalError() const
 {
--- a/packages/net/control_service.h
+++ b/packages/net/control_service.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "net/dialect.h"
 #include "settings/settings.h"
 
 namespace fuchsiaramp {
@@ -24,6 +25,7 @@
   ControlService(boost::asio::io_context& aIo,
                  const Settings& aSettings,
                  const std::string& aSecretKey,
+                 ControlDialect aDialect,
                  std::error_code& aError);
   ~ControlService();
   ControlService(const ControlService&) = delete;
@@ -31,6 +33,8 @@
 
   // Hands over leadership, then stops the io context.
   void Leave();
+  // Takes over what may change while the process runs: the hosts to look for.
+  void Reload(const Settings& aSettings);
   // Set when storage failed and the process must exit with an error.
   std::error_code FatalError() const;
 
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -1,17 +1,17 @@
 #include "net/entry_service.h"
 
 #include <algorithm>
-#include <charconv>
-#include <optional>
+#include <memory>
 #include <unordered_map>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include "base/digest.h"
 #include "entry/entry_node.h"
-#include "net/announcement.h"
 #include "net/backend_client.h"
 #include "net/forwarding.h"
 #include "net/http_answers.h"
@@ -36,9 +36,11 @@
 public:
   Impl(asio::io_context& aIo,
        const Settings& aSettings,
-       const std::string& aSecretKey)
+       const std::string& aSecretKey,
+       EntryDialect aDialect)
     : m_io(aIo)
     , m_settings(aSettings)
+    , m_dialect(std::move(aDialect))
     , m_incarnation(static_cast<std::uint64_t>(WallClockMicros()))
     , m_log(aSettings.host, m_incarnation, aSettings.logLevel, m_clock)
     , m_transport(aIo,
@@ -49,6 +51,7 @@
                   })
     , m_backends(aIo,
                  ClientOptions(),
+                 m_dialect.readAnswer,
                  [this](const AttemptEnd& aEnd, BackendResponse* aResponse) {
                    OnAttemptEnd(aEnd, aResponse);
                  })
@@ -66,10 +69,9 @@
     m_node = std::make_unique<EntryNode>(
       options, Hooks(), Random(m_incarnation), MonotonicNow());
     AddMetrics();
-    m_server.emplace(
-      aIo, ServerOptions(), [this](const HttpExchangePtr& aExchange) {
-        OnExchange(aExchange);
-      });
+    Listen(Listener::kCallers, m_settings.callerAddress);
+    Listen(Listener::kReadiness, m_settings.readinessAddress);
+    Listen(Listener::kDirectory, m_settings.directoryAddress);
     m_log.Write(Event("started").With("role", "entry"));
     ScheduleTick();
   }
@@ -78,7 +80,27 @@
   {
     m_node->Leave(MonotonicNow());
     // From now on each answer ends its connection, so that callers move on.
-    m_server->CloseAfterAnswers();
+    m_servers.front()->CloseAfterAnswers();
+  }
+
+  // Hosts that changed settings name.
+  void Reload(const Settings& aSettings)
+  {
+    std::vector<HostId> control;
+    for (const PeerSettings& peer : aSettings.controlHosts) {
+      control.push_back(peer.host);
+      m_transport.SetPeer(peer.host, peer.messageAddress, peer.publicKey);
+    }
+    std::vector<HostId> seeds;
+    for (const PeerSettings& peer : aSettings.seeds) {
+      seeds.push_back(peer.host);
+      m_transport.SetPeer(peer.host, peer.messageAddress, peer.publicKey);
+    }
+    m_node->AddControlHosts(control);
+    m_node->AddSeeds(seeds);
+    m_log.Write(Event("settings_reloaded")
+                  .With("control_hosts", control.size())
+                  .With("seeds", seeds.size()));
   }
 
 private:
@@ -94,13 +116,27 @@
     BackendClientOptions options;
     options.answerBytes = m_settings.limits.answerBodyBytes;
     options.keptAnswerBytes = m_settings.ledger.answerBytes;
+    options.idleLifetime = m_settings.routing.idleLifetime;
+    options.acceptsUnframedAnswers = m_dialect.acceptsUnframedAnswers;
     return options;
   }
 
+  void Listen(Listener aListener, const std::string& aAddress)
+  {
+    if (aAddress.empty()) {
+      return;
+    }
+    HttpServerOptions options = ServerOptions();
+    options.address = aAddress;
+    m_servers.push_back(std::make_unique<HttpServer>(
+      m_io, options, [this, aListener](const HttpExchangePtr& aExchange) {
+        OnExchange(aListener, aExchange);
+      }));
+  }
+
   HttpServerOptions ServerOptions() const
   {
     HttpServerOptions options;
-    options.address = m_settings.callerAddress;
     options.bodyBytes = m_settings.limits.requestBodyBytes;
     options.headerBytes =
       static_cast<std::uint32_t>(m_settings.limits.headerBytes);
@@ -141,7 +177,9 @@
       m_node->Tick(MonotonicNow());
       if (m_node->MayExit(MonotonicNow())) {
         m_log.Write(Event("stopped"));
-        m_server->StopAccepting();
+        for (const auto& server : m_servers) {
+          server->StopAccepting();
+        }
         m_io.stop();
         return;
       }
@@ -151,16 +189,71 @@
 
   // Requests of callers.
 
-  void OnExchange(const HttpExchangePtr& aExchange)
+  void OnExchange(Listener aListener, const HttpExchangePtr& aExchange)
+  {
+    const EntryPage page = m_dialect.findPage(aListener, aExchange->Message());
+    std::visit([&](const auto& aPage) { OnPage(aExchange, aPage); }, page);
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const CallerRequest&)
   {
-    const std::string_view target = aExchange->Message().target();
-    if (target.substr(0, kSystemPrefix.size()) == kSystemPrefix) {
-      OnSystemRequest(aExchange, target.substr(kSystemPrefix.size()));
-      return;
-    }
     OnCallerRequest(aExchange);
   }
 
+  // Ready means: to be given new callers.
+  void OnPage(const HttpExchangePtr& aExchange, const ReadinessPage&)
+  {
+    const bool ready =
+      m_node->ListsInForce().IsServing() && !m_node->IsLeaving();
+    aExchange->Respond(
+      JsonAnswer(ready ? 200 : 503,
+                 { { "serving", m_node->ListsInForce().IsServing() },
+                   { "leaving", m_node->IsLeaving() } }));
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const StatusPage&)
+  {
+    aExchange->Respond(Status());
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const MetricsPage&)
+  {
+    HttpAnswer answer;
+    answer.contentType = "text/plain; version=0.0.4";
+    answer.body = m_metrics.Text();
+    aExchange->Respond(std::move(answer));
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const ServersPage&)
+  {
+    aExchange->Respond(Servers());
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const AddressPage& aPage)
+  {
+    const TimePoint now = MonotonicNow();
+    const AddressAnswer found =
+      aPage.service.IsEmpty()
+        ? m_node->OnNearbyQuery(aPage.region, aPage.domain, now)
+        : m_node->OnAddressQuery(aPage.service, now);
+    aExchange->Respond(m_dialect.writeAddresses(found, aPage));
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const AnnouncementPage& aPage)
+  {
+    m_node->OnAnnouncement(aPage.record, MonotonicNow());
+    const std::int64_t lifetime =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_settings.announcementLifetime)
+        .count();
+    aExchange->Respond(JsonAnswer(200, { { "lifetime_ms", lifetime } }));
+  }
+
+  void OnPage(const HttpExchangePtr& aExchange, const RefusedPage& aPage)
+  {
+    aExchange->Respond(aPage.answer);
+  }
+
   void OnCallerRequest(const HttpExchangePtr& aExchange)
   {
     const auto& message = aExchange->Message();
@@ -169,57 +262,54 @@
         message.target()[0] != '/') {
       HttpAnswer answer = ErrorAnswer(
         400, "a request needs one Host header and a path that starts with '/'");
-      answer.headers.emplace_back("Fuchsiaramp-Outcome", "not-run");
-      aExchange->Respond(std::move(answer));
+      Refuse(aExchange, std::move(answer));
+      return;
+    }
+    CallerHeaders caller = m_dialect.readCaller(message);
+    if (caller.refusal) {
+      Refuse(aExchange, std::move(*caller.refusal));
       return;
     }
     RequestHead head;
     head.id = m_nextRequest;
     m_nextRequest = m_nextRequest.Next();
     std::string host(message[http::field::host]);
-    head.service = ServiceName(host.substr(0, host.find(':')));
+    head.host = host.substr(0, host.find(':'));
+    head.service = ServiceName(head.host);
     const std::string target(message.target());
     head.path = target.substr(0, target.find('?'));
-    head.token = BearerToken(message);
-    head.key = IdempotencyKey(std::string(message["Idempotency-Key"]));
+    head.token = std::move(caller.token);
+    head.key = std::move(caller.key);
+    head.callerId = std::move(caller.callerId);
+    head.tokenless = m_dialect.tokenless;
     const std::string identity = std::string(message.method_string()) + '\n' +
                                  target + '\n' + message.body();
     head.bodyHash = Sha256Hex(identity);
     head.fingerprint = Fingerprint(Hash64(host + '\n' + identity));
-    head.deadline = now + RequestTimeout(message);
+    const Duration longest = m_settings.routing.requestTimeout;
+    head.deadline = now + std::min(longest, caller.patience.value_or(longest));
     Pending& pending = m_pending[head.id];
     pending.exchange = aExchange;
     pending.startedAt = now;
-    pending.request = ForwardedRequest(message);
+    pending.request = ForwardedRequest(message, m_dialect.passesHeader);
     aExchange->OnGone(
       [this, id = head.id] { m_node->OnCallerGone(id, MonotonicNow()); });
     m_node->OnRequest(head, now);
   }
 
-  Duration RequestTimeout(const HttpExchange::Request& aMessage) const
+  void Refuse(const HttpExchangePtr& aExchange, HttpAnswer aAnswer)
   {
-    Duration timeout = m_settings.routing.requestTimeout;
-    const auto text = aMessage["Fuchsiaramp-Deadline-Ms"];
-    std::int64_t value = 0;
-    const auto parsed =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-    if (!text.empty() && parsed.ec == std::errc() && value > 0) {
-      timeout = std::min<Duration>(
-        timeout,
-        std::chrono::milliseconds(std::min<std::int64_t>(value, 3'600'000)));
-    }
-    return timeout;
+    FinalAnswer final;
+    final.status = aAnswer.status;
+    m_dialect.writeOutcome(final, aAnswer);
+    aExchange->Respond(std::move(aAnswer));
   }
 
   ConnectionKind StartAttempt(const AttemptStart& aStart)
   {
     Pending& pending = m_pending.at(aStart.request);
-    const Duration left = aStart.deadline - MonotonicNow();
-    const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
-    pending.request.set(
-      "Fuchsiaramp-Deadline-Ms",
-      std::to_string(std::max<std::int64_t>(milliseconds, 1)));
+    m_dialect.writeAttempt(
+      pending.request, aStart, aStart.deadline - MonotonicNow());
     return m_backends.Start(aStart, pending.request);
   }
 
@@ -244,102 +334,19 @@
     HttpAnswer answer;
     if (aAnswer.relay && m_response != nullptr &&
         *aAnswer.relay == m_endedAttempt) {
-      answer = RelayedAnswer(*m_response);
+      answer = RelayedAnswer(*m_response, m_dialect.passesHeader);
     } else if (aAnswer.stored) {
       answer.status = aAnswer.stored->status;
       answer.contentType = aAnswer.stored->contentType;
       answer.body = aAnswer.stored->body;
-      answer.headers.emplace_back("Fuchsiaramp-Replayed", "true");
     } else {
       answer = ErrorAnswer(aAnswer.status, aAnswer.reason);
     }
-    answer.headers.emplace_back("Fuchsiaramp-Outcome", ToText(aAnswer.outcome));
-    answer.headers.emplace_back("Fuchsiaramp-Request",
-                                m_settings.host.Value() + '/' +
-                                  std::to_string(aAnswer.request.Value()));
-    if (aAnswer.retryAfter) {
-      const double wait = std::max(1.0, ToSeconds(*aAnswer.retryAfter));
-      answer.headers.emplace_back(
-        "Retry-After",
-        std::to_string(static_cast<std::uint64_t>(wait + 0.999)));
-    }
+    m_dialect.writeOutcome(aAnswer, answer);
     pending.exchange->Respond(std::move(answer));
   }
 
-  // System paths.
-
-  void OnSystemRequest(const HttpExchangePtr& aExchange, std::string_view aPath)
-  {
-    const auto [path, query] = SplitTarget(aPath);
-    static constexpr std::string_view kServers = "backend-servers/";
-    if (path == "entry-hosts") {
-      aExchange->Respond(AnswerAddresses(query));
-    } else if (path.compare(0, kServers.size(), kServers) == 0) {
-      aExchange->Respond(
-        AnswerAnnouncement(*aExchange, path.substr(kServers.size())));
-    } else if (path == "backend-servers") {
-      aExchange->Respond(Guarded(*aExchange, [this] { return Servers(); }));
-    } else if (path == "status") {
-      aExchange->Respond(Guarded(*aExchange, [this] { return Status(); }));
-    } else if (path == "metrics") {
-      HttpAnswer answer;
-      answer.contentType = "text/plain; version=0.0.4";
-      answer.body = m_metrics.Text();
-      aExchange->Respond(std::move(answer));
-    } else {
-      aExchange->Respond(ErrorAnswer(404, "no such system path"));
-    }
-  }
-
-  // Where the settings have an operator token, only it opens these paths.
-  HttpAnswer Guarded(const HttpExchange& aExchange,
-                     const std::function<HttpAnswer()>& aAnswer) const
-  {
-    const bool allowed = IsOperator(aExchange.Message(), m_settings);
-    return allowed ? aAnswer()
-                   : ErrorAnswer(401, "the operator token is missing or wrong");
-  }
-
-  HttpAnswer AnswerAddresses(const std::string& aQuery)
-  {
-    const ServiceName service(QueryValue(aQuery, "service"));
-    if (service.IsEmpty()) {
-      return ErrorAnswer(400, "the query must be service=NAME");
-    }
-    const AddressAnswer found = m_node->OnAddressQuery(service, MonotonicNow());
-    json::array addresses;
-    for (const std::string& address : found.addresses) {
-      addresses.emplace_back(address);
-    }
-    const std::int64_t lifetime =
-      std::chrono::duration_cast<std::chrono::milliseconds>(found.lifetime)
-        .count();
-    return JsonAnswer(200,
-                      { { "service", service.Value() },
-                        { "addresses", addresses },
-                        { "lifetime_ms", lifetime } });
-  }
-
-  // PUT announces or renews; DELETE, or state "leaving", says goodbye.
-  HttpAnswer AnswerAnnouncement(const HttpExchange& aExchange,
-                                const std::string& aId)
-  {
-    const auto& message = aExchange.Message();
-    if (message.method() != http::verb::put) {
-      return ErrorAnswer(405, "a backend server announces itself with PUT");
-    }
-    std::string problem;
-    const auto record = ReadAnnouncement(aId, message.body(), problem);
-    if (!record) {
-      return ErrorAnswer(400, problem);
-    }
-    m_node->OnAnnouncement(*record, MonotonicNow());
-    const std::int64_t lifetime =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_settings.announcementLifetime)
-        .count();
-    return JsonAnswer(200, { { "lifetime_ms", lifetime } });
-  }
+  // Pages of operators.
 
   HttpAnswer Status() const
   {
@@ -436,12 +443,13 @@
         m_node->ListsInForce().Current().Version().Value());
     });
     m_metrics.Gauge("caller_connections", [this] {
-      return static_cast<double>(m_server->ConnectionCount());
+      return static_cast<double>(m_servers.front()->ConnectionCount());
     });
   }
 
   asio::io_context& m_io;
   Settings m_settings;
+  EntryDialect m_dialect;
   std::uint64_t m_incarnation;
   CausalClock m_clock;
   EventLog m_log;
@@ -450,7 +458,7 @@
   BackendClient m_backends;
   asio::steady_timer m_timer;
   std::unique_ptr<EntryNode> m_node;
-  std::optional<HttpServer> m_server;
+  std::vector<std::unique_ptr<HttpServer>> m_servers; // the callers' first
   std::unordered_map<RequestId, Pending> m_pending;
   RequestId m_nextRequest{ 1 };
   AttemptId m_endedAttempt;
@@ -459,8 +467,10 @@
 
 EntryService::EntryService(asio::io_context& aIo,
                            const Settings& aSettings,
-                           const std::string& aSecretKey)
-  : m_impl(std::make_unique<Impl>(aIo, aSettings, aSecretKey))
+                           const std::string& aSecretKey,
+                           EntryDialect aDialect)
+  : m_impl(
+      std::make_unique<Impl>(aIo, aSettings, aSecretKey, std::move(aDialect)))
 {
 }
 
@@ -472,4 +482,10 @@
   m_impl->Leave();
 }
 
+void
+EntryService::Reload(const Settings& aSettings)
+{
+  m_impl->Reload(aSettings);
+}
+
 } // namespace fuchsiaramp
--- a/packages/net/entry_service.h
+++ b/packages/net/entry_service.h
@@ -1,7 +1,7 @@
 // The adapter around one entry node: HTTP towards callers and backend servers,
 // messages towards the other hosts, timers and logs.
 //
-//   EntryService service(io, settings, secretKey);
+//   EntryService service(io, settings, secretKey, OwnDialect(settings).entry);
 //   service.Leave();   // on SIGTERM; io.run() returns when it is done
 #pragma once
 
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "net/dialect.h"
 #include "settings/settings.h"
 
 namespace fuchsiaramp {
@@ -20,13 +21,16 @@
   // Throws when an address cannot be bound.
   EntryService(boost::asio::io_context& aIo,
                const Settings& aSettings,
-               const std::string& aSecretKey);
+               const std::string& aSecretKey,
+               EntryDialect aDialect);
   ~EntryService();
   EntryService(const EntryService&) = delete;
   EntryService& operator=(const EntryService&) = delete;
 
   // Withdraws the host, finishes what is in flight, then stops the io context.
   void Leave();
+  // Takes over what may change while the process runs: the hosts to look for.
+  void Reload(const Settings& aSettings);
 
 private:
   class Impl;
--- a/packages/net/forwarding.cc
+++ b/packages/net/forwarding.cc
@@ -10,9 +10,9 @@
 
 namespace http = boost::beast::http;
 
-// Headers that belong to one connection, and those that this system sets.
+// Headers that belong to one connection are not passed on.
 static bool
-IsForwarded(std::string_view aName)
+OutlivesConnection(std::string_view aName)
 {
   static const std::set<std::string> kDropped = {
     "connection",
@@ -25,7 +25,6 @@
     "content-length",
     "proxy-authorization",
     "proxy-connection",
-    "authorization",
     "expect",
   };
   std::string name(aName);
@@ -33,18 +32,20 @@
     name.begin(), name.end(), name.begin(), [](unsigned char aChar) {
       return static_cast<char>(std::tolower(aChar));
     });
-  return kDropped.count(name) == 0 && name.rfind("fuchsiaramp-", 0) != 0;
+  return kDropped.count(name) == 0;
 }
 
 BackendRequest
-ForwardedRequest(const HttpExchange::Request& aMessage)
+ForwardedRequest(const HttpExchange::Request& aMessage,
+                 const HeaderFilter& aPasses)
 {
   BackendRequest request;
   request.version(11);
   request.method_string(aMessage.method_string());
   request.target(aMessage.target());
   for (const auto& field : aMessage) {
-    if (IsForwarded(field.name_string())) {
+    if (OutlivesConnection(field.name_string()) &&
+        aPasses(field.name_string())) {
       request.insert(field.name_string(), field.value());
     }
   }
@@ -54,13 +55,14 @@
 }
 
 HttpAnswer
-RelayedAnswer(BackendResponse& aResponse)
+RelayedAnswer(BackendResponse& aResponse, const HeaderFilter& aPasses)
 {
   HttpAnswer answer;
   answer.status = aResponse.result_int();
   answer.contentType = std::string(aResponse[http::field::content_type]);
   for (const auto& field : aResponse) {
-    if (IsForwarded(field.name_string())) {
+    if (OutlivesConnection(field.name_string()) &&
+        aPasses(field.name_string())) {
       answer.headers.emplace_back(field.name_string(), field.value());
     }
   }
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -13,6 +13,8 @@
 // Reported load is forgotten over about the time that a request takes.
 static constexpr double kLeastLoadHalfLife = 0.002; // seconds
 static constexpr Duration kAvoidRefused = std::chrono::milliseconds(500);
+// Until its announcement lapses or is renewed from another address.
+static constexpr Duration kAvoidReplaced = std::chrono::seconds(5);
 static constexpr Duration kColdStart = std::chrono::seconds(10);
 static constexpr double kColdStartWeight = 0.25;
 // Trial requests a second to one server over all entry hosts.
@@ -40,7 +42,11 @@
     view.outstanding = outstanding;
     view.firstSeen = aNow;
   }
+  const std::optional<Duration> coldFor = view.server.coldFor;
   view.server = aServer;
+  if (same) {
+    view.server.coldFor = coldFor; // counts from the first sight
+  }
   UpdateSubset();
 }
 
@@ -93,9 +99,10 @@
                : 0.0;
   }
   const Duration age = aNow - aView.firstSeen;
-  if (age < kColdStart) {
+  const Duration cold = aView.server.coldFor.value_or(kColdStart);
+  if (age < cold) {
     weight *= kColdStartWeight +
-              (1.0 - kColdStartWeight) * ToSeconds(age) / ToSeconds(kColdStart);
+              (1.0 - kColdStartWeight) * ToSeconds(age) / ToSeconds(cold);
   }
   return weight >= 1.0 || m_random.Chance(weight);
 }
@@ -239,6 +246,9 @@
     case AttemptOutcome::kTimeout:
       CountFailure(view);
       break;
+    case AttemptOutcome::kOtherServer:
+      view.avoidUntil = aNow + kAvoidReplaced;
+      break;
     case AttemptOutcome::kRefused:
       view.avoidUntil = aNow + kAvoidRefused;
       CountFailure(view);
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -33,6 +33,7 @@
   kServerError,    // a whole answer with a 5xx status
   kShed,           // the server refused for overload
   kNotRun,         // the server said that it did not run the request
+  kOtherServer,    // another server has the address; it ran nothing
   kRefused,        // no connection could be made
   kNothingWritten, // the connection failed before a byte was written
   kBroken,         // the connection broke after bytes were written
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -25,6 +25,12 @@
   return address;
 }
 
+static std::string
+OptionalAddress(MapReader& aMap, const std::string& aKey, Findings& aFindings)
+{
+  return aMap.Has(aKey) ? Address(aMap, aKey, aFindings) : "";
+}
+
 static void
 CheckKey(const std::string& aKey, Place aPlace, Findings& aFindings)
 {
@@ -103,6 +109,7 @@
   routing.requestTimeout = map.Span("request_timeout", routing.requestTimeout);
   routing.attemptTimeout = map.Span("attempt_timeout", routing.attemptTimeout);
   routing.queueTimeout = map.Span("queue_timeout", routing.queueTimeout);
+  routing.idleLifetime = map.Span("idle_lifetime", routing.idleLifetime);
   map.Finish();
   if (routing.attemptTimeout > routing.requestTimeout) {
     aFindings.Add(PlaceOf(node),
@@ -143,7 +150,7 @@
     return ledger;
   }
   MapReader map(node, "'ledger'", aFindings);
-  ledger.groups = map.Number("groups", ledger.groups, 1, 64);
+  ledger.groups = map.Number("groups", ledger.groups, 0, 64);
   ledger.bytes = map.Number("bytes", ledger.bytes, 1 << 20, 1024 * kGigabyte);
   ledger.answerBytes =
     map.Number("answer_bytes", ledger.answerBytes, 0, 1 << 20);
@@ -152,6 +159,77 @@
   return ledger;
 }
 
+static GroupSettings
+Group(MapReader& aMap, Findings& aFindings)
+{
+  GroupSettings group;
+  const YAML::Node node = aMap.Map("group");
+  if (!node.IsDefined()) {
+    return group;
+  }
+  MapReader map(node, "'group'", aFindings);
+  group.mayFound = map.Flag("may_found", group.mayFound);
+  group.openMembership = map.Flag("open_membership", group.openMembership);
+  group.electionTimeout = map.Span("election_timeout", group.electionTimeout);
+  group.heartbeatInterval =
+    map.Span("heartbeat_interval", group.heartbeatInterval);
+  group.serverLifetime = map.Span("server_lifetime", group.serverLifetime);
+  map.Finish();
+  if (2 * group.heartbeatInterval > group.electionTimeout) {
+    aFindings.Add(PlaceOf(node),
+                  "'election_timeout' must be at least twice "
+                  "'heartbeat_interval'");
+  }
+  return group;
+}
+
+// Machines of the fleet, of which only addresses are known: a control host and
+// an entry host may run on each, at the same ports everywhere.
+static void
+ReadSeedMachines(MapReader& aMap, Settings& aSettings, Findings& aFindings)
+{
+  const YAML::Node node = aMap.Map("seed_machines");
+  if (!node.IsDefined()) {
+    return;
+  }
+  MapReader map(node, "'seed_machines'", aFindings);
+  const std::uint64_t entry = map.Number("entry_port", 0, 1, 65535);
+  const std::uint64_t control = map.Number("control_port", 0, 1, 65535);
+  for (const std::string& address : map.Texts("addresses")) {
+    if (!IsAddress(address)) {
+      aFindings.Add(map.PlaceOfKey("addresses"),
+                    "'" + address + "' is not an IP number and a port");
+      continue;
+    }
+    aSettings.controlHosts.push_back(PeerAtPort(address, control));
+    aSettings.seeds.push_back(PeerAtPort(address, entry));
+  }
+  map.Finish();
+}
+
+static std::map<std::string, std::string>
+Regions(MapReader& aMap, Findings& aFindings)
+{
+  std::map<std::string, std::string> regions;
+  for (const YAML::Node& item : aMap.Items("failure_domains")) {
+    MapReader map(item, "an item of 'failure_domains'", aFindings);
+    regions[map.RequiredText("name")] = map.RequiredText("region");
+    map.Finish();
+  }
+  return regions;
+}
+
+static Interface
+ReadInterface(MapReader& aMap, Findings& aFindings)
+{
+  const std::string text = aMap.Text("interface", "own");
+  if (text != "own" && text != "platform") {
+    aFindings.Add(aMap.PlaceOfKey("interface"),
+                  "'interface' must be own or platform");
+  }
+  return text == "platform" ? Interface::kPlatform : Interface::kOwn;
+}
+
 static Role
 ReadRole(MapReader& aMap, Findings& aFindings)
 {
@@ -174,7 +252,7 @@
     for (const PeerSettings& peer : aSettings.controlHosts) {
       named = named || peer.host == aSettings.host;
     }
-    if (!named) {
+    if (!named && !aSettings.group.openMembership) {
       aFindings.Add(aMap.PlaceOfKey("host"),
                     "a control host must stand in 'control_hosts'");
     }
@@ -228,6 +306,16 @@
   return parts == 4;
 }
 
+PeerSettings
+PeerAtPort(const std::string& aAddress, std::uint64_t aPort)
+{
+  PeerSettings peer;
+  peer.messageAddress =
+    aAddress.substr(0, aAddress.rfind(':') + 1) + std::to_string(aPort);
+  peer.host = HostId(peer.messageAddress);
+  return peer;
+}
+
 std::vector<std::string>
 TrustedKeys(const Settings& aSettings)
 {
@@ -258,6 +346,12 @@
   settings.callerAddress = internal::Address(map, "caller_address", aFindings);
   settings.messageAddress =
     internal::Address(map, "message_address", aFindings);
+  settings.readinessAddress =
+    internal::OptionalAddress(map, "readiness_address", aFindings);
+  settings.directoryAddress =
+    internal::OptionalAddress(map, "directory_address", aFindings);
+  settings.name = map.Text("name", settings.host.Value());
+  settings.interface = internal::ReadInterface(map, aFindings);
   settings.dataFolder = map.Text("data_folder", "");
   settings.operatorTokenHash = map.Text("operator_token_hash", "");
   settings.logLevel = map.Text("log_level", settings.logLevel);
@@ -266,6 +360,9 @@
   settings.controlHosts =
     internal::Peers(map, "control_hosts", needsKey, aFindings);
   settings.seeds = internal::Peers(map, "seeds", needsKey, aFindings);
+  settings.regions = internal::Regions(map, aFindings);
+  internal::ReadSeedMachines(map, settings, aFindings);
+  settings.group = internal::Group(map, aFindings);
   settings.routing = internal::Routing(map, aFindings);
   settings.limits = internal::Limits(map, aFindings);
   settings.ledger = internal::Ledger(map, aFindings);
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
   Duration requestTimeout = std::chrono::seconds(10);
   Duration attemptTimeout = std::chrono::seconds(3);
   Duration queueTimeout = std::chrono::milliseconds(500);
+  // How long an idle connection to a backend server is used again.
+  Duration idleLifetime = std::chrono::seconds(30);
 };
 
 struct LimitSettings
@@ -70,6 +73,26 @@
   Duration retention = std::chrono::hours(72);
 };
 
+// How a control host takes part in the consensus groups.
+struct GroupSettings
+{
+  // Whether this host may found the groups with the other named hosts.
+  bool mayFound = true;
+  // Whether control hosts that the settings do not name may join.
+  bool openMembership = false;
+  Duration electionTimeout = std::chrono::milliseconds(1000);
+  Duration heartbeatInterval = std::chrono::milliseconds(150);
+  // A backend server that is silent for this long is taken for gone.
+  Duration serverLifetime = std::chrono::seconds(12);
+};
+
+// Which words the daemon speaks towards the outside.
+enum class Interface
+{
+  kOwn,
+  kPlatform,
+};
+
 struct Settings
 {
   HostId host;
@@ -77,16 +100,23 @@
   Region region;
   FailureDomain failureDomain;
   std::string callerAddress;     // IP:port for callers (entry) or operators
+  std::string readinessAddress;  // IP:port; empty: on the callers' address
+  std::string directoryAddress;  // IP:port; empty: on the callers' address
   std::string messageAddress;    // IP:port between the system's processes
   std::string dataFolder;        // control only
   std::string operatorTokenHash; // SHA-256, hexadecimal
   std::string logLevel = "INFO";
+  std::string name; // of the machine, for log lines; the host where empty
+  Interface interface = Interface::kOwn;
+  // The region of each failure domain, where servers do not name theirs.
+  std::map<std::string, std::string> regions;
   std::vector<PeerSettings> controlHosts;
   std::vector<PeerSettings> seeds; // entry hosts to join through
   KeySettings keys;
   RoutingSettings routing;
   LimitSettings limits;
   LedgerSettings ledger;
+  GroupSettings group;
   Duration addressLifetime = std::chrono::seconds(30);
   Duration announcementLifetime = std::chrono::seconds(3);
 };
@@ -95,6 +125,11 @@
 Settings
 ReadSettings(const std::string& aText, Findings& aFindings);
 
+// The host at another port of the machine that an address names. Hosts of such
+// a fleet are named by their message address.
+PeerSettings
+PeerAtPort(const std::string& aAddress, std::uint64_t aPort);
+
 // All keys that may connect: those listed and those of the named peers.
 std::vector<std::string>
 TrustedKeys(const Settings& aSettings);
--- a/packages/state/group_state.cc
+++ b/packages/state/group_state.cc
@@ -22,6 +22,8 @@
       return m_ledger.Claim(aCommand.claim(), m_time);
     case wire::Command::kFinish:
       return m_ledger.Finish(aCommand.finish(), m_time);
+    case wire::Command::kServer:
+      return m_servers.Report(aCommand.server());
     case wire::Command::BODY_NOT_SET:
       break;
   }
@@ -34,6 +36,7 @@
   wire::StateSnapshot snapshot;
   m_lists.Save(snapshot);
   m_ledger.Save(snapshot);
+  m_servers.Save(snapshot);
   snapshot.set_time_us(m_time);
   return snapshot.SerializeAsString();
 }
@@ -46,6 +49,7 @@
                  "a snapshot that passed its checksum can be decoded");
   m_lists.Restore(snapshot);
   m_ledger.Restore(snapshot);
+  m_servers.Restore(snapshot);
   m_time = snapshot.time_us();
 }
 
--- a/packages/state/group_state.h
+++ b/packages/state/group_state.h
@@ -1,4 +1,5 @@
-// The replicated state of one consensus group: the lists or a ledger shard.
+// The replicated state of one consensus group: the lists and the table of
+// backend servers, or a ledger shard.
 //
 //   GroupState state(options);
 //   wire::CommandResult result = state.Apply(command);
@@ -8,6 +9,7 @@
 
 #include "state/ledger.h"
 #include "state/lists_state.h"
+#include "state/servers_state.h"
 #include "wire/messages.h"
 
 namespace fuchsiaramp {
@@ -25,10 +27,12 @@
 
   const ListsState& ListsPart() const { return m_lists; }
   const Ledger& LedgerPart() const { return m_ledger; }
+  const ServersState& ServersPart() const { return m_servers; }
 
 private:
   ListsState m_lists;
   Ledger m_ledger;
+  ServersState m_servers;
   std::int64_t m_time = 0; // largest leader time seen, microseconds
 };
 
--- a/packages/state/lists.cc
+++ b/packages/state/lists.cc
@@ -24,7 +24,12 @@
     m_plans.clear();
     m_customers.clear();
     m_customerByTokenHash.clear();
+    m_openRoutes.clear();
+    m_openRoutesByHost.clear();
+    m_services.clear();
+    m_limits.Clear();
   }
+  ApplyOpenRoutes(aDelta);
   for (const std::string& id : aDelta.removed_customers()) {
     RemoveCustomer(id);
   }
@@ -46,6 +51,45 @@
   return true;
 }
 
+void
+Lists::ApplyOpenRoutes(const wire::ListsDelta& aDelta)
+{
+  for (const std::string& name : aDelta.removed_open_routes()) {
+    RemoveOpenRoute(name);
+  }
+  for (const wire::Route& route : aDelta.open_routes()) {
+    RemoveOpenRoute(route.name());
+  }
+  for (const wire::Route& route : aDelta.open_routes()) {
+    m_openRoutes[route.name()] = route;
+    m_openRoutesByHost[route.host()][route.path_prefix()] = route.name();
+  }
+  for (const std::string& name : aDelta.removed_services()) {
+    m_services.erase(name);
+  }
+  for (const wire::Service& service : aDelta.services()) {
+    m_services[service.name()] = service;
+  }
+  if (aDelta.has_limits()) {
+    m_limits = aDelta.limits();
+  }
+}
+
+void
+Lists::RemoveOpenRoute(const std::string& aName)
+{
+  const auto it = m_openRoutes.find(aName);
+  if (it == m_openRoutes.end()) {
+    return;
+  }
+  auto& prefixes = m_openRoutesByHost[it->second.host()];
+  const auto prefix = prefixes.find(it->second.path_prefix());
+  if (prefix != prefixes.end() && prefix->second == aName) {
+    prefixes.erase(prefix);
+  }
+  m_openRoutes.erase(it);
+}
+
 void
 Lists::PutPlan(const wire::Plan& aPlan)
 {
@@ -143,6 +187,13 @@
   for (const auto& [id, customer] : m_customers) {
     *delta.add_customers() = customer;
   }
+  for (const auto& [name, route] : m_openRoutes) {
+    *delta.add_open_routes() = route;
+  }
+  for (const auto& [name, service] : m_services) {
+    *delta.add_services() = service;
+  }
+  *delta.mutable_limits() = m_limits;
   const auto byName = [](const auto& aLeft, const auto& aRight) {
     return aLeft.name() < aRight.name();
   };
@@ -202,4 +253,37 @@
   return nullptr;
 }
 
+const wire::Route*
+Lists::FindOpenRoute(const std::string& aHost, const std::string& aPath) const
+{
+  const auto host = m_openRoutesByHost.find(aHost);
+  if (host == m_openRoutesByHost.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash, so only those that end at a slash of the path
+  // can match.
+  for (std::size_t end = aPath.rfind('/'); end != std::string::npos;
+       end = end == 0 ? std::string::npos : aPath.rfind('/', end - 1)) {
+    const auto route = host->second.find(aPath.substr(0, end + 1));
+    if (route != host->second.end()) {
+      return &m_openRoutes.at(route->second);
+    }
+  }
+  return nullptr;
+}
+
+const wire::Route*
+Lists::FindOpenRouteByName(const std::string& aName) const
+{
+  const auto it = m_openRoutes.find(aName);
+  return it == m_openRoutes.end() ? nullptr : &it->second;
+}
+
+const wire::Service*
+Lists::FindService(const ServiceName& aService) const
+{
+  const auto it = m_services.find(aService.Value());
+  return it == m_services.end() ? nullptr : &it->second;
+}
+
 } // namespace fuchsiaramp
--- a/packages/state/lists.h
+++ b/packages/state/lists.h
@@ -1,4 +1,5 @@
-// The two lists in memory: the plans of customers and what a plan may use.
+// The two lists in memory: the plans of customers and what a plan may use; and
+// the routes that are open to callers without a token.
 //
 // Content changes only by deltas, each of which leads from one version to a
 // later one, so the version never decreases.
@@ -9,6 +10,7 @@
 //   const wire::Route* route = lists.FindRoute(*customer, service, path);
 #pragma once
 
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -44,6 +46,14 @@
                                const ServiceName& aService,
                                const std::string& aPath) const;
 
+  // The open route of the host with the longest prefix that begins the path.
+  const wire::Route* FindOpenRoute(const std::string& aHost,
+                                   const std::string& aPath) const;
+  const wire::Route* FindOpenRouteByName(const std::string& aName) const;
+  // Null when the lists say nothing of the service.
+  const wire::Service* FindService(const ServiceName& aService) const;
+  const wire::RequestLimits& Limits() const { return m_limits; }
+
   std::size_t PlanCount() const { return m_plans.size(); }
   std::size_t CustomerCount() const { return m_customers.size(); }
 
@@ -56,6 +66,8 @@
   };
 
   void PutPlan(const wire::Plan& aPlan);
+  void ApplyOpenRoutes(const wire::ListsDelta& aDelta);
+  void RemoveOpenRoute(const std::string& aName);
   void PutCustomer(const wire::Customer& aCustomer);
   void RemoveCustomer(const std::string& aId);
 
@@ -63,6 +75,12 @@
   std::unordered_map<std::string, PlanEntry> m_plans;
   std::unordered_map<std::string, wire::Customer> m_customers;
   std::unordered_map<std::string, std::string> m_customerByTokenHash;
+  std::map<std::string, wire::Route> m_openRoutes; // by name
+  // Host, path prefix, name of the route.
+  std::unordered_map<std::string, std::map<std::string, std::string>>
+    m_openRoutesByHost;
+  std::map<std::string, wire::Service> m_services;
+  wire::RequestLimits m_limits;
 };
 
 } // namespace fuchsiaramp
--- a/packages/state/lists_document.cc
+++ b/packages/state/lists_document.cc
@@ -12,6 +12,10 @@
 static constexpr std::uint64_t kMaxRate = 10'000'000; // requests per second
 static constexpr std::uint64_t kMaxPriority = 100;
 static constexpr std::size_t kHashLength = 64;
+static constexpr std::uint64_t kMaxServers = 100; // of one request
+static constexpr std::uint64_t kMaxBytes = 1ULL << 30;
+// A latency objective this far above the timeout is a mistake.
+static constexpr std::int64_t kObjectiveSlackUs = 60'000'000;
 
 static wire::Route
 ReadRoute(const YAML::Node& aNode, Findings& aFindings)
@@ -78,8 +82,172 @@
   return customer;
 }
 
+static void
+ReadRepeat(MapReader& aMap, wire::Route& aRoute, Findings& aFindings)
+{
+  const std::string repeat = aMap.RequiredText("repeat");
+  aRoute.set_repeatable(repeat == "always");
+  aRoute.set_once_per_attempt(repeat == "never");
+  if (repeat != "always" && repeat != "never" && !repeat.empty()) {
+    aFindings.Add(aMap.PlaceOfKey("repeat"),
+                  "'repeat' must be always or never: whether one send of a "
+                  "caller may run more than once");
+  }
+}
+
+static wire::Route
+ReadOpenRoute(const YAML::Node& aNode, Findings& aFindings)
+{
+  MapReader map(aNode, "an open route", aFindings);
+  wire::Route route;
+  route.set_name(map.RequiredText("name"));
+  route.set_host(map.RequiredText("host"));
+  route.set_path_prefix(map.RequiredText("path_prefix"));
+  ReadRepeat(map, route, aFindings);
+  route.set_service(map.Text("service", ""));
+  route.set_timeout_us(map.Span("timeout", std::chrono::seconds(10)).count());
+  route.set_latency_objective_us(
+    map.Span("latency_objective", std::chrono::seconds(1)).count());
+  route.set_max_servers(
+    static_cast<std::uint32_t>(map.Number("max_servers", 1, 0, kMaxServers)));
+  route.set_priority(
+    static_cast<std::uint32_t>(map.Number("priority", 1, 0, kMaxPriority)));
+  for (const YAML::Node& item : map.Items("split")) {
+    MapReader share(item, "a share of a split", aFindings);
+    wire::ServiceShare* out = route.add_split();
+    out->set_service(share.RequiredText("service"));
+    out->set_weight(share.Real("weight", 1.0, 0.0, 1e9));
+    share.Finish();
+  }
+  map.Finish();
+  return route;
+}
+
+static wire::Service
+ReadService(const YAML::Node& aNode, Findings& aFindings)
+{
+  MapReader map(aNode, "a service", aFindings);
+  wire::Service service;
+  service.set_name(map.RequiredText("name"));
+  service.set_health_path(map.Text("health_path", ""));
+  service.set_max_connections(static_cast<std::uint32_t>(
+    map.Number("max_connections", 400, 1, 1'000'000)));
+  service.set_protocol(map.Text("protocol", ""));
+  service.set_tls(map.Flag("tls", false));
+  map.Finish();
+  return service;
+}
+
+static wire::RequestLimits
+ReadRequestLimits(const YAML::Node& aNode, Findings& aFindings)
+{
+  MapReader map(aNode, "'request_limits'", aFindings);
+  wire::RequestLimits limits;
+  limits.set_header_bytes(map.Number("header_bytes", 0, 0, kMaxBytes));
+  limits.set_body_bytes(map.Number("body_bytes", 0, 0, kMaxBytes));
+  limits.set_header_timeout_us(map.Span("header_timeout", Duration()).count());
+  limits.set_idle_timeout_us(map.Span("idle_timeout", Duration()).count());
+  map.Finish();
+  return limits;
+}
+
+static void
+ReadOpenPart(MapReader& aMap, wire::ListsDelta& aContent, Findings& aFindings)
+{
+  std::vector<Place> places;
+  for (const YAML::Node& item : aMap.Items("open_routes")) {
+    *aContent.add_open_routes() = ReadOpenRoute(item, aFindings);
+    places.push_back(PlaceOf(item));
+  }
+  for (const YAML::Node& item : aMap.Items("services")) {
+    *aContent.add_services() = ReadService(item, aFindings);
+  }
+  const YAML::Node limits = aMap.Map("request_limits");
+  if (limits.IsDefined()) {
+    *aContent.mutable_limits() = ReadRequestLimits(limits, aFindings);
+  }
+  const auto placeOf = [&](int aIndex) {
+    return places[static_cast<std::size_t>(aIndex)];
+  };
+  CheckOpenRoutes(aContent, placeOf, aFindings);
+}
+
+static void
+CheckOpenRoute(const wire::Route& aRoute,
+               const std::set<std::string>& aServices,
+               const std::function<void(const std::string&)>& aAdd)
+{
+  const std::string& prefix = aRoute.path_prefix();
+  if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/') {
+    aAdd("a path prefix must begin and end with '/'");
+  }
+  if (aRoute.host().empty()) {
+    aAdd("an open route needs a host");
+  }
+  if (aRoute.timeout_us() <= 0) {
+    aAdd("the timeout must be above 0");
+  }
+  if (aRoute.latency_objective_us() >=
+      aRoute.timeout_us() + kObjectiveSlackUs) {
+    aAdd("the latency objective is a minute or more above the timeout");
+  }
+  if (aRoute.max_servers() == 0) {
+    aAdd("a request must be allowed to go to at least one server");
+  }
+  const bool single = aRoute.split().empty();
+  if (single == aRoute.service().empty()) {
+    aAdd("an open route needs either a service or a split");
+  }
+  double weight = 0.0;
+  for (const wire::ServiceShare& share : aRoute.split()) {
+    weight += share.weight();
+    if (share.weight() < 0.0) {
+      aAdd("a weight must not be below 0");
+    }
+    if (aServices.count(share.service()) == 0) {
+      aAdd("unknown service '" + share.service() + "'");
+    }
+  }
+  if (!single && weight <= 0.0) {
+    aAdd("the weights of the split add up to 0");
+  }
+  if (!aRoute.service().empty() && aServices.count(aRoute.service()) == 0) {
+    aAdd("unknown service '" + aRoute.service() + "'");
+  }
+}
+
 } // namespace internal
 
+void
+CheckOpenRoutes(const wire::ListsDelta& aContent,
+                const std::function<Place(int)>& aPlaceOf,
+                Findings& aFindings)
+{
+  std::set<std::string> services;
+  for (const wire::Service& service : aContent.services()) {
+    if (service.name().empty() || !services.insert(service.name()).second) {
+      aFindings.Add(Place(),
+                    "service '" + service.name() +
+                      "' has no name or stands twice");
+    }
+  }
+  std::set<std::string> names;
+  std::set<std::pair<std::string, std::string>> prefixes;
+  for (int i = 0; i < aContent.open_routes_size(); ++i) {
+    const wire::Route& route = aContent.open_routes(i);
+    const auto add = [&](const std::string& aText) {
+      aFindings.Add(aPlaceOf(i), "open route '" + route.name() + "': " + aText);
+    };
+    if (route.name().empty() || !names.insert(route.name()).second) {
+      add("the name is empty or stands twice");
+    }
+    if (!prefixes.insert({ route.host(), route.path_prefix() }).second) {
+      add("another open route has the same host and path prefix");
+    }
+    internal::CheckOpenRoute(route, services, add);
+  }
+}
+
 wire::ListsDelta
 ReadLists(const std::string& aText, Findings& aFindings)
 {
@@ -118,16 +286,60 @@
     }
     *content.add_customers() = customer;
   }
+  internal::ReadOpenPart(map, content, aFindings);
   map.Finish();
   return content;
 }
 
+static void
+AddOpenDifference(const Lists& aCurrent,
+                  const wire::ListsDelta& aCurrentContent,
+                  const wire::ListsDelta& aContent,
+                  wire::ListsDelta& aDelta)
+{
+  std::unordered_set<std::string> routes;
+  for (const wire::Route& route : aContent.open_routes()) {
+    routes.insert(route.name());
+    const wire::Route* old = aCurrent.FindOpenRouteByName(route.name());
+    if (old == nullptr ||
+        old->SerializeAsString() != route.SerializeAsString()) {
+      *aDelta.add_open_routes() = route;
+    }
+  }
+  for (const wire::Route& route : aCurrentContent.open_routes()) {
+    if (routes.count(route.name()) == 0) {
+      aDelta.add_removed_open_routes(route.name());
+    }
+  }
+  std::unordered_set<std::string> services;
+  for (const wire::Service& service : aContent.services()) {
+    services.insert(service.name());
+    const wire::Service* old =
+      aCurrent.FindService(ServiceName(service.name()));
+    if (old == nullptr ||
+        old->SerializeAsString() != service.SerializeAsString()) {
+      *aDelta.add_services() = service;
+    }
+  }
+  for (const wire::Service& service : aCurrentContent.services()) {
+    if (services.count(service.name()) == 0) {
+      aDelta.add_removed_services(service.name());
+    }
+  }
+  if (aContent.limits().SerializeAsString() !=
+      aCurrent.Limits().SerializeAsString()) {
+    *aDelta.mutable_limits() = aContent.limits();
+  }
+}
+
 wire::ListsDelta
-Difference(const Lists& aCurrent, const wire::ListsDelta& aContent)
+Difference(const Lists& aCurrent,
+           const wire::ListsDelta& aContent,
+           ListsVersion aVersion)
 {
   wire::ListsDelta delta;
   delta.set_from_version(aCurrent.Version().Value());
-  delta.set_to_version(aCurrent.Version().Next().Value());
+  delta.set_to_version(aVersion.Value());
   std::unordered_set<std::string> plans;
   for (const wire::Plan& plan : aContent.plans()) {
     plans.insert(plan.name());
@@ -148,6 +360,7 @@
     }
   }
   const wire::ListsDelta current = aCurrent.Full();
+  AddOpenDifference(aCurrent, current, aContent, delta);
   for (const wire::Plan& plan : current.plans()) {
     if (plans.count(plan.name()) == 0) {
       delta.add_removed_plans(plan.name());
@@ -161,6 +374,83 @@
   return delta;
 }
 
+wire::ListsDelta
+Difference(const Lists& aCurrent, const wire::ListsDelta& aContent)
+{
+  return Difference(aCurrent, aContent, aCurrent.Version().Next());
+}
+
+static void
+WriteOpenRoute(YAML::Emitter& aOut, const wire::Route& aRoute)
+{
+  const auto span = [](std::int64_t aMicros) {
+    return std::to_string(aMicros) + "us";
+  };
+  aOut << YAML::Flow << YAML::BeginMap << YAML::Key << "name" << YAML::Value
+       << aRoute.name() << YAML::Key << "host" << YAML::Value << aRoute.host()
+       << YAML::Key << "path_prefix" << YAML::Value << aRoute.path_prefix()
+       << YAML::Key << "repeat" << YAML::Value
+       << (aRoute.repeatable() ? "always" : "never") << YAML::Key << "timeout"
+       << YAML::Value << span(aRoute.timeout_us()) << YAML::Key
+       << "latency_objective" << YAML::Value
+       << span(aRoute.latency_objective_us()) << YAML::Key << "max_servers"
+       << YAML::Value << aRoute.max_servers() << YAML::Key << "priority"
+       << YAML::Value << aRoute.priority();
+  if (!aRoute.service().empty()) {
+    aOut << YAML::Key << "service" << YAML::Value << aRoute.service();
+  }
+  if (!aRoute.split().empty()) {
+    aOut << YAML::Key << "split" << YAML::Value << YAML::BeginSeq;
+    for (const wire::ServiceShare& share : aRoute.split()) {
+      aOut << YAML::BeginMap << YAML::Key << "service" << YAML::Value
+           << share.service() << YAML::Key << "weight" << YAML::Value
+           << share.weight() << YAML::EndMap;
+    }
+    aOut << YAML::EndSeq;
+  }
+  aOut << YAML::EndMap;
+}
+
+static void
+WriteOpenPart(YAML::Emitter& aOut, const wire::ListsDelta& aContent)
+{
+  if (!aContent.open_routes().empty()) {
+    aOut << YAML::Key << "open_routes" << YAML::Value << YAML::BeginSeq;
+    for (const wire::Route& route : aContent.open_routes()) {
+      WriteOpenRoute(aOut, route);
+    }
+    aOut << YAML::EndSeq;
+  }
+  if (!aContent.services().empty()) {
+    aOut << YAML::Key << "services" << YAML::Value << YAML::BeginSeq;
+    for (const wire::Service& service : aContent.services()) {
+      aOut << YAML::Flow << YAML::BeginMap << YAML::Key << "name" << YAML::Value
+           << service.name() << YAML::Key << "health_path" << YAML::Value
+           << service.health_path() << YAML::Key << "max_connections"
+           << YAML::Value << service.max_connections() << YAML::Key
+           << "protocol" << YAML::Value << service.protocol() << YAML::Key
+           << "tls" << YAML::Value << service.tls() << YAML::EndMap;
+    }
+    aOut << YAML::EndSeq;
+  }
+  const wire::RequestLimits& limits = aContent.limits();
+  if (limits.ByteSizeLong() > 0) {
+    aOut << YAML::Key << "request_limits" << YAML::Value << YAML::Flow
+         << YAML::BeginMap << YAML::Key << "header_bytes" << YAML::Value
+         << limits.header_bytes() << YAML::Key << "body_bytes" << YAML::Value
+         << limits.body_bytes();
+    if (limits.header_timeout_us() > 0) {
+      aOut << YAML::Key << "header_timeout" << YAML::Value
+           << std::to_string(limits.header_timeout_us()) + "us";
+    }
+    if (limits.idle_timeout_us() > 0) {
+      aOut << YAML::Key << "idle_timeout" << YAML::Value
+           << std::to_string(limits.idle_timeout_us()) + "us";
+    }
+    aOut << YAML::EndMap;
+  }
+}
+
 std::string
 WriteLists(const wire::ListsDelta& aContent)
 {
@@ -191,7 +481,9 @@
         << customer.plan() << YAML::Key << "token_hash" << YAML::Value
         << customer.token_hash() << YAML::EndMap;
   }
-  out << YAML::EndSeq << YAML::EndMap;
+  out << YAML::EndSeq;
+  WriteOpenPart(out, aContent);
+  out << YAML::EndMap;
   return std::string(out.c_str()) + "\n";
 }
 
--- a/packages/state/lists_document.h
+++ b/packages/state/lists_document.h
@@ -9,15 +9,26 @@
 //         true}
 //   customers:
 //     - {id: shop-7, plan: listener, token_hash: <SHA-256, hexadecimal>}
+//   open_routes: # for callers without a token, chosen by host and path
+//     - {name: curves, host: curves.example, path_prefix: /saved/, repeat:
+//        always, timeout: 1200ms, latency_objective: 600ms, max_servers: 2,
+//        priority: 1, split: [{service: profile, weight: 90},
+//        {service: profile-next, weight: 10}]}
+//   services:
+//     - {name: profile, health_path: /health, max_connections: 390}
+//   request_limits: {header_bytes: 16384, body_bytes: 1048576,
+//                    header_timeout: 3s, idle_timeout: 15s}
 //
 //   Findings findings("lists.yaml");
 //   wire::ListsDelta content = ReadLists(text, findings);
 //   wire::ListsDelta change = Difference(current, content);
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "base/findings.h"
+#include "base/ids.h"
 #include "state/lists.h"
 #include "wire/messages.h"
 
@@ -28,8 +39,21 @@
 wire::ListsDelta
 ReadLists(const std::string& aText, Findings& aFindings);
 
+// Adds a finding for each rule that the open routes, services and limits of a
+// full content break. aPlaceOf gives the place of an open route by its index.
+void
+CheckOpenRoutes(const wire::ListsDelta& aContent,
+                const std::function<Place(int)>& aPlaceOf,
+                Findings& aFindings);
+
 // The smallest delta from the current content to the given full content,
-// leading to the next version.
+// leading to the given version.
+wire::ListsDelta
+Difference(const Lists& aCurrent,
+           const wire::ListsDelta& aContent,
+           ListsVersion aVersion);
+
+// The same, leading to the next version.
 wire::ListsDelta
 Difference(const Lists& aCurrent, const wire::ListsDelta& aContent);
 
--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -3,26 +3,35 @@
 //
 // Exit codes: 0 after a graceful stop, 1 when it could not start or storage
 // failed, 2 on bad settings or a bad command line.
+#include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <iterator>
-#include <memory>
+#include <optional>
 #include <string>
+#include <system_error>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <tclap/CmdLine.h>
 
 #include "base/findings.h"
 #include "net/control_service.h"
 #include "net/entry_service.h"
+#include "net/own_dialect.h"
+#include "platform_dialect.h"
 #include "settings/settings.h"
 
 namespace fuchsiaramp {
 
 static constexpr int kExitFailed = 1;
 static constexpr int kExitUsage = 2;
+static constexpr auto kSettingsInterval = std::chrono::seconds(2);
 
 static bool
 ReadFile(const std::string& aPath, std::string& aText)
@@ -46,29 +55,138 @@
   return aKey.size() == kKeyLength;
 }
 
-static int
-RunEntry(boost::asio::io_context& aIo,
-         const Settings& aSettings,
-         const std::string& aSecretKey)
+// Reads settings; findings go to standard error.
+static std::optional<Settings>
+LoadSettings(const std::string& aFile)
+{
+  std::string text;
+  if (!ReadFile(aFile, text)) {
+    std::cerr << aFile << ": cannot be read\n";
+    return std::nullopt;
+  }
+  Findings findings(aFile);
+  Settings settings = ReadSettings(text, findings);
+  if (!findings.IsEmpty()) {
+    std::cerr << findings.Text();
+    return std::nullopt;
+  }
+  return settings;
+}
+
+// Reloads the settings on SIGHUP and when their file changed.
+class SettingsWatch
+{
+public:
+  using ReloadHook = std::function<void(const Settings&)>;
+
+  SettingsWatch(boost::asio::io_context& aIo,
+                std::string aFile,
+                ReloadHook aReload)
+    : m_file(std::move(aFile))
+    , m_reload(std::move(aReload))
+    , m_signals(aIo, SIGHUP)
+    , m_timer(aIo)
+    , m_changedAt(ChangedAt())
+  {
+    WaitForSignal();
+    WaitForChange();
+  }
+
+private:
+  std::filesystem::file_time_type ChangedAt() const
+  {
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(m_file, error);
+    return error ? std::filesystem::file_time_type() : time;
+  }
+
+  // Settings that cannot be read leave the former ones in force.
+  void Reload()
+  {
+    m_changedAt = ChangedAt();
+    if (const auto settings = LoadSettings(m_file)) {
+      m_reload(*settings);
+    }
+  }
+
+  void WaitForSignal()
+  {
+    m_signals.async_wait([this](const boost::system::error_code& aError, int) {
+      if (!aError) {
+        Reload();
+        WaitForSignal();
+      }
+    });
+  }
+
+  void WaitForChange()
+  {
+    m_timer.expires_after(kSettingsInterval);
+    m_timer.async_wait([this](const boost::system::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      if (ChangedAt() != m_changedAt) {
+        Reload();
+      }
+      WaitForChange();
+    });
+  }
+
+  std::string m_file;
+  ReloadHook m_reload;
+  boost::asio::signal_set m_signals;
+  boost::asio::steady_timer m_timer;
+  std::filesystem::file_time_type m_changedAt;
+};
+
+// Runs a service until it has left after SIGTERM or SIGINT.
+template<class Service>
+static void
+RunUntilLeft(boost::asio::io_context& aIo,
+             Service& aService,
+             const std::string& aSettingsFile)
 {
-  EntryService service(aIo, aSettings, aSecretKey);
   boost::asio::signal_set signals(aIo, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& aError, int) {
     if (!aError) {
-      service.Leave();
+      aService.Leave();
     }
   });
+  const SettingsWatch watch(
+    aIo, aSettingsFile, [&](const Settings& aNew) { aService.Reload(aNew); });
   aIo.run();
+}
+
+static Dialect
+MakeDialect(const Settings& aSettings)
+{
+  return aSettings.interface == Interface::kPlatform
+           ? PlatformDialect(aSettings)
+           : OwnDialect(aSettings);
+}
+
+static int
+RunEntry(boost::asio::io_context& aIo,
+         const Settings& aSettings,
+         const std::string& aSettingsFile,
+         const std::string& aSecretKey)
+{
+  EntryService service(
+    aIo, aSettings, aSecretKey, MakeDialect(aSettings).entry);
+  RunUntilLeft(aIo, service, aSettingsFile);
   return 0;
 }
 
 static int
 RunControl(boost::asio::io_context& aIo,
            const Settings& aSettings,
+           const std::string& aSettingsFile,
            const std::string& aSecretKey)
 {
   std::error_code error;
-  ControlService service(aIo, aSettings, aSecretKey, error);
+  ControlService service(
+    aIo, aSettings, aSecretKey, MakeDialect(aSettings).control, error);
   if (error) {
     std::cerr << "event=start_failed data_folder=" << aSettings.dataFolder
               << " error=\"" << error.message()
@@ -76,13 +194,7 @@
                  "a new member\"\n";
     return kExitFailed;
   }
-  boost::asio::signal_set signals(aIo, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& aError, int) {
-    if (!aError) {
-      service.Leave();
-    }
-  });
-  aIo.run();
+  RunUntilLeft(aIo, service, aSettingsFile);
   if (service.FatalError()) {
     std::cerr << "event=storage_failed error=\""
               << service.FatalError().message() << "\"\n";
@@ -94,17 +206,11 @@
 static int
 Run(const std::string& aSettingsFile)
 {
-  std::string text;
-  if (!ReadFile(aSettingsFile, text)) {
-    std::cerr << aSettingsFile << ": cannot be read\n";
-    return kExitUsage;
-  }
-  Findings findings(aSettingsFile);
-  const Settings settings = ReadSettings(text, findings);
-  if (!findings.IsEmpty()) {
-    std::cerr << findings.Text();
+  const auto loaded = LoadSettings(aSettingsFile);
+  if (!loaded) {
     return kExitUsage;
   }
+  const Settings& settings = *loaded;
   std::string secretKey;
   if (!ReadSecretKey(settings, secretKey)) {
     std::cerr << settings.keys.secretKeyFile
@@ -114,8 +220,9 @@
   }
   boost::asio::io_context io(1);
   try {
-    return settings.role == Role::kEntry ? RunEntry(io, settings, secretKey)
-                                         : RunControl(io, settings, secretKey);
+    return settings.role == Role::kEntry
+             ? RunEntry(io, settings, aSettingsFile, secretKey)
+             : RunControl(io, settings, aSettingsFile, secretKey);
   } catch (const std::exception& error) {
     std::cerr << "event=start_failed caller_address=" << settings.callerAddress
               << " message_address=" << settings.messageAddress << " error=\""
