Choose servers by beliefs that hosts share through control

Ruled out: lower ejection thresholds at the arbiter (its reports are the bytes); health checks (they answer well all the while). Change: ServerBelief, a two-state filter over single outcomes; failures and what clears a suspect are told at once, once to each control host, which passes them on; repeatable requests try suspects; the cost of leaving a zone is part of the choice; two entry hosts a failure domain are named to callers.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -135,6 +135,9 @@
     case wire::Envelope::kControlReply:
       m_commands.OnReply(aFrom, aMessage.control_reply(), aNow);
       break;
+    case wire::Envelope::kEvidence:
+      RelayEvidence(aFrom, aMessage, aNow);
+      break;
     case wire::Envelope::kListsPull:
       OnListsPull(aFrom, aMessage.lists_pull(), aNow);
       break;
@@ -166,6 +169,41 @@
   }
 }
 
+std::set<HostId>
+ControlNode::OtherControlHosts() const
+{
+  std::set<HostId> hosts(m_knownHosts.begin(), m_knownHosts.end());
+  for (const wire::Member& member :
+       m_groups[kListsGroup]->node->Members().members()) {
+    hosts.insert(HostId(member.host()));
+  }
+  hosts.erase(m_options.self);
+  return hosts;
+}
+
+// What an entry host saw goes once to each control host, which passes it on to
+// the entry hosts that pull from it: one message between any two places,
+// however many entry hosts there are.
+void
+ControlNode::RelayEvidence(const HostId& aFrom,
+                           const wire::Envelope& aMessage,
+                           TimePoint aNow)
+{
+  const std::set<HostId> others = OtherControlHosts();
+  const bool fromEntry = others.count(aFrom) == 0;
+  if (fromEntry) {
+    for (const HostId& host : others) {
+      m_hooks.send(host, aMessage);
+    }
+  }
+  for (const auto& [host, known] : m_entryHosts) {
+    const bool subscribed = !IsDue(known.reportedAt + kSubscription, aNow);
+    if (host != aFrom && known.direct && subscribed) {
+      m_hooks.send(host, aMessage);
+    }
+  }
+}
+
 void
 ControlNode::UpdateLeaders()
 {
@@ -174,12 +212,7 @@
     leaders.push_back(group->node->Leader().Value());
   }
   m_commands.SetGroupLeaders(leaders);
-  std::set<HostId> hosts(m_knownHosts.begin(), m_knownHosts.end());
-  for (const wire::Member& member :
-       m_groups[kListsGroup]->node->Members().members()) {
-    hosts.insert(HostId(member.host()));
-  }
-  hosts.erase(m_options.self);
+  const std::set<HostId> hosts = OtherControlHosts();
   m_commands.SetControlHosts({ hosts.begin(), hosts.end() });
 }
 
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -154,6 +155,10 @@
                    TimePoint aNow);
   wire::ListsPush MakePush(EntryHostVersion& aKnown, TimePoint aNow) const;
   void PushChanges(TimePoint aNow);
+  void RelayEvidence(const HostId& aFrom,
+                     const wire::Envelope& aMessage,
+                     TimePoint aNow);
+  std::set<HostId> OtherControlHosts() const;
   void LapseServers(TimePoint aNow);
   void UpdateLeaders();
 
--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -89,6 +89,16 @@
   report.reportedLoad = aEnd.reportedLoad;
   report.countedAsSlow = attempt.countedAsSlow;
   const double running = static_cast<double>(router->Outstanding());
+  m_hooks.record(Event(aEnd.outcome == AttemptOutcome::kSuccess
+                         ? "attempt_ended"
+                         : "attempt_failed")
+                   .With("request", attempt.request)
+                   .With("attempt", aEnd.id)
+                   .With("service", attempt.service)
+                   .With("server", attempt.server)
+                   .With("outcome", ToText(aEnd.outcome))
+                   .With("status", aEnd.status)
+                   .With("ms", report.latency.count() / 1000));
   router->OnFinished(attempt.server, report, aNow);
   if (aEnd.outcome == AttemptOutcome::kShed) {
     gate.limit.OnShed();
@@ -372,7 +382,7 @@
                router->AnsweredSince(attempt.server, attempt.startedAt));
   if (!suspectConnection) {
     attempt.countedAsSlow = true;
-    router->OnOverdue(attempt.server);
+    router->OnOverdue(attempt.server, aNow);
   }
   ++attempt.overdueTimes;
   attempt.overdueAt += attempt.overdueSpan;
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/digest.h"
 #include "base/invariant.h"
 #include "routing/rendezvous.h"
 
@@ -13,10 +14,6 @@
 static constexpr Duration kSpreadTime = std::chrono::seconds(3);
 static constexpr std::uint32_t kUnauthorized = 401;
 static constexpr std::size_t kAddressesPerAnswer = 8;
-// Entry hosts named to a caller that asks for those nearby: at most, and at
-// least where the region has as many, so that the loss of one is borne.
-static constexpr std::size_t kNearbyAddresses = 64;
-static constexpr std::size_t kFewestAddresses = 3;
 // Entry hosts that share the callers of one service.
 static constexpr std::size_t kHostsPerService = 24;
 
@@ -59,6 +56,15 @@
     *envelope.mutable_evidence() = aMessage;
     m_hooks.send(aTo, envelope);
   };
+  planeHooks.broadcast = [this](const wire::Evidence& aMessage) {
+    const HostId relay = m_lists->PullsFrom();
+    if (relay.IsEmpty()) {
+      return; // no control host has answered yet
+    }
+    wire::Envelope envelope;
+    *envelope.mutable_evidence() = aMessage;
+    m_hooks.send(relay, envelope);
+  };
   planeHooks.aliveHosts = aliveHosts;
   planeHooks.regionOf = [this](const HostId& aHost) {
     const wire::HostRecord* record = m_membership->Table().FindHost(aHost);
@@ -225,8 +231,9 @@
   return answer;
 }
 
-// The entry hosts of the caller's failure domain, and a few more of its region
-// where there are not enough of them to lose one.
+// The first entry hosts of the caller's failure domain by rendezvous hashing,
+// and of its region where there are not enough of them. The fewer hosts share
+// the servers of a place, the better each knows their load.
 AddressAnswer
 EntryNode::OnNearbyQuery(const Region& aRegion,
                          const FailureDomain& aDomain,
@@ -241,20 +248,20 @@
     const bool sameRegion = record.region() == aRegion.Value();
     hosts.emplace_back(sameDomain ? 0 : (sameRegion ? 1 : 2), &record);
   }
-  m_random.Shuffle(hosts);
-  std::stable_sort(
-    hosts.begin(), hosts.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.first < aRight.first;
+  const auto rank = [&](const auto& aItem) {
+    return std::pair(aItem.first,
+                     Hash64(aItem.second->host(), Hash64(aDomain.Value())));
+  };
+  std::sort(
+    hosts.begin(), hosts.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft) < rank(aRight);
     });
   AddressAnswer answer;
   answer.lifetime = m_options.settings.addressLifetime;
-  for (const auto& [distance, record] : hosts) {
-    const std::size_t count = answer.addresses.size();
-    if (count >= kNearbyAddresses ||
-        (distance > 0 && count >= kFewestAddresses)) {
-      break;
-    }
-    answer.addresses.push_back(record->caller_address());
+  const std::size_t count =
+    std::min(hosts.size(), m_options.settings.nearbyAddresses);
+  for (std::size_t i = 0; i < count; ++i) {
+    answer.addresses.push_back(hosts[i].second->caller_address());
   }
   if (!m_leaving) {
     m_addressesHeldUntil =
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -60,6 +60,9 @@
     options.region = m_options.region;
     options.failureDomain = m_options.failureDomain;
     options.retryBudget = m_options.routing.retryBudget;
+    options.byBelief = m_options.routing.sharesBeliefs;
+    options.domainCost = m_options.routing.domainCost;
+    options.regionCost = m_options.routing.regionCost;
     service.router =
       std::make_unique<ServiceRouter>(options, Random(m_random.Bits()));
     service.arbiter = RendezvousFirst(aName.Value(), m_hooks.aliveHosts());
@@ -139,6 +142,10 @@
 ServicePlane::Tick(TimePoint aNow)
 {
   m_quarantine.Tick(aNow);
+  if (m_options.routing.sharesBeliefs) {
+    ShareOutcomes();
+    return;
+  }
   const bool hostsChanged = std::exchange(m_hostsChanged, false);
   std::vector<HostId> hosts;
   if (hostsChanged) {
@@ -210,13 +217,61 @@
   }
 }
 
+// Outcomes of all services since the last tick, in one message.
+void
+ServicePlane::ShareOutcomes()
+{
+  wire::Evidence evidence;
+  for (auto& [name, service] : m_services) {
+    if (!service.router->HasSharedOutcomes()) {
+      continue;
+    }
+    wire::EvidenceReport* report = evidence.add_reports();
+    report->set_service(name.Value());
+    for (const ReportedCounts& item : service.router->TakeSharedOutcomes()) {
+      wire::ServerCounts* out = report->add_counts();
+      out->set_server(item.server.Value());
+      out->set_incarnation(item.incarnation);
+      out->set_failures(static_cast<std::uint32_t>(item.counts.failures));
+      out->set_successes(
+        static_cast<std::uint32_t>(item.counts.total - item.counts.failures));
+    }
+  }
+  if (evidence.reports_size() > 0) {
+    m_hooks.broadcast(evidence);
+  }
+}
+
+void
+ServicePlane::OnSharedOutcomes(const wire::EvidenceReport& aReport,
+                               TimePoint aNow)
+{
+  ServiceRouter* router = Find(ServiceName(aReport.service()));
+  if (router == nullptr) {
+    return;
+  }
+  for (const wire::ServerCounts& item : aReport.counts()) {
+    const BackendServerId server(item.server());
+    for (std::uint32_t i = 0; i < item.failures(); ++i) {
+      router->OnSharedOutcome(server, item.incarnation(), false, aNow);
+    }
+    for (std::uint32_t i = 0; i < item.successes(); ++i) {
+      router->OnSharedOutcome(server, item.incarnation(), true, aNow);
+    }
+  }
+}
+
 void
 ServicePlane::OnEvidence(const HostId& aFrom,
                          const wire::Evidence& aEvidence,
                          TimePoint aNow)
 {
   for (const wire::EvidenceReport& report : aEvidence.reports()) {
-    OnReport(aFrom, report, aNow);
+    if (m_options.routing.sharesBeliefs) {
+      OnSharedOutcomes(report, aNow);
+    } else {
+      OnReport(aFrom, report, aNow);
+    }
   }
   for (const wire::Verdict& verdict : aEvidence.verdicts()) {
     OnVerdict(aFrom, verdict, aNow);
@@ -370,6 +425,15 @@
     SharePoison(aService, aFingerprint, aNow);
     return true;
   }
+  if (m_options.routing.sharesBeliefs) {
+    wire::Evidence evidence;
+    wire::PoisonNotice* notice = evidence.add_poison();
+    notice->set_fingerprint(aFingerprint.Value());
+    notice->set_broken_server(aServer.Value());
+    notice->set_service(aService.Value());
+    m_hooks.broadcast(evidence);
+    return m_quarantine.IsQuarantined(aFingerprint, aNow);
+  }
   const auto it = m_services.find(aService);
   if (it != m_services.end() && it->second.arbiter != m_options.self &&
       !it->second.arbiter.IsEmpty()) {
@@ -398,6 +462,10 @@
   notice->set_fingerprint(aFingerprint.Value());
   notice->set_service(aService.Value());
   notice->set_remaining_us((m_quarantine.Until(aFingerprint) - aNow).count());
+  if (m_options.routing.sharesBeliefs) {
+    m_hooks.broadcast(evidence);
+    return;
+  }
   if (it->second.arbiter != m_options.self) {
     m_hooks.send(it->second.arbiter, evidence);
     return;
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -41,6 +41,8 @@
 struct ServicePlaneHooks
 {
   std::function<void(const HostId&, const wire::Evidence&)> send;
+  // Sends to all entry hosts, through control; used with shared beliefs.
+  std::function<void(const wire::Evidence&)> broadcast;
   std::function<std::vector<HostId>()> aliveHosts;
   std::function<Region(const HostId&)> regionOf;
   EventHook record;
@@ -109,6 +111,8 @@
   void SharePoison(const ServiceName& aService,
                    Fingerprint aFingerprint,
                    TimePoint aNow);
+  void ShareOutcomes();
+  void OnSharedOutcomes(const wire::EvidenceReport& aReport, TimePoint aNow);
   void ApplyOwnVerdict(Service& aService, TimePoint aNow);
 
   ServicePlaneOptions m_options;
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -116,6 +116,7 @@
     BackendClientOptions options;
     options.answerBytes = m_settings.limits.answerBodyBytes;
     options.keptAnswerBytes = m_settings.ledger.answerBytes;
+    options.connectTimeout = m_settings.routing.connectTimeout;
     options.idleLifetime = m_settings.routing.idleLifetime;
     options.acceptsUnframedAnswers = m_dialect.acceptsUnframedAnswers;
     return options;
--- a/packages/observe/event_log.cc
+++ b/packages/observe/event_log.cc
@@ -47,8 +47,9 @@
 void
 EventLog::Write(const Event& aEvent)
 {
-  const bool detail =
-    aEvent.Name() == "attempt_started" || aEvent.Name() == "request_finished";
+  const bool detail = aEvent.Name() == "attempt_started" ||
+                      aEvent.Name() == "attempt_ended" ||
+                      aEvent.Name() == "request_finished";
   const log4cplus::LogLevel level =
     detail ? log4cplus::DEBUG_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL;
   if (!m_logger.isEnabledFor(level)) {
--- /dev/null
+++ b/packages/routing/server_belief.h
@@ -0,0 +1,70 @@
+// How likely it is that a backend server is sick, from single outcomes.
+//
+// The server is taken for a two-state process: sick spells of some seconds in
+// which most requests fail, and well ones in which few do. Each outcome moves
+// the odds by how much likelier it is in one state than in the other; without
+// outcomes the belief returns to its base over the usual length of a spell.
+//
+//   ServerBelief belief;
+//   belief.OnFailure(now);
+//   if (belief.Sick(now) < 0.5) { ... }
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/time.h"
+
+namespace fuchsiaramp {
+
+class ServerBelief
+{
+public:
+  // The probability that the server is sick.
+  double Sick(TimePoint aNow) const
+  {
+    const double age = std::max(0.0, ToSeconds(aNow - m_updatedAt));
+    return kBase + (m_sick - kBase) * std::exp(-age / kSpellSeconds);
+  }
+
+  void OnSuccess(TimePoint aNow)
+  {
+    Update((1.0 - kFailsWhenSick) / (1.0 - kFailsWhenWell), aNow);
+  }
+  void OnFailure(TimePoint aNow)
+  {
+    Update(kFailsWhenSick / kFailsWhenWell, aNow);
+  }
+  // An answer that takes longer than usual; weaker than a failure.
+  void OnDelay(TimePoint aNow) { Update(kDelayRatio, aNow); }
+  // Nothing came through from this host, which may be its path's fault.
+  void OnUnreachable(TimePoint aNow) { Update(kUnreachableRatio, aNow); }
+
+  // When an outcome last counted; the origin when never.
+  TimePoint UpdatedAt() const { return m_updatedAt; }
+
+private:
+  // Shares of failed requests in each state: sick servers of the users fail
+  // nine in ten, well ones about one in eighty.
+  static constexpr double kFailsWhenSick = 0.9;
+  static constexpr double kFailsWhenWell = 0.015;
+  static constexpr double kDelayRatio = 12.0;
+  static constexpr double kUnreachableRatio = 60.0;
+  static constexpr double kSpellSeconds = 8.0;
+  static constexpr double kBase = 0.03; // belief without any evidence
+  static constexpr double kLowest = 0.005;
+  static constexpr double kHighest = 0.97;
+
+  void Update(double aRatio, TimePoint aNow)
+  {
+    const double before = Sick(aNow);
+    const double odds = before / (1.0 - before) * aRatio;
+    m_sick = std::clamp(odds / (1.0 + odds), kLowest, kHighest);
+    m_updatedAt = aNow;
+  }
+
+  double m_sick = kBase;
+  TimePoint m_updatedAt;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/routing/server_belief_test.cc
@@ -0,0 +1,54 @@
+#define BOOST_TEST_MODULE server_belief
+#include <boost/test/unit_test.hpp>
+
+#include "routing/server_belief.h"
+
+namespace fuchsiaramp {
+
+static const TimePoint kStart = FromMicros(1'000'000);
+
+BOOST_AUTO_TEST_CASE(OneFailureIsEnoughToAvoidAServer)
+{
+  ServerBelief belief;
+  BOOST_TEST(belief.Sick(kStart) < 0.1);
+  belief.OnFailure(kStart);
+  BOOST_TEST(belief.Sick(kStart) > 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(SuccessesClearIt)
+{
+  ServerBelief belief;
+  belief.OnFailure(kStart);
+  belief.OnSuccess(kStart);
+  belief.OnSuccess(kStart);
+  BOOST_TEST(belief.Sick(kStart) < 0.1);
+}
+
+BOOST_AUTO_TEST_CASE(OneSuccessDoesNotClearRepeatedFailures)
+{
+  ServerBelief belief;
+  for (int i = 0; i < 4; ++i) {
+    belief.OnFailure(kStart);
+  }
+  belief.OnSuccess(kStart);
+  BOOST_TEST(belief.Sick(kStart) > 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(TimeBringsItBack)
+{
+  ServerBelief belief;
+  belief.OnFailure(kStart);
+  BOOST_TEST(belief.Sick(kStart + std::chrono::seconds(2)) > 0.4);
+  BOOST_TEST(belief.Sick(kStart + std::chrono::seconds(20)) < 0.15);
+}
+
+BOOST_AUTO_TEST_CASE(ADelayIsWeakerThanAFailure)
+{
+  ServerBelief belief;
+  belief.OnDelay(kStart);
+  BOOST_TEST(belief.Sick(kStart) < 0.5);
+  belief.OnDelay(kStart);
+  BOOST_TEST(belief.Sick(kStart) > 0.5);
+}
+
+} // namespace fuchsiaramp
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -19,9 +19,47 @@
 static constexpr double kColdStartWeight = 0.25;
 // Trial requests a second to one server over all entry hosts.
 static constexpr double kTrialRate = 4.0;
+// Choice by belief. Above kSuspected a server is worth a trial by a repeatable
+// request; above kMostSick work goes there only as a trial.
+static constexpr double kSuspected = 0.15;
+static constexpr double kMostSick = 0.5;
+static constexpr Duration kTrialGap = std::chrono::milliseconds(800);
+// Cost of a server whose slots are all taken, as a share of a request's worth.
+static constexpr double kLoadCost = 0.1;
+static constexpr double kTieNoise = 0.02;
 static constexpr double kRemoteFrom = 0.95; // load of the best server nearby
 static constexpr double kOtherDomainPenalty = 1.1;
 
+const char*
+ToText(AttemptOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case AttemptOutcome::kSuccess:
+      return "success";
+    case AttemptOutcome::kServerError:
+      return "server-error";
+    case AttemptOutcome::kShed:
+      return "shed";
+    case AttemptOutcome::kNotRun:
+      return "not-run";
+    case AttemptOutcome::kOtherServer:
+      return "other-server";
+    case AttemptOutcome::kRefused:
+      return "refused";
+    case AttemptOutcome::kNothingWritten:
+      return "nothing-written";
+    case AttemptOutcome::kBroken:
+      return "broken";
+    case AttemptOutcome::kTimeout:
+      return "timeout";
+    case AttemptOutcome::kSilent:
+      return "silent";
+    case AttemptOutcome::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
 ServiceRouter::ServiceRouter(RouterOptions aOptions, Random aRandom)
   : m_options(std::move(aOptions))
   , m_random(aRandom)
@@ -127,9 +165,70 @@
   return std::nullopt;
 }
 
+// Share of a request's worth that is expected to be lost on the server.
+double
+ServiceRouter::Cost(const ServerView& aView, TimePoint aNow) const
+{
+  const double well =
+    (1.0 - aView.belief.Sick(aNow)) * (1.0 - aView.path.Sick(aNow));
+  double cost = 1.0 - well;
+  if (aView.server.region != m_options.region) {
+    cost += m_options.regionCost;
+  } else if (aView.server.failureDomain != m_options.failureDomain) {
+    cost += m_options.domainCost;
+  }
+  return cost + kLoadCost * Load(aView, aNow);
+}
+
+// The server that is expected to cost least. A repeatable request may first
+// find out whether a suspected server is well again, since it can be sent once
+// more.
+std::optional<BackendServerId>
+ServiceRouter::ChooseByBelief(const ChoiceRequest& aRequest, TimePoint aNow)
+{
+  ServerView* best = nullptr;
+  ServerView* suspect = nullptr;
+  double bestCost = 0.0;
+  for (auto& [id, view] : m_servers) {
+    if (!IsEligible(view, aRequest, aNow)) {
+      continue;
+    }
+    const double sick = std::max(view.belief.Sick(aNow), view.path.Sick(aNow));
+    const TimePoint seenAt =
+      std::max(view.belief.UpdatedAt(), view.path.UpdatedAt());
+    const bool near = view.server.failureDomain == m_options.failureDomain;
+    const bool tried = !IsDue(seenAt + kTrialGap, aNow) ||
+                       !IsDue(view.trialAt, aNow) || view.outstanding > 0;
+    const bool trial = aRequest.repeatable && aRequest.excluded.empty() &&
+                       near && sick > kSuspected && !tried;
+    if (trial && (suspect == nullptr || m_random.Chance(0.5))) {
+      suspect = &view;
+    }
+    // Work that cannot be sent again waits rather than goes where it would
+    // more likely fail than not.
+    if (sick > kMostSick) {
+      continue;
+    }
+    const double cost = Cost(view, aNow) + kTieNoise * m_random.Unit();
+    if (best == nullptr || cost < bestCost) {
+      best = &view;
+      bestCost = cost;
+    }
+  }
+  if (suspect != nullptr) {
+    suspect->trialAt = aNow + kTrialGap;
+    return suspect->server.id;
+  }
+  return best == nullptr ? std::nullopt
+                         : std::optional<BackendServerId>(best->server.id);
+}
+
 std::optional<BackendServerId>
 ServiceRouter::Choose(const ChoiceRequest& aRequest, TimePoint aNow)
 {
+  if (m_options.byBelief) {
+    return ChooseByBelief(aRequest, aNow);
+  }
   if (auto trial = ChooseTrial(aRequest, aNow)) {
     return trial;
   }
@@ -223,6 +322,7 @@
   }
   ServerView& view = it->second;
   view.outstanding -= view.outstanding > 0 ? 1 : 0;
+  Believe(view, aReport, aNow);
   if (aReport.reportedLoad) {
     const double own = view.outstanding + 1.0;
     view.othersLoad = std::max(0.0, *aReport.reportedLoad - own);
@@ -270,6 +370,81 @@
   }
 }
 
+// What the server itself did is told to all hosts; what may be the fault of the
+// way to it is kept here.
+void
+ServiceRouter::Believe(ServerView& aView,
+                       const AttemptReport& aReport,
+                       TimePoint aNow)
+{
+  switch (aReport.outcome) {
+    case AttemptOutcome::kSuccess:
+      if (aView.belief.Sick(aNow) > kSuspected) {
+        Share(aView, true);
+      }
+      aView.belief.OnSuccess(aNow);
+      aView.path.OnSuccess(aNow);
+      break;
+    case AttemptOutcome::kServerError:
+      aView.belief.OnFailure(aNow);
+      Share(aView, false);
+      break;
+    case AttemptOutcome::kBroken:
+    case AttemptOutcome::kRefused:
+    case AttemptOutcome::kTimeout:
+    case AttemptOutcome::kSilent:
+      aView.path.OnUnreachable(aNow);
+      break;
+    default:
+      break;
+  }
+}
+
+void
+ServiceRouter::Share(const ServerView& aView, bool aSuccess)
+{
+  ReportedCounts& counts = m_shared[aView.server.id];
+  counts.server = aView.server.id;
+  counts.incarnation = aView.server.incarnation;
+  counts.counts.total += 1.0;
+  counts.counts.failures += aSuccess ? 0.0 : 1.0;
+}
+
+std::vector<ReportedCounts>
+ServiceRouter::TakeSharedOutcomes()
+{
+  std::vector<ReportedCounts> outcomes;
+  for (const auto& [id, counts] : m_shared) {
+    outcomes.push_back(counts);
+  }
+  m_shared.clear();
+  return outcomes;
+}
+
+void
+ServiceRouter::OnSharedOutcome(const BackendServerId& aServer,
+                               std::uint64_t aIncarnation,
+                               bool aSuccess,
+                               TimePoint aNow)
+{
+  const auto it = m_servers.find(aServer);
+  if (it == m_servers.end() || it->second.server.incarnation != aIncarnation) {
+    return;
+  }
+  if (aSuccess) {
+    it->second.belief.OnSuccess(aNow);
+  } else {
+    it->second.belief.OnFailure(aNow);
+  }
+}
+
+double
+ServiceRouter::Sick(const BackendServerId& aServer, TimePoint aNow) const
+{
+  const auto it = m_servers.find(aServer);
+  return it == m_servers.end() ? 0.0 : it->second.belief.Sick(aNow);
+}
+
 void
 ServiceRouter::CountFailure(ServerView& aView)
 {
@@ -281,7 +456,7 @@
 }
 
 void
-ServiceRouter::OnOverdue(const BackendServerId& aServer)
+ServiceRouter::OnOverdue(const BackendServerId& aServer, TimePoint aNow)
 {
   const auto it = m_servers.find(aServer);
   if (it == m_servers.end()) {
@@ -289,6 +464,7 @@
   }
   it->second.counts.total += 1.0;
   it->second.counts.slow += 1.0;
+  it->second.path.OnDelay(aNow);
   m_hasEvidence = true;
   m_hasBadEvidence = true;
 }
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -23,6 +23,7 @@
 #include "routing/health_judge.h"
 #include "routing/latency_tracker.h"
 #include "routing/retry_budget.h"
+#include "routing/server_belief.h"
 #include "wire/messages.h"
 
 namespace fuchsiaramp {
@@ -42,6 +43,10 @@
   kCancelled,      // given up for another reason
 };
 
+// "success", "server-error" and so on, for logs.
+const char*
+ToText(AttemptOutcome aOutcome);
+
 struct RouterOptions
 {
   HostId self;
@@ -49,6 +54,12 @@
   FailureDomain failureDomain;
   double retryBudget = 0.1;
   std::size_t subsetSize = 32; // servers that one entry host uses
+  // Chooses by beliefs that hosts share, instead of an arbiter's verdicts.
+  bool byBelief = false;
+  // What it costs to leave the failure domain or the region, as a share of the
+  // worth of a request; traffic between them is billed.
+  double domainCost = 0.2;
+  double regionCost = 0.25;
 };
 
 struct ChoiceRequest
@@ -86,7 +97,7 @@
                   const AttemptReport& aReport,
                   TimePoint aNow);
   // The attempt already takes longer than a slow answer.
-  void OnOverdue(const BackendServerId& aServer);
+  void OnOverdue(const BackendServerId& aServer, TimePoint aNow);
   // A broken connection turned out not to be the request's own fault.
   void CountBroken(const BackendServerId& aServer);
 
@@ -96,8 +107,18 @@
                        TimePoint aUntil);
   bool HasRestrictions(TimePoint aNow) const { return aNow < m_verdictUntil; }
 
+  // An outcome that another host saw.
+  void OnSharedOutcome(const BackendServerId& aServer,
+                       std::uint64_t aIncarnation,
+                       bool aSuccess,
+                       TimePoint aNow);
   // Counts since the last call.
   std::vector<ReportedCounts> TakeEvidence();
+  // The outcomes since the last call that other hosts should know of.
+  std::vector<ReportedCounts> TakeSharedOutcomes();
+  bool HasSharedOutcomes() const { return !m_shared.empty(); }
+  // The probability that a server is sick.
+  double Sick(const BackendServerId& aServer, TimePoint aNow) const;
   bool HasEvidence() const { return m_hasEvidence; }
   // Bad outcomes since the last call: the report should not wait.
   bool HasBadEvidence() const { return m_hasBadEvidence; }
@@ -132,11 +153,18 @@
     TimePoint trialAt;
     std::optional<ServerHealth> restriction;
     OutcomeCounts counts;
+    ServerBelief belief; // of the server, shared
+    ServerBelief path;   // of this host's way to it
   };
 
   bool IsEligible(ServerView& aView,
                   const ChoiceRequest& aRequest,
                   TimePoint aNow);
+  std::optional<BackendServerId> ChooseByBelief(const ChoiceRequest& aRequest,
+                                                TimePoint aNow);
+  double Cost(const ServerView& aView, TimePoint aNow) const;
+  void Believe(ServerView& aView, const AttemptReport& aReport, TimePoint aNow);
+  void Share(const ServerView& aView, bool aSuccess);
   std::optional<BackendServerId> ChooseTrial(const ChoiceRequest& aRequest,
                                              TimePoint aNow);
   ServerView* BestOfTwo(const std::vector<ServerView*>& aViews, TimePoint aNow);
@@ -151,6 +179,7 @@
   LatencyTracker m_latency;
   RetryBudget m_retries;
   std::uint64_t m_outstanding = 0;
+  std::unordered_map<BackendServerId, ReportedCounts> m_shared;
   std::uint32_t m_reporters = 1;
   TimePoint m_verdictUntil;
   bool m_hasEvidence = false;
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -106,6 +106,10 @@
     map.Real("ejection_threshold", routing.ejectionThreshold, 2.0, 100.0);
   routing.floor = map.Real("floor", routing.floor, 0.1, 1.0);
   routing.retryBudget = map.Real("retry_budget", routing.retryBudget, 0.0, 1.0);
+  routing.sharesBeliefs = map.Flag("shares_beliefs", routing.sharesBeliefs);
+  routing.domainCost = map.Real("domain_cost", routing.domainCost, 0.0, 10.0);
+  routing.regionCost = map.Real("region_cost", routing.regionCost, 0.0, 10.0);
+  routing.connectTimeout = map.Span("connect_timeout", routing.connectTimeout);
   routing.requestTimeout = map.Span("request_timeout", routing.requestTimeout);
   routing.attemptTimeout = map.Span("attempt_timeout", routing.attemptTimeout);
   routing.queueTimeout = map.Span("queue_timeout", routing.queueTimeout);
@@ -366,6 +370,8 @@
   settings.routing = internal::Routing(map, aFindings);
   settings.limits = internal::Limits(map, aFindings);
   settings.ledger = internal::Ledger(map, aFindings);
+  settings.nearbyAddresses =
+    map.Number("nearby_addresses", settings.nearbyAddresses, 1, 64);
   settings.addressLifetime =
     map.Span("address_lifetime", settings.addressLifetime);
   settings.announcementLifetime =
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -48,11 +48,19 @@
   double floor = 0.6;
   // Share of extra attempts that retries may add to a service.
   double retryBudget = 0.1;
+  // Entry hosts tell each other single outcomes through control hosts and
+  // choose by beliefs, instead of following an arbiter for each service.
+  bool sharesBeliefs = false;
+  // What leaving the failure domain or the region costs, as a share of the
+  // worth of a request.
+  double domainCost = 0.2;
+  double regionCost = 0.25;
   Duration requestTimeout = std::chrono::seconds(10);
   Duration attemptTimeout = std::chrono::seconds(3);
   Duration queueTimeout = std::chrono::milliseconds(500);
   // How long an idle connection to a backend server is used again.
   Duration idleLifetime = std::chrono::seconds(30);
+  Duration connectTimeout = std::chrono::seconds(1);
 };
 
 struct LimitSettings
@@ -117,6 +125,8 @@
   LimitSettings limits;
   LedgerSettings ledger;
   GroupSettings group;
+  // Entry hosts named to a caller that asks for those nearby.
+  std::size_t nearbyAddresses = 2;
   Duration addressLifetime = std::chrono::seconds(30);
   Duration announcementLifetime = std::chrono::seconds(3);
 };
