Learn of entry hosts through control; name places, not round trips

Ruled out: longer gossip intervals alone, which only stretch detection. Change: FleetTable on control hosts; an entry host shows itself to the one control host that it pulls from, the nearest by name of its failure domain; control hosts tell each other of changes and refresh by digest; messages_sent lines by kind.

--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -31,11 +31,17 @@
 
   template<class T>
   Event&& With(std::string aKey, const T& aValue) &&
+  {
+    Add(std::move(aKey), aValue);
+    return std::move(*this);
+  }
+
+  template<class T>
+  void Add(std::string aKey, const T& aValue)
   {
     std::ostringstream text;
     text << aValue;
     m_fields.push_back({ std::move(aKey), text.str() });
-    return std::move(*this);
   }
 
   const std::string& Name() const { return m_name; }
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -42,6 +42,7 @@
   , m_hooks(std::move(aHooks))
   , m_commands(m_options.hosts, m_hooks.send)
   , m_watch(m_options.self, m_options.serverLifetime)
+  , m_fleet(m_options.region)
   , m_knownHosts(m_options.hosts)
   , m_lapseAt(aNow)
 {
@@ -135,6 +136,9 @@
     case wire::Envelope::kControlReply:
       m_commands.OnReply(aFrom, aMessage.control_reply(), aNow);
       break;
+    case wire::Envelope::kFleetView:
+      OnFleetView(aFrom, aMessage.fleet_view(), aNow);
+      break;
     case wire::Envelope::kEvidence:
       RelayEvidence(aFrom, aMessage, aNow);
       break;
@@ -154,6 +158,7 @@
   }
   UpdateLeaders();
   m_commands.Tick(aNow);
+  ShareFleet(aNow);
   if (IsDue(m_lapseAt, aNow)) {
     m_lapseAt = aNow + kLapseInterval;
     LapseServers(aNow);
@@ -213,6 +218,11 @@
   }
   m_commands.SetGroupLeaders(leaders);
   const std::set<HostId> hosts = OtherControlHosts();
+  for (const HostId& host : hosts) {
+    if (m_announcedHosts.insert(host).second && m_hooks.hostKnown) {
+      m_hooks.hostKnown(host);
+    }
+  }
   m_commands.SetControlHosts({ hosts.begin(), hosts.end() });
 }
 
@@ -284,7 +294,10 @@
   known.reportedAt = aNow;
   known.sentLists = aPull.have_version();
   known.sentServers = aPull.have_servers_version();
-  known.direct = direct;
+  known.direct = direct && aPull.subscribes();
+  if (aPull.has_self()) {
+    m_fleet.Heard(aPull.self(), aNow);
+  }
   wire::Envelope envelope;
   *envelope.mutable_lists_push() = MakePush(known, aNow);
   envelope.mutable_lists_push()->set_pull_id(aPull.pull_id());
@@ -313,6 +326,16 @@
   for (const wire::Member& member : group.node->Members().members()) {
     push.add_control_hosts(member.host());
   }
+  push.set_region(m_options.region.Value());
+  push.set_failure_domain(m_options.failureDomain.Value());
+  push.set_fleet_size(static_cast<std::uint32_t>(m_fleet.Count()));
+  if (aKnown.direct && aKnown.sentFleet != m_fleet.Version()) {
+    aKnown.sentFleet = m_fleet.Version();
+    push.set_has_hosts(true);
+    for (const wire::HostRecord& host : m_fleet.Near()) {
+      *push.add_hosts() = host;
+    }
+  }
   aKnown.sentLists = lists.Current().Version().Value();
   aKnown.sentServers = servers.Version();
   return push;
@@ -332,7 +355,9 @@
       it = m_entryHosts.erase(it);
       continue;
     }
-    const bool behind = known.sentLists < lists || known.sentServers < servers;
+    const bool behind = known.sentLists < lists ||
+                        known.sentServers < servers ||
+                        known.sentFleet != m_fleet.Version();
     const bool subscribed = !IsDue(known.reportedAt + kSubscription, aNow);
     if (behind && subscribed && known.direct) {
       wire::Envelope envelope;
@@ -385,6 +410,38 @@
                     });
 }
 
+void
+ControlNode::OnFleetView(const HostId& aFrom,
+                         const wire::FleetView& aView,
+                         TimePoint aNow)
+{
+  wire::Envelope envelope;
+  if (aView.asks()) {
+    *envelope.mutable_fleet_view() = m_fleet.OwnView();
+    m_hooks.send(aFrom, envelope);
+    return;
+  }
+  if (m_fleet.HeardView(aFrom, aView, aNow)) {
+    envelope.mutable_fleet_view()->set_asks(true);
+    m_hooks.send(aFrom, envelope);
+  }
+}
+
+void
+ControlNode::ShareFleet(TimePoint aNow)
+{
+  m_fleet.Tick(aNow);
+  const auto news = m_fleet.TakeNews(aNow);
+  if (!news) {
+    return;
+  }
+  wire::Envelope envelope;
+  *envelope.mutable_fleet_view() = *news;
+  for (const HostId& host : OtherControlHosts()) {
+    m_hooks.send(host, envelope);
+  }
+}
+
 void
 ControlNode::LapseServers(TimePoint aNow)
 {
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -28,6 +28,7 @@
 #include "consensus/node.h"
 #include "consensus/storage.h"
 #include "control/command_client.h"
+#include "control/fleet_table.h"
 #include "control/server_watch.h"
 #include "state/group_state.h"
 #include "wire/messages.h"
@@ -39,6 +40,8 @@
 struct ControlOptions
 {
   HostId self;
+  Region region;
+  FailureDomain failureDomain;
   std::vector<HostId> hosts; // the control hosts of the settings
   LedgerOptions ledger;
   NodeOptions consensus; // self, hosts and group are filled in
@@ -56,6 +59,8 @@
 struct ControlHooks
 {
   SendHook send;
+  // Another control host was heard of, whose name is its message address.
+  std::function<void(const HostId&)> hostKnown;
   // Microseconds of the wall clock; used for retention and history only.
   std::function<std::int64_t()> wallClock;
   std::function<void(std::error_code)> fatal;
@@ -89,6 +94,7 @@
   // What it was last sent.
   std::uint64_t sentLists = 0;
   std::uint64_t sentServers = 0;
+  std::uint64_t sentFleet = 0;
   // Whether it pulls from this host itself, so that changes are pushed to it.
   bool direct = false;
 };
@@ -159,6 +165,10 @@
                      const wire::Envelope& aMessage,
                      TimePoint aNow);
   std::set<HostId> OtherControlHosts() const;
+  void OnFleetView(const HostId& aFrom,
+                   const wire::FleetView& aView,
+                   TimePoint aNow);
+  void ShareFleet(TimePoint aNow);
   void LapseServers(TimePoint aNow);
   void UpdateLeaders();
 
@@ -170,7 +180,9 @@
   std::map<HostId, EntryHostVersion> m_entryHosts;
   CommandClient m_commands; // to the leader, when another host leads
   ServerWatch m_watch;
+  FleetTable m_fleet;
   std::vector<HostId> m_knownHosts;
+  std::set<HostId> m_announcedHosts; // passed to hooks.hostKnown
   TimePoint m_lapseAt;
 };
 
--- /dev/null
+++ b/packages/control/fleet_table.h
@@ -0,0 +1,74 @@
+// Which entry hosts are alive, as one control host knows it.
+//
+// Entry hosts show themselves to the control host that they pull from. Control
+// hosts tell each other of theirs when something changed, and otherwise send
+// only a digest now and then; a host that misses something asks for it.
+//
+//   FleetTable table(self, region);
+//   table.Heard(record, now);
+//   if (auto view = table.TakeNews(now)) { ... to the other control hosts ... }
+//   for (const wire::HostRecord& host : table.Near()) { ... }
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+class FleetTable
+{
+public:
+  explicit FleetTable(Region aRegion);
+
+  // An entry host pulled from this host.
+  void Heard(const wire::HostRecord& aRecord, TimePoint aNow);
+  // Returns whether the sender must be asked for its whole view.
+  bool HeardView(const HostId& aFrom,
+                 const wire::FleetView& aView,
+                 TimePoint aNow);
+  // Forgets what has been silent for too long.
+  void Tick(TimePoint aNow);
+
+  // What the other control hosts should hear now, if anything.
+  std::optional<wire::FleetView> TakeNews(TimePoint aNow);
+  // The entry hosts that pull from this host.
+  wire::FleetView OwnView() const;
+
+  // All entry hosts of the region, by name.
+  const std::vector<wire::HostRecord>& Near() const { return m_near; }
+  // Grows with each change of Near() or Count().
+  std::uint64_t Version() const { return m_version; }
+  // Entry hosts of the whole fleet.
+  std::size_t Count() const { return m_count; }
+
+private:
+  struct OwnHost
+  {
+    wire::HostRecord record;
+    TimePoint heardAt;
+  };
+  struct View
+  {
+    wire::FleetView view;
+    TimePoint heardAt;
+  };
+
+  void Merge();
+
+  Region m_region;
+  std::map<HostId, OwnHost> m_own;
+  std::map<HostId, View> m_views; // of other control hosts
+  std::vector<wire::HostRecord> m_near;
+  std::size_t m_count = 0;
+  std::uint64_t m_version = 1;
+  bool m_news = false;
+  TimePoint m_refreshAt;
+};
+
+} // namespace fuchsiaramp
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -98,14 +98,37 @@
   };
   listsHooks.controlHostsChanged = [this](const std::vector<HostId>& aHosts) {
     m_claims->SetControlHosts(aHosts);
+    for (const HostId& host : aHosts) {
+      // Hosts that only control names are named by their address.
+      if (IsAddress(host.Value())) {
+        wire::HostRecord record;
+        record.set_host(host.Value());
+        m_hooks.hostChanged(record);
+      }
+    }
   };
   listsHooks.serverChanged = [this](const wire::BackendServerRecord& aRecord) {
     m_directory.UpdateFromControl(aRecord);
   };
+  const bool byControl = settings.membershipByControl;
+  listsHooks.self = [this, byControl]() -> std::optional<wire::HostRecord> {
+    return byControl ? std::optional(m_membership->Self()) : std::nullopt;
+  };
+  listsHooks.hostsChanged =
+    [this, byControl](const std::vector<wire::HostRecord>& aHosts,
+                      std::size_t aFleetSize) {
+      if (byControl) {
+        m_membership->SetHosts(aHosts, m_now);
+        m_fleetSize = std::max<std::size_t>(aFleetSize, 1);
+      }
+    };
   listsHooks.record = m_hooks.record;
   ListsFollowerOptions listsOptions;
   listsOptions.self = settings.host;
+  listsOptions.region = settings.region;
+  listsOptions.failureDomain = settings.failureDomain;
   listsOptions.controlHosts = controlHosts;
+  listsOptions.pullInterval = settings.pullInterval;
   m_lists = std::make_unique<ListsFollower>(
     listsOptions, std::move(listsHooks), Random(aRandom.Bits()), aNow);
 
@@ -150,7 +173,11 @@
   memberOptions.self.set_role("entry");
   memberOptions.self.set_region(settings.region.Value());
   memberOptions.self.set_failure_domain(settings.failureDomain.Value());
-  memberOptions.self.set_message_address(settings.messageAddress);
+  // A host that is named by its message address need not repeat it.
+  if (settings.messageAddress != settings.host.Value()) {
+    memberOptions.self.set_message_address(settings.messageAddress);
+  }
+  memberOptions.gossips = !settings.membershipByControl;
   memberOptions.self.set_caller_address(settings.callerAddress);
   memberOptions.self.set_public_key(settings.keys.publicKey);
   memberOptions.announcementLifetime = settings.announcementLifetime;
@@ -291,6 +318,7 @@
   m_now = aNow;
   m_leaving = true;
   m_membership->Leave(aNow);
+  m_lists->PullNow();
   // Other hosts may name this one until they hear the news, and their answers
   // are kept for a lifetime after that.
   m_addressesHeldUntil =
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -275,6 +275,7 @@
   std::uint64_t m_nextClaim = 1;
   // What each service of a split is owed, by route.
   std::unordered_map<std::string, std::map<std::string, double>> m_splitDebts;
+  std::size_t m_fleetSize = 1; // entry hosts, as control counts them
   std::uint64_t m_addressQueries = 0;
   EntryCounters m_counters;
   bool m_leaving = false;
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -89,25 +89,31 @@
   if (!m_serving) {
     auto it = m_controlHosts.begin();
     std::advance(it, m_nextControl++ % m_controlHosts.size());
-    SendPull(it->first, aNow);
+    SendPull(it->first, false, aNow);
     return;
   }
   for (const auto& [host, control] : m_controlHosts) {
-    const bool unknown = control.roundTrip == kUnknownRoundTrip;
+    const bool unknown = control.distance == Distance::kUnknown;
     if (unknown && IsDue(control.avoidUntil, aNow) && control.pull == 0) {
-      SendPull(host, aNow);
+      SendPull(host, false, aNow);
     }
   }
   const HostId nearest = NearestControlHost(aNow);
+  m_pullsFrom = nearest;
   if (!nearest.IsEmpty()) {
-    SendPull(nearest, aNow);
+    SendPull(nearest, true, aNow);
   }
 }
 
 void
-ListsFollower::SendPull(const HostId& aTo, TimePoint aNow)
+ListsFollower::SendPull(const HostId& aTo, bool aSubscribes, TimePoint aNow)
 {
-  const wire::ListsPull pull = Pull(true);
+  wire::ListsPull pull = Pull(true);
+  pull.set_subscribes(aSubscribes);
+  const auto self = m_hooks.self();
+  if (aSubscribes && self) {
+    *pull.mutable_self() = *self;
+  }
   ControlHost& control = m_controlHosts[aTo];
   if (control.pull == 0) {
     control.pull = pull.pull_id();
@@ -121,7 +127,7 @@
 {
   const auto rank = [&](const auto& aItem) {
     return std::pair(!IsDue(aItem.second.avoidUntil, aNow),
-                     aItem.second.roundTrip);
+                     aItem.second.distance);
   };
   const auto it = std::min_element(m_controlHosts.begin(),
                                    m_controlHosts.end(),
@@ -131,20 +137,6 @@
   return it == m_controlHosts.end() ? HostId() : it->first;
 }
 
-HostId
-ListsFollower::PullsFrom() const
-{
-  const auto it =
-    std::min_element(m_controlHosts.begin(),
-                     m_controlHosts.end(),
-                     [](const auto& aLeft, const auto& aRight) {
-                       return aLeft.second.roundTrip < aRight.second.roundTrip;
-                     });
-  const bool known =
-    it != m_controlHosts.end() && it->second.roundTrip != kUnknownRoundTrip;
-  return known ? it->first : HostId();
-}
-
 void
 ListsFollower::HearAnswer(const HostId& aFrom,
                           const wire::ListsPush& aPush,
@@ -155,8 +147,12 @@
     return;
   }
   ControlHost& control = it->second;
-  if (control.pull == aPush.pull_id()) {
-    control.roundTrip = std::min(control.roundTrip, aNow - control.pulledAt);
+  if (aPush.failure_domain() == m_options.failureDomain.Value()) {
+    control.distance = Distance::kSameDomain;
+  } else if (aPush.region() == m_options.region.Value()) {
+    control.distance = Distance::kSameRegion;
+  } else {
+    control.distance = Distance::kOtherRegion;
   }
   control.pull = 0;
   // A control host that lost its leader cannot tell what is new.
@@ -231,6 +227,10 @@
   if (control) {
     HearAnswer(aFrom, aPush, aNow);
     HearControlHosts(aPush);
+    if (aPush.has_hosts()) {
+      m_hooks.hostsChanged({ aPush.hosts().begin(), aPush.hosts().end() },
+                           aPush.fleet_size());
+    }
     m_answeredAt = aNow;
     m_leader = HostId(aPush.leader());
     m_hooks.groupLeaders(
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -15,6 +15,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
 struct ListsFollowerOptions
 {
   HostId self;
+  Region region;
+  FailureDomain failureDomain;
   std::vector<HostId> controlHosts; // known at the start; answers name more
   // Doubles with each pull until the host serves.
   Duration startInterval = std::chrono::milliseconds(200);
@@ -48,6 +51,12 @@
   std::function<void(const std::vector<std::string>&)> groupLeaders;
   // The control hosts that are known now.
   std::function<void(const std::vector<HostId>&)> controlHostsChanged;
+  // The entry hosts that control knows of: those of the region, and how many
+  // there are in all.
+  std::function<void(const std::vector<wire::HostRecord>&, std::size_t)>
+    hostsChanged;
+  // What this host says of itself; empty where gossip does.
+  std::function<std::optional<wire::HostRecord>()> self;
   // Control says this of a backend server.
   std::function<void(const wire::BackendServerRecord&)> serverChanged;
   EventHook record;
@@ -74,11 +83,13 @@
 
   bool IsServing() const { return m_serving; }
   const Lists& Current() const { return m_lists; }
+  // Pulls at once, to tell control of a change of this host.
+  void PullNow() { m_pullAt = TimePoint(); }
   // More control hosts to ask, as from new settings.
   void AddControlHosts(const std::vector<HostId>& aHosts);
   std::uint64_t ServersVersion() const { return m_serversVersion; }
-  // The control host that this host pulls from; empty until one answered.
-  HostId PullsFrom() const;
+  // The control host that this host pulls from; empty until it serves.
+  const HostId& PullsFrom() const { return m_pullsFrom; }
   // When a leader last confirmed the version; the origin when never.
   TimePoint ConfirmedAt() const { return m_confirmedAt; }
 
@@ -90,22 +101,29 @@
     TimePoint forgetAt;
   };
 
-  // What is known of the way to one control host.
+  enum class Distance
+  {
+    kSameDomain,
+    kSameRegion,
+    kOtherRegion,
+    kUnknown, // it has not answered yet
+  };
+
+  // What is known of one control host.
   struct ControlHost
   {
-    Duration roundTrip = kUnknownRoundTrip; // smallest seen
-    TimePoint avoidUntil;                   // after it did not answer
-    std::uint64_t pull = 0;                 // that waits for its answer
+    Distance distance = Distance::kUnknown;
+    TimePoint avoidUntil;   // after it did not answer
+    std::uint64_t pull = 0; // that waits for its answer
     TimePoint pulledAt;
   };
-  static constexpr Duration kUnknownRoundTrip = std::chrono::seconds(10);
 
   void AdoptServers(const wire::ServersDelta& aDelta);
   void HearControlHosts(const wire::ListsPush& aPush);
   void HearAnswer(const HostId& aFrom,
                   const wire::ListsPush& aPush,
                   TimePoint aNow);
-  void SendPull(const HostId& aTo, TimePoint aNow);
+  void SendPull(const HostId& aTo, bool aSubscribes, TimePoint aNow);
   HostId NearestControlHost(TimePoint aNow) const;
   void Adopt(const wire::ListsPush& aPush);
   void Serve(const char* aWhy);
@@ -130,6 +148,7 @@
   std::map<HostId, ControlHost> m_controlHosts;
   std::uint64_t m_serversVersion = 0;
   std::map<std::string, wire::BackendServerRecord> m_servers; // not gone
+  HostId m_pullsFrom;
   std::size_t m_nextControl = 0;
   std::uint64_t m_nextPull = 1;
   std::map<std::uint64_t, Relay> m_relays;
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace fuchsiaramp {
@@ -37,6 +38,9 @@
   CheckProbe(aNow);
   CheckSuspects(aNow);
   CheckWatches(aNow);
+  if (!m_options.gossips) {
+    return;
+  }
   if (IsDue(m_probeAt, aNow)) {
     m_probeAt = aNow + m_options.probeInterval;
     StartProbe(aNow);
@@ -201,6 +205,31 @@
   MergeServer(record);
 }
 
+// What this host says of itself stays, whatever control last heard.
+void
+Membership::SetHosts(const std::vector<wire::HostRecord>& aHosts,
+                     TimePoint aNow)
+{
+  std::set<std::string> named{ m_options.self.host() };
+  for (const wire::HostRecord& record : aHosts) {
+    if (named.insert(record.host()).second) {
+      MergeHost(record, aNow);
+    }
+  }
+  std::vector<wire::HostRecord> gone;
+  for (const auto& [host, record] : m_table.Hosts()) {
+    if (named.count(host) == 0) {
+      gone.push_back(record);
+    }
+  }
+  for (wire::HostRecord& record : gone) {
+    m_table.EraseHost(HostId(record.host()));
+    record.set_state(wire::HostRecord::DEAD);
+    m_hooks.hostChanged(record);
+  }
+  m_hostUpdates.clear();
+}
+
 void
 Membership::AddSeeds(const std::vector<HostId>& aSeeds)
 {
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -30,6 +30,8 @@
 struct MembershipOptions
 {
   wire::HostRecord self;
+  // Otherwise control tells who lives, through SetHosts.
+  bool gossips = true;
   std::vector<HostId> seeds;
   Duration probeInterval = std::chrono::milliseconds(500);
   Duration probeTimeout = std::chrono::milliseconds(150);
@@ -69,6 +71,8 @@
 
   // A backend server announced itself to this host or renewed.
   void Watch(wire::BackendServerRecord aAnnouncement, TimePoint aNow);
+  // Replaces all other hosts by those that control knows of.
+  void SetHosts(const std::vector<wire::HostRecord>& aHosts, TimePoint aNow);
   // More hosts to look for while this one knows nobody.
   void AddSeeds(const std::vector<HostId>& aSeeds);
   // This host leaves the fleet.
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -29,6 +29,7 @@
 namespace json = boost::json;
 
 static constexpr Duration kTick = std::chrono::milliseconds(20);
+static constexpr Duration kTrafficInterval = std::chrono::seconds(10);
 static constexpr Duration kHandover = std::chrono::milliseconds(1500);
 static constexpr std::uint64_t kMaxDocumentBytes = 256 << 20;
 static constexpr std::uint64_t kSegmentSlack = 256 << 20; // bytes
@@ -66,6 +67,8 @@
     }
     ControlOptions options;
     options.self = m_settings.host;
+    options.region = m_settings.region;
+    options.failureDomain = m_settings.failureDomain;
     for (const PeerSettings& peer : m_settings.controlHosts) {
       options.hosts.push_back(peer.host);
     }
@@ -161,6 +164,11 @@
     hooks.send = [this](const HostId& aTo, const wire::Envelope& aMessage) {
       m_transport.Send(aTo, aMessage);
     };
+    hooks.hostKnown = [this](const HostId& aHost) {
+      if (IsAddress(aHost.Value())) {
+        m_transport.SetPeer(aHost, aHost.Value(), "");
+      }
+    };
     hooks.wallClock = WallClockMicros;
     hooks.fatal = [this](std::error_code aError) {
       m_fatal = aError;
@@ -191,6 +199,10 @@
         return;
       }
       m_transport.Poll();
+      if (IsDue(m_trafficAt, MonotonicNow())) {
+        m_trafficAt = MonotonicNow() + kTrafficInterval;
+        m_log.Write(TrafficEvent(m_transport.Counters()));
+      }
       m_node->Tick(MonotonicNow());
       m_node->Flush(MonotonicNow());
       if (m_leaving && (IsDue(m_exitAt, MonotonicNow()) || !LeadsAny())) {
@@ -385,6 +397,7 @@
   Metrics m_metrics;
   MessageTransport m_transport;
   asio::steady_timer m_timer;
+  TimePoint m_trafficAt; // when the next summary is logged
   std::vector<std::unique_ptr<SegmentLog>> m_logs;
   std::unique_ptr<ControlNode> m_node;
   std::optional<HttpServer> m_server;
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -30,6 +30,7 @@
 namespace json = boost::json;
 
 static constexpr Duration kTick = std::chrono::milliseconds(20);
+static constexpr Duration kTrafficInterval = std::chrono::seconds(10);
 
 class EntryService::Impl
 {
@@ -159,8 +160,9 @@
     hooks.cancelAttempt = [this](AttemptId aId) { m_backends.Cancel(aId); };
     hooks.answer = [this](const FinalAnswer& aAnswer) { OnAnswer(aAnswer); };
     hooks.hostChanged = [this](const wire::HostRecord& aRecord) {
+      const std::string& address = aRecord.message_address();
       m_transport.SetPeer(HostId(aRecord.host()),
-                          aRecord.message_address(),
+                          address.empty() ? aRecord.host() : address,
                           aRecord.public_key());
     };
     hooks.record = [this](const Event& aEvent) { m_log.Write(aEvent); };
@@ -175,6 +177,10 @@
         return;
       }
       m_transport.Poll();
+      if (IsDue(m_trafficAt, MonotonicNow())) {
+        m_trafficAt = MonotonicNow() + kTrafficInterval;
+        m_log.Write(TrafficEvent(m_transport.Counters()));
+      }
       m_node->Tick(MonotonicNow());
       if (m_node->MayExit(MonotonicNow())) {
         m_log.Write(Event("stopped"));
@@ -458,6 +464,7 @@
   MessageTransport m_transport;
   BackendClient m_backends;
   asio::steady_timer m_timer;
+  TimePoint m_trafficAt; // when the next summary is logged
   std::unique_ptr<EntryNode> m_node;
   std::vector<std::unique_ptr<HttpServer>> m_servers; // the callers' first
   std::unordered_map<RequestId, Pending> m_pending;
--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -43,6 +43,15 @@
   return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
 }
 
+// The name of the envelope's body, such as "raft".
+static std::string
+KindOf(const wire::Envelope& aMessage)
+{
+  const auto* field = wire::Envelope::descriptor()->FindFieldByNumber(
+    static_cast<int>(aMessage.body_case()));
+  return field == nullptr ? "none" : field->name();
+}
+
 MessageTransport::MessageTransport(boost::asio::io_context& aIo,
                                    MessageTransportOptions aOptions,
                                    CausalClock& aClock,
@@ -144,6 +153,7 @@
   const std::string payload = envelope.SerializeAsString();
   ++m_counters.sent;
   m_counters.sentBytes += payload.size();
+  m_counters.sentBytesByKind[KindOf(aMessage)] += payload.size();
   try {
     // A router drops what it cannot deliver; the callers tolerate loss.
     socket.send(zmq::buffer(aTo.Value()),
--- a/packages/net/message_transport.h
+++ b/packages/net/message_transport.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -49,6 +50,7 @@
   std::uint64_t dropped = 0; // late, replayed or from an old incarnation
   std::uint64_t malformed = 0;
   std::uint64_t refusedKeys = 0;
+  std::map<std::string, std::uint64_t> sentBytesByKind;
 };
 
 class MessageTransport
--- a/packages/net/service_parts.cc
+++ b/packages/net/service_parts.cc
@@ -17,6 +17,16 @@
   return options;
 }
 
+Event
+TrafficEvent(const TransportCounters& aCounters)
+{
+  Event event("messages_sent");
+  for (const auto& [kind, bytes] : aCounters.sentBytesByKind) {
+    event.Add(kind + "_bytes", bytes);
+  }
+  return event;
+}
+
 void
 AddProcessMetrics(Metrics& aMetrics, const MessageTransport& aTransport)
 {
--- a/packages/net/service_parts.h
+++ b/packages/net/service_parts.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "base/event.h"
 #include "net/message_transport.h"
 #include "observe/metrics.h"
 #include "settings/settings.h"
@@ -17,6 +18,10 @@
 
 // Processor time, memory and message traffic of this process. The transport
 // must outlive the metrics.
+// What this host sent since its start, by kind of message.
+Event
+TrafficEvent(const TransportCounters& aCounters);
+
 void
 AddProcessMetrics(Metrics& aMetrics, const MessageTransport& aTransport);
 
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -370,6 +370,9 @@
   settings.routing = internal::Routing(map, aFindings);
   settings.limits = internal::Limits(map, aFindings);
   settings.ledger = internal::Ledger(map, aFindings);
+  settings.membershipByControl =
+    map.Flag("membership_by_control", settings.membershipByControl);
+  settings.pullInterval = map.Span("pull_interval", settings.pullInterval);
   settings.nearbyAddresses =
     map.Number("nearby_addresses", settings.nearbyAddresses, 1, 64);
   settings.addressLifetime =
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -125,8 +125,12 @@
   LimitSettings limits;
   LedgerSettings ledger;
   GroupSettings group;
+  // Entry hosts learn of each other through control instead of by gossip.
+  bool membershipByControl = false;
   // Entry hosts named to a caller that asks for those nearby.
   std::size_t nearbyAddresses = 2;
+  // How often an entry host asks a control host for news.
+  Duration pullInterval = std::chrono::seconds(1);
   Duration addressLifetime = std::chrono::seconds(30);
   Duration announcementLifetime = std::chrono::seconds(3);
 };
