Split the retry budget over the hosts; give up dead connections sooner

Ruled out: a token for each retry from another host (a message for each). ZeroMQ gives up unacknowledged data and connects after 1.5 and 0.5 s. Control hosts name each other's places, so that entry hosts need not ask all of them.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -46,6 +46,9 @@
   , m_knownHosts(m_options.hosts)
   , m_lapseAt(aNow)
 {
+  wire::HostRecord& place = m_places[m_options.self];
+  place.set_region(m_options.region.Value());
+  place.set_failure_domain(m_options.failureDomain.Value());
   for (std::size_t i = 0; i < aStorage.size(); ++i) {
     StartGroup(static_cast<std::uint32_t>(i),
                std::move(aStorage[i]),
@@ -324,10 +327,13 @@
     push.add_group_leaders(other->node->Leader().Value());
   }
   for (const wire::Member& member : group.node->Members().members()) {
-    push.add_control_hosts(member.host());
+    wire::HostRecord* host = push.add_control_hosts();
+    const auto place = m_places.find(HostId(member.host()));
+    if (place != m_places.end()) {
+      *host = place->second;
+    }
+    host->set_host(member.host());
   }
-  push.set_region(m_options.region.Value());
-  push.set_failure_domain(m_options.failureDomain.Value());
   push.set_fleet_size(static_cast<std::uint32_t>(m_fleet.Count()));
   if (aKnown.direct && aKnown.sentFleet != m_fleet.Version()) {
     aKnown.sentFleet = m_fleet.Version();
@@ -415,18 +421,30 @@
                          const wire::FleetView& aView,
                          TimePoint aNow)
 {
-  wire::Envelope envelope;
+  wire::HostRecord& place = m_places[aFrom];
+  place.set_region(aView.region());
+  place.set_failure_domain(aView.failure_domain());
   if (aView.asks()) {
-    *envelope.mutable_fleet_view() = m_fleet.OwnView();
-    m_hooks.send(aFrom, envelope);
+    SendFleetView(aFrom, m_fleet.OwnView());
     return;
   }
   if (m_fleet.HeardView(aFrom, aView, aNow)) {
-    envelope.mutable_fleet_view()->set_asks(true);
-    m_hooks.send(aFrom, envelope);
+    wire::FleetView question;
+    question.set_asks(true);
+    SendFleetView(aFrom, question);
   }
 }
 
+void
+ControlNode::SendFleetView(const HostId& aTo, wire::FleetView aView)
+{
+  aView.set_region(m_options.region.Value());
+  aView.set_failure_domain(m_options.failureDomain.Value());
+  wire::Envelope envelope;
+  *envelope.mutable_fleet_view() = std::move(aView);
+  m_hooks.send(aTo, envelope);
+}
+
 void
 ControlNode::ShareFleet(TimePoint aNow)
 {
@@ -435,10 +453,8 @@
   if (!news) {
     return;
   }
-  wire::Envelope envelope;
-  *envelope.mutable_fleet_view() = *news;
   for (const HostId& host : OtherControlHosts()) {
-    m_hooks.send(host, envelope);
+    SendFleetView(host, *news);
   }
 }
 
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -169,6 +169,7 @@
                    const wire::FleetView& aView,
                    TimePoint aNow);
   void ShareFleet(TimePoint aNow);
+  void SendFleetView(const HostId& aTo, wire::FleetView aView);
   void LapseServers(TimePoint aNow);
   void UpdateLeaders();
 
@@ -182,7 +183,8 @@
   ServerWatch m_watch;
   FleetTable m_fleet;
   std::vector<HostId> m_knownHosts;
-  std::set<HostId> m_announcedHosts; // passed to hooks.hostKnown
+  std::map<HostId, wire::HostRecord> m_places; // of control hosts
+  std::set<HostId> m_announcedHosts;           // passed to hooks.hostKnown
   TimePoint m_lapseAt;
 };
 
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -119,7 +119,7 @@
                       std::size_t aFleetSize) {
       if (byControl) {
         m_membership->SetHosts(aHosts, m_now);
-        m_fleetSize = std::max<std::size_t>(aFleetSize, 1);
+        m_services->SetSharingHosts(SharingHosts(aFleetSize));
       }
     };
   listsHooks.record = m_hooks.record;
@@ -226,6 +226,16 @@
   m_membership->Watch(aRecord, aNow);
 }
 
+// Callers are sent to a few hosts of each failure domain.
+std::size_t
+EntryNode::SharingHosts(std::size_t aFleetSize) const
+{
+  const Settings& settings = m_options.settings;
+  const std::size_t named = settings.nearbyAddresses *
+                            std::max<std::size_t>(settings.regions.size(), 1);
+  return std::max<std::size_t>(std::min(aFleetSize, named), 1);
+}
+
 // Callers of a service are given the hosts that serve it, in an order that
 // rotates so that the first choice is spread evenly.
 AddressAnswer
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -255,6 +255,7 @@
   // Gives the final answer and forgets the request.
   void Answer(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow);
 
+  std::size_t SharingHosts(std::size_t aFleetSize) const;
   void Connect(Random& aRandom, TimePoint aNow);
 
   EntryOptions m_options;
@@ -275,7 +276,6 @@
   std::uint64_t m_nextClaim = 1;
   // What each service of a split is owed, by route.
   std::unordered_map<std::string, std::map<std::string, double>> m_splitDebts;
-  std::size_t m_fleetSize = 1; // entry hosts, as control counts them
   std::uint64_t m_addressQueries = 0;
   EntryCounters m_counters;
   bool m_leaving = false;
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -92,12 +92,6 @@
     SendPull(it->first, false, aNow);
     return;
   }
-  for (const auto& [host, control] : m_controlHosts) {
-    const bool unknown = control.distance == Distance::kUnknown;
-    if (unknown && IsDue(control.avoidUntil, aNow) && control.pull == 0) {
-      SendPull(host, false, aNow);
-    }
-  }
   const HostId nearest = NearestControlHost(aNow);
   m_pullsFrom = nearest;
   if (!nearest.IsEmpty()) {
@@ -147,31 +141,35 @@
     return;
   }
   ControlHost& control = it->second;
-  if (aPush.failure_domain() == m_options.failureDomain.Value()) {
-    control.distance = Distance::kSameDomain;
-  } else if (aPush.region() == m_options.region.Value()) {
-    control.distance = Distance::kSameRegion;
-  } else {
-    control.distance = Distance::kOtherRegion;
-  }
   control.pull = 0;
   // A control host that lost its leader cannot tell what is new.
   control.avoidUntil = aPush.confirmed() ? aNow : aNow + kAvoidUnconfirmed;
 }
 
+ListsFollower::Distance
+ListsFollower::DistanceOf(const wire::HostRecord& aRecord) const
+{
+  if (aRecord.region().empty()) {
+    return Distance::kUnknown;
+  }
+  if (aRecord.failure_domain() == m_options.failureDomain.Value()) {
+    return Distance::kSameDomain;
+  }
+  return aRecord.region() == m_options.region.Value() ? Distance::kSameRegion
+                                                      : Distance::kOtherRegion;
+}
+
 // Hosts that control does not name any more stay known: they may come back, and
 // while control is away any of them may be the one that answers.
 void
 ListsFollower::HearControlHosts(const wire::ListsPush& aPush)
 {
   std::vector<HostId> hosts;
-  for (const std::string& host : aPush.control_hosts()) {
-    hosts.emplace_back(host);
-  }
   const std::size_t before = m_controlHosts.size();
-  AddControlHosts(hosts);
+  for (const wire::HostRecord& record : aPush.control_hosts()) {
+    m_controlHosts[HostId(record.host())].distance = DistanceOf(record);
+  }
   if (m_controlHosts.size() != before) {
-    hosts.clear();
     for (const auto& [host, control] : m_controlHosts) {
       hosts.push_back(host);
     }
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -124,6 +124,7 @@
                   const wire::ListsPush& aPush,
                   TimePoint aNow);
   void SendPull(const HostId& aTo, bool aSubscribes, TimePoint aNow);
+  Distance DistanceOf(const wire::HostRecord& aRecord) const;
   HostId NearestControlHost(TimePoint aNow) const;
   void Adopt(const wire::ListsPush& aPush);
   void Serve(const char* aWhy);
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -7,6 +7,9 @@
 
 namespace fuchsiaramp {
 
+// Part of a shared budget that is used, since its windows slide and hosts come
+// and go.
+static constexpr double kBudgetMargin = 0.85;
 static constexpr Duration kReportInterval = std::chrono::seconds(1);
 static constexpr Duration kUrgentInterval = std::chrono::milliseconds(200);
 static constexpr Duration kVerdictLifetime = std::chrono::seconds(5);
@@ -50,6 +53,25 @@
 {
 }
 
+// The slack that all hosts share is split among those that callers are sent to,
+// so that they stay within it together without asking each other.
+double
+ServicePlane::SavedRetries() const
+{
+  const std::size_t hosts = std::max<std::size_t>(m_sharingHosts, 1);
+  return kBudgetMargin * m_options.routing.retrySlack /
+         static_cast<double>(hosts);
+}
+
+void
+ServicePlane::SetSharingHosts(std::size_t aHosts)
+{
+  m_sharingHosts = aHosts;
+  for (auto& [name, service] : m_services) {
+    service.router->Retries().SetMostTokens(SavedRetries());
+  }
+}
+
 ServicePlane::Service&
 ServicePlane::Open(const ServiceName& aName)
 {
@@ -59,7 +81,12 @@
     options.self = m_options.self;
     options.region = m_options.region;
     options.failureDomain = m_options.failureDomain;
-    options.retryBudget = m_options.routing.retryBudget;
+    options.retryBudget.share = m_options.routing.retryBudget;
+    if (m_options.routing.sharesBeliefs) {
+      options.retryBudget.share *= kBudgetMargin;
+      options.retryBudget.mostTokens = SavedRetries();
+      options.retryBudget.firstTokens = 0.0;
+    }
     options.byBelief = m_options.routing.sharesBeliefs;
     options.domainCost = m_options.routing.domainCost;
     options.regionCost = m_options.routing.regionCost;
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -62,6 +62,8 @@
                   const wire::Evidence& aEvidence,
                   TimePoint aNow);
   void Tick(TimePoint aNow);
+  // The number of hosts that share the retry budgets of all services.
+  void SetSharingHosts(std::size_t aHosts);
   // The set of live hosts changed.
   void HostsChanged();
 
@@ -91,6 +93,7 @@
     bool fallback = false;
   };
 
+  double SavedRetries() const;
   Service& Open(const ServiceName& aName);
   void StartJudging(Service& aService, TimePoint aNow);
   void Report(const ServiceName& aName, Service& aService, TimePoint aNow);
@@ -121,6 +124,7 @@
   std::unordered_map<ServiceName, Service> m_services;
   Quarantine m_quarantine;
   bool m_hostsChanged = true;
+  std::size_t m_sharingHosts = 1;
 };
 
 } // namespace fuchsiaramp
--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -13,10 +13,15 @@
 static constexpr Duration kTimeToLive = std::chrono::seconds(3);
 static constexpr int kQueueLength = 2000; // messages per peer
 static constexpr std::int64_t kMaxMessageBytes = 64 << 20;
+// A connection over which nothing comes through any more is given up in this
+// time, and made anew without the growing pauses of the kernel, so that hosts
+// hear of each other within a second after a partition.
 static constexpr int kHeartbeatMs = 1000;
-static constexpr int kHeartbeatTimeoutMs = 3000;
+static constexpr int kHeartbeatTimeoutMs = 1500;
+static constexpr int kUnackedTimeoutMs = 1500;
+static constexpr int kConnectTimeoutMs = 500;
 static constexpr int kReconnectMs = 100;
-static constexpr int kReconnectMaxMs = 2000;
+static constexpr int kReconnectMaxMs = 500;
 static constexpr int kBatch = 256; // messages read before others get a turn
 static constexpr std::size_t kKeyBytes = 32;
 
@@ -29,6 +34,8 @@
   aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
   aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  aSocket.set(zmq::sockopt::tcp_maxrt, kUnackedTimeoutMs);
+  aSocket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
   aSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   aSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
 }
--- a/packages/routing/retry_budget.h
+++ b/packages/routing/retry_budget.h
@@ -1,5 +1,6 @@
 // Bounds retries to a share of the requests of a service.
 //
+//   RetryBudget budget({ 0.1 });
 //   budget.OnRequest();
 //   if (budget.TryRetry()) { ... }
 #pragma once
@@ -8,20 +9,39 @@
 
 namespace fuchsiaramp {
 
+struct RetryBudgetOptions
+{
+  double share = 0.1;        // retries for each request
+  double mostTokens = 20.0;  // retries that may be saved up
+  double firstTokens = 10.0; // at the start
+};
+
 class RetryBudget
 {
 public:
-  // aShare: retries per request, e.g. 0.1.
-  explicit RetryBudget(double aShare)
-    : m_share(aShare)
+  explicit RetryBudget(RetryBudgetOptions aOptions)
+    : m_options(aOptions)
+    , m_tokens(aOptions.firstTokens)
+  {
+  }
+
+  // The hosts that share a budget may change in number.
+  void SetMostTokens(double aMostTokens)
   {
+    m_options.mostTokens = aMostTokens;
+    m_tokens = std::min(m_tokens, aMostTokens);
   }
 
-  void OnRequest() { m_tokens = std::min(kMaxTokens, m_tokens + m_share); }
+  void OnRequest()
+  {
+    m_tokens = std::min(m_options.mostTokens, m_tokens + m_options.share);
+  }
+
+  bool MayRetry() const { return m_tokens >= 1.0; }
 
   bool TryRetry()
   {
-    if (m_tokens < 1.0) {
+    if (!MayRetry()) {
       return false;
     }
     m_tokens -= 1.0;
@@ -29,10 +49,8 @@
   }
 
 private:
-  static constexpr double kMaxTokens = 20.0; // retries
-
-  double m_share;
-  double m_tokens = kMaxTokens / 2;
+  RetryBudgetOptions m_options;
+  double m_tokens;
 };
 
 } // namespace fuchsiaramp
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -200,7 +200,8 @@
     const bool tried = !IsDue(seenAt + kTrialGap, aNow) ||
                        !IsDue(view.trialAt, aNow) || view.outstanding > 0;
     const bool trial = aRequest.repeatable && aRequest.excluded.empty() &&
-                       near && sick > kSuspected && !tried;
+                       near && sick > kSuspected && !tried &&
+                       m_retries.MayRetry();
     if (trial && (suspect == nullptr || m_random.Chance(0.5))) {
       suspect = &view;
     }
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -52,7 +52,7 @@
   HostId self;
   Region region;
   FailureDomain failureDomain;
-  double retryBudget = 0.1;
+  RetryBudgetOptions retryBudget;
   std::size_t subsetSize = 32; // servers that one entry host uses
   // Chooses by beliefs that hosts share, instead of an arbiter's verdicts.
   bool byBelief = false;
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -48,6 +48,8 @@
   double floor = 0.6;
   // Share of extra attempts that retries may add to a service.
   double retryBudget = 0.1;
+  // Retries beyond that share in a window, of all entry hosts together.
+  double retrySlack = 20.0;
   // Entry hosts tell each other single outcomes through control hosts and
   // choose by beliefs, instead of following an arbiter for each service.
   bool sharesBeliefs = false;
