Share load within a failure domain; tell refused callers sooner to return

Ruled out: one host a zone (a kill would leave its callers without an address). Change: hosts of a failure domain send each other what they have outstanding, on change and each 250 ms; a request waits up to 80 ms for a slot nearby before it leaves.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -12,7 +12,6 @@
 static constexpr int kMaxHedges = 2;   // of one request
 static constexpr int kShedsInARow = 3; // before a request waits a moment
 static constexpr double kParkQuantile = 0.5;
-static constexpr Duration kRetrySoon = std::chrono::seconds(1);
 
 void
 EntryNode::StartAttempt(Request& aRequest,
@@ -25,7 +24,11 @@
     // It left while the key was being claimed.
     aRequest.excluded.insert(aServer);
     if (!Retry(aRequest, true, aNow)) {
-      GiveUp(aRequest, nullptr, "no backend server is left", kRetrySoon, aNow);
+      GiveUp(aRequest,
+             nullptr,
+             "no backend server is left",
+             Spread(kRetryAfterShed),
+             aNow);
     }
     return;
   }
@@ -198,7 +201,7 @@
   GiveUp(aRequest,
          &aEnd,
          "the backend servers failed the request",
-         kRetrySoon,
+         Spread(kRetryAfterShed),
          aNow);
 }
 
@@ -284,7 +287,8 @@
     Request& request = it->second;
     const bool late = IsDue(request.queuedUntil, aNow);
     if (late || !Requeue(request, aNow)) {
-      GiveUp(request, nullptr, "the service is full", kRetrySoon, aNow);
+      GiveUp(
+        request, nullptr, "the service is full", Spread(kRetryAfterShed), aNow);
     }
   }
 }
@@ -305,7 +309,7 @@
     GiveUp(m_requests.at(*dropped),
            nullptr,
            "the service is full",
-           kRetrySoon,
+           Spread(kRetryAfterShed),
            aNow);
   }
   return true;
@@ -462,7 +466,7 @@
     GiveUp(request,
            &end,
            "no answer by the deadline of the request",
-           kRetrySoon,
+           Spread(kRetryAfterShed),
            aNow);
   }
 }
@@ -483,8 +487,11 @@
     request.stage == Stage::kQueued || request.stage == Stage::kParked;
   if (request.repeatable || (waits && !claimed)) {
     request.mayHaveRun = true;
-    GiveUp(
-      request, nullptr, "the caller closed its connection", kRetrySoon, aNow);
+    GiveUp(request,
+           nullptr,
+           "the caller closed its connection",
+           Spread(kRetryAfterShed),
+           aNow);
   }
 }
 
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -8,7 +8,7 @@
 
 namespace fuchsiaramp {
 
-static constexpr Duration kRetrySoon = std::chrono::seconds(1);
+static constexpr Duration kRetryOfClaim = std::chrono::seconds(1);
 static constexpr Duration kClaimTimeout = std::chrono::seconds(2);
 static constexpr Duration kFenceTimeout = std::chrono::seconds(1);
 // How long the outcome of finished work is offered to the ledger.
@@ -46,7 +46,7 @@
          CallerOutcome::kNotRun,
          503,
          "this host has no confirmed lists yet; use another entry host",
-         kRetrySoon,
+         Spread(kRetryWhenStarted),
          aNow);
   return FilterResult::kDone;
 }
@@ -205,7 +205,7 @@
          CallerOutcome::kNotRun,
          503,
          "no backend server of the service is announced",
-         kRetrySoon,
+         Spread(kRetryWhenStarted),
          aNow);
   return FilterResult::kDone;
 }
@@ -252,6 +252,7 @@
   aRequest.stage = Stage::kQueued;
   const Duration patience = m_options.settings.routing.queueTimeout;
   aRequest.queuedUntil = std::min(aRequest.head.deadline, aNow + patience);
+  aRequest.staysNearUntil = aNow + m_options.settings.routing.staysNear;
   // A request that would still wait at its deadline is refused at once.
   const Duration wait = EstimateWait(service);
   if (!gate.queue.empty() && aNow + wait > aRequest.queuedUntil) {
@@ -260,7 +261,7 @@
            CallerOutcome::kNotRun,
            503,
            "the service is full",
-           std::max(kRetrySoon, wait),
+           RetryAfterWait(wait),
            aNow);
     return;
   }
@@ -272,12 +273,25 @@
            CallerOutcome::kNotRun,
            503,
            "the service is full",
-           std::max(kRetrySoon, wait),
+           RetryAfterWait(wait),
            aNow);
   }
   Drain(service, aNow);
 }
 
+// Callers that were refused together should not come back together.
+Duration
+EntryNode::Spread(Duration aSpan)
+{
+  return FromSeconds(ToSeconds(aSpan) * (0.5 + m_random.Unit()));
+}
+
+Duration
+EntryNode::RetryAfterWait(Duration aWait)
+{
+  return Spread(std::max(kRetryAfterShed, aWait));
+}
+
 // From the queue's length, the usual latency and the attempts that may run.
 Duration
 EntryNode::EstimateWait(const ServiceName& aService)
@@ -303,7 +317,7 @@
     GiveUp(m_requests.at(late),
            nullptr,
            "no slot of the service was free in time",
-           std::max(kRetrySoon, EstimateWait(aService)),
+           RetryAfterWait(EstimateWait(aService)),
            aNow);
   }
   ServiceRouter* router = m_services->Find(aService);
@@ -311,8 +325,9 @@
          static_cast<double>(router->Outstanding()) < gate.limit.Limit()) {
     const RequestId id = *gate.queue.Pop();
     Request& request = m_requests.at(id);
+    const bool staysNear = !IsDue(request.staysNearUntil, aNow);
     const auto server =
-      router->Choose({ request.repeatable, request.excluded }, aNow);
+      router->Choose({ request.repeatable, request.excluded, staysNear }, aNow);
     if (!server) {
       gate.queue.Push(id, request.priority, request.queuedUntil);
       return;
@@ -369,7 +384,7 @@
            CallerOutcome::kNotRun,
            503,
            "the ledger cannot be reached; nothing was started",
-           kRetrySoon,
+           Spread(kRetryOfClaim),
            aNow);
     return;
   }
@@ -408,7 +423,7 @@
   answer.request = aRequest;
   if (aResult == nullptr) {
     answer.reason = "the ledger did not answer in time";
-    answer.retryAfter = kRetrySoon;
+    answer.retryAfter = Spread(kRetryOfClaim);
     Fence(request, answer, aNow);
     return;
   }
@@ -434,7 +449,7 @@
       answer.outcome = CallerOutcome::kUnknown;
       answer.status = 409;
       answer.reason = "another attempt with this key runs or may have run";
-      answer.retryAfter = kRetrySoon;
+      answer.retryAfter = Spread(kRetryOfClaim);
       break;
     case wire::CommandResult::BODY_MISMATCH:
       // Whatever ran with the key was another request.
@@ -446,11 +461,11 @@
       // A known key is never refused for room.
       request.keyIsFree = true;
       answer.reason = "the ledger takes no new work: " + aResult->text();
-      answer.retryAfter = kRetrySoon;
+      answer.retryAfter = Spread(kRetryOfClaim);
       break;
     default:
       answer.reason = "the ledger takes no new work: " + aResult->text();
-      answer.retryAfter = kRetrySoon;
+      answer.retryAfter = Spread(kRetryOfClaim);
       break;
   }
   request.claimAttempt.clear();
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -65,6 +65,18 @@
     *envelope.mutable_evidence() = aMessage;
     m_hooks.send(relay, envelope);
   };
+  planeHooks.nearPeers = [this] {
+    const Settings& own = m_options.settings;
+    std::vector<HostId> peers;
+    for (const wire::HostRecord* host :
+         NamedHosts(own.region, own.failureDomain)) {
+      if (host->host() != own.host.Value() &&
+          host->failure_domain() == own.failureDomain.Value()) {
+        peers.emplace_back(host->host());
+      }
+    }
+    return peers;
+  };
   planeHooks.aliveHosts = aliveHosts;
   planeHooks.regionOf = [this](const HostId& aHost) {
     const wire::HostRecord* record = m_membership->Table().FindHost(aHost);
@@ -268,37 +280,43 @@
   return answer;
 }
 
-// The first entry hosts of the caller's failure domain by rendezvous hashing,
-// and of its region where there are not enough of them. The fewer hosts share
-// the servers of a place, the better each knows their load.
-AddressAnswer
-EntryNode::OnNearbyQuery(const Region& aRegion,
-                         const FailureDomain& aDomain,
-                         TimePoint aNow)
+// The first entry hosts of the failure domain by rendezvous hashing, and of its
+// region where there are not enough of them. The fewer hosts share the servers
+// of a place, the better each knows their load.
+std::vector<const wire::HostRecord*>
+EntryNode::NamedHosts(const Region& aRegion, const FailureDomain& aDomain) const
 {
-  std::vector<std::pair<int, const wire::HostRecord*>> hosts;
+  std::vector<std::pair<std::pair<int, std::uint64_t>, const wire::HostRecord*>>
+    ranked;
+  const std::uint64_t seed = Hash64(aDomain.Value());
   for (const auto& [name, record] : m_membership->Table().Hosts()) {
     if (record.state() != wire::HostRecord::ALIVE) {
       continue;
     }
     const bool sameDomain = record.failure_domain() == aDomain.Value();
     const bool sameRegion = record.region() == aRegion.Value();
-    hosts.emplace_back(sameDomain ? 0 : (sameRegion ? 1 : 2), &record);
+    const int distance = sameDomain ? 0 : (sameRegion ? 1 : 2);
+    ranked.push_back({ { distance, Hash64(name, seed) }, &record });
   }
-  const auto rank = [&](const auto& aItem) {
-    return std::pair(aItem.first,
-                     Hash64(aItem.second->host(), Hash64(aDomain.Value())));
-  };
-  std::sort(
-    hosts.begin(), hosts.end(), [&](const auto& aLeft, const auto& aRight) {
-      return rank(aLeft) < rank(aRight);
-    });
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<const wire::HostRecord*> named;
+  for (const auto& [rank, record] : ranked) {
+    if (named.size() < m_options.settings.nearbyAddresses) {
+      named.push_back(record);
+    }
+  }
+  return named;
+}
+
+AddressAnswer
+EntryNode::OnNearbyQuery(const Region& aRegion,
+                         const FailureDomain& aDomain,
+                         TimePoint aNow)
+{
   AddressAnswer answer;
   answer.lifetime = m_options.settings.addressLifetime;
-  const std::size_t count =
-    std::min(hosts.size(), m_options.settings.nearbyAddresses);
-  for (std::size_t i = 0; i < count; ++i) {
-    answer.addresses.push_back(hosts[i].second->caller_address());
+  for (const wire::HostRecord* host : NamedHosts(aRegion, aDomain)) {
+    answer.addresses.push_back(host->caller_address());
   }
   if (!m_leaving) {
     m_addressesHeldUntil =
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -141,6 +141,7 @@
     std::set<BackendServerId> reached; // servers that it was sent to
     Stage stage = Stage::kQueued;
     TimePoint queuedUntil;
+    TimePoint staysNearUntil;
     std::set<BackendServerId> excluded;
     std::vector<AttemptId> attempts; // running
     std::vector<BackendServerId> broken;
@@ -156,6 +157,12 @@
     bool callerGone = false;
   };
 
+  // A server that sheds has room again within about the time of one request,
+  // and another may have it now.
+  static constexpr Duration kRetryAfterShed = std::chrono::milliseconds(120);
+  // A host that starts is confirmed within a second or two; well below a third
+  // of the time that callers have, so that they come back at all.
+  static constexpr Duration kRetryWhenStarted = std::chrono::milliseconds(400);
   // Servers that one request may be sent to where its route says nothing.
   static constexpr int kDefaultMaxServers = 4;
 
@@ -201,6 +208,9 @@
   // Admission.
   void Enqueue(Request& aRequest, TimePoint aNow);
   void Drain(const ServiceName& aService, TimePoint aNow);
+  // When a refused caller should come back.
+  Duration Spread(Duration aSpan);
+  Duration RetryAfterWait(Duration aWait);
   Duration EstimateWait(const ServiceName& aService);
   void Begin(Request& aRequest, const BackendServerId& aServer, TimePoint aNow);
 
@@ -255,6 +265,10 @@
   // Gives the final answer and forgets the request.
   void Answer(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow);
 
+  // The entry hosts that callers of a failure domain are sent to, best first.
+  std::vector<const wire::HostRecord*> NamedHosts(
+    const Region& aRegion,
+    const FailureDomain& aDomain) const;
   std::size_t SharingHosts(std::size_t aFleetSize) const;
   void Connect(Random& aRandom, TimePoint aNow);
 
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -10,6 +10,7 @@
 // Part of a shared budget that is used, since its windows slide and hosts come
 // and go.
 static constexpr double kBudgetMargin = 0.85;
+static constexpr Duration kLoadRefresh = std::chrono::milliseconds(250);
 static constexpr Duration kReportInterval = std::chrono::seconds(1);
 static constexpr Duration kUrgentInterval = std::chrono::milliseconds(200);
 static constexpr Duration kVerdictLifetime = std::chrono::seconds(5);
@@ -171,6 +172,7 @@
   m_quarantine.Tick(aNow);
   if (m_options.routing.sharesBeliefs) {
     ShareOutcomes();
+    ShareLoad(aNow);
     return;
   }
   const bool hostsChanged = std::exchange(m_hostsChanged, false);
@@ -269,6 +271,38 @@
   }
 }
 
+// Hosts of a failure domain tell each other how they use its servers, on change
+// and now and then, so that together they do not overfill one of them.
+void
+ServicePlane::ShareLoad(TimePoint aNow)
+{
+  wire::Evidence evidence;
+  for (auto& [name, service] : m_services) {
+    service.router->ForgetSilentPeers(aNow);
+    wire::ServiceLoad* load = evidence.add_loads();
+    load->set_service(name.Value());
+    for (const auto& [server, outstanding] : service.router->OwnLoad()) {
+      wire::ServerLoad* item = load->add_servers();
+      item->set_server(server.Value());
+      item->set_outstanding(outstanding);
+    }
+  }
+  const std::string text = evidence.SerializeAsString();
+  const bool idle = std::all_of(
+    evidence.loads().begin(),
+    evidence.loads().end(),
+    [](const wire::ServiceLoad& aLoad) { return aLoad.servers().empty(); });
+  const bool changed = text != m_sentLoad;
+  if (!changed && (idle || !IsDue(m_loadAt, aNow))) {
+    return;
+  }
+  m_sentLoad = text;
+  m_loadAt = aNow + kLoadRefresh;
+  for (const HostId& peer : m_hooks.nearPeers()) {
+    m_hooks.send(peer, evidence);
+  }
+}
+
 void
 ServicePlane::OnSharedOutcomes(const wire::EvidenceReport& aReport,
                                TimePoint aNow)
@@ -300,6 +334,17 @@
       OnReport(aFrom, report, aNow);
     }
   }
+  for (const wire::ServiceLoad& load : aEvidence.loads()) {
+    ServiceRouter* router = Find(ServiceName(load.service()));
+    if (router == nullptr) {
+      continue;
+    }
+    std::map<BackendServerId, std::uint32_t> outstanding;
+    for (const wire::ServerLoad& server : load.servers()) {
+      outstanding[BackendServerId(server.server())] = server.outstanding();
+    }
+    router->SetPeerLoad(aFrom, outstanding, aNow);
+  }
   for (const wire::Verdict& verdict : aEvidence.verdicts()) {
     OnVerdict(aFrom, verdict, aNow);
   }
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -41,6 +41,8 @@
 struct ServicePlaneHooks
 {
   std::function<void(const HostId&, const wire::Evidence&)> send;
+  // Entry hosts that use the same servers first; used with shared beliefs.
+  std::function<std::vector<HostId>()> nearPeers;
   // Sends to all entry hosts, through control; used with shared beliefs.
   std::function<void(const wire::Evidence&)> broadcast;
   std::function<std::vector<HostId>()> aliveHosts;
@@ -114,6 +116,7 @@
   void SharePoison(const ServiceName& aService,
                    Fingerprint aFingerprint,
                    TimePoint aNow);
+  void ShareLoad(TimePoint aNow);
   void ShareOutcomes();
   void OnSharedOutcomes(const wire::EvidenceReport& aReport, TimePoint aNow);
   void ApplyOwnVerdict(Service& aService, TimePoint aNow);
@@ -125,6 +128,8 @@
   Quarantine m_quarantine;
   bool m_hostsChanged = true;
   std::size_t m_sharingHosts = 1;
+  std::string m_sentLoad; // as last sent, serialised
+  TimePoint m_loadAt;
 };
 
 } // namespace fuchsiaramp
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -12,6 +12,7 @@
 static constexpr double kFailurePenalty = 10.0;
 // Reported load is forgotten over about the time that a request takes.
 static constexpr double kLeastLoadHalfLife = 0.002; // seconds
+static constexpr Duration kAvoidShed = std::chrono::milliseconds(40);
 static constexpr Duration kAvoidRefused = std::chrono::milliseconds(500);
 // Until its announcement lapses or is renewed from another address.
 static constexpr Duration kAvoidReplaced = std::chrono::seconds(5);
@@ -26,6 +27,8 @@
 static constexpr Duration kTrialGap = std::chrono::milliseconds(800);
 // Cost of a server whose slots are all taken, as a share of a request's worth.
 static constexpr double kLoadCost = 0.1;
+// Peers repeat their load while it is not zero.
+static constexpr Duration kPeerSilence = std::chrono::milliseconds(600);
 static constexpr double kTieNoise = 0.02;
 static constexpr double kRemoteFrom = 0.95; // load of the best server nearby
 static constexpr double kOtherDomainPenalty = 1.1;
@@ -126,7 +129,7 @@
 {
   if (!aView.inSubset || aView.server.state != ServerState::kUp ||
       !IsDue(aView.avoidUntil, aNow) ||
-      aView.outstanding >= aView.server.slots ||
+      aView.outstanding + aView.peersOutstanding >= aView.server.slots ||
       aRequest.excluded.count(aView.server.id) != 0) {
     return false;
   }
@@ -180,6 +183,69 @@
   return cost + kLoadCost * Load(aView, aNow);
 }
 
+bool
+ServiceRouter::HasFitServerNear(const ChoiceRequest& aRequest,
+                                TimePoint aNow) const
+{
+  return std::any_of(
+    m_servers.begin(), m_servers.end(), [&](const auto& aItem) {
+      const ServerView& view = aItem.second;
+      return view.server.failureDomain == m_options.failureDomain &&
+             view.server.state == ServerState::kUp &&
+             IsDue(view.avoidUntil, aNow) &&
+             aRequest.excluded.count(view.server.id) == 0 &&
+             std::max(view.belief.Sick(aNow), view.path.Sick(aNow)) <=
+               kSuspected;
+    });
+}
+
+void
+ServiceRouter::SetPeerLoad(
+  const HostId& aPeer,
+  const std::map<BackendServerId, std::uint32_t>& aLoad,
+  TimePoint aNow)
+{
+  m_peers[aPeer] = { aNow, aLoad };
+  CountPeerLoad();
+}
+
+void
+ServiceRouter::ForgetSilentPeers(TimePoint aNow)
+{
+  const auto forgotten = std::erase_if(m_peers, [&](const auto& aItem) {
+    return IsDue(aItem.second.heardAt + kPeerSilence, aNow);
+  });
+  if (forgotten > 0) {
+    CountPeerLoad();
+  }
+}
+
+void
+ServiceRouter::CountPeerLoad()
+{
+  for (auto& [id, view] : m_servers) {
+    view.peersOutstanding = 0;
+    for (const auto& [peer, load] : m_peers) {
+      const auto server = load.outstanding.find(id);
+      view.peersOutstanding +=
+        server == load.outstanding.end() ? 0 : server->second;
+    }
+  }
+}
+
+std::map<BackendServerId, std::uint32_t>
+ServiceRouter::OwnLoad() const
+{
+  std::map<BackendServerId, std::uint32_t> load;
+  for (const auto& [id, view] : m_servers) {
+    const bool near = view.server.failureDomain == m_options.failureDomain;
+    if (near && view.outstanding > 0) {
+      load[id] = view.outstanding;
+    }
+  }
+  return load;
+}
+
 // The server that is expected to cost least. A repeatable request may first
 // find out whether a suspected server is well again, since it can be sent once
 // more.
@@ -189,7 +255,11 @@
   ServerView* best = nullptr;
   ServerView* suspect = nullptr;
   double bestCost = 0.0;
+  const bool staysNear = aRequest.staysNear && HasFitServerNear(aRequest, aNow);
   for (auto& [id, view] : m_servers) {
+    if (staysNear && view.server.failureDomain != m_options.failureDomain) {
+      continue;
+    }
     if (!IsEligible(view, aRequest, aNow)) {
       continue;
     }
@@ -273,7 +343,8 @@
   const double halfLife =
     std::max(kLeastLoadHalfLife, ToSeconds(m_latency.Usual()));
   const double others = aView.othersLoad * std::exp2(-age / halfLife);
-  return (aView.outstanding + others) / aView.server.slots;
+  return (aView.outstanding + aView.peersOutstanding + others) /
+         aView.server.slots;
 }
 
 double
@@ -358,6 +429,7 @@
       // The server is full whatever this host knew; it is not sick.
       view.othersLoad = view.server.slots;
       view.othersLoadAt = aNow;
+      view.avoidUntil = std::max(view.avoidUntil, aNow + kAvoidShed);
       break;
     case AttemptOutcome::kBroken:
       // Counted by CountBroken once the request itself is cleared.
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -66,6 +67,9 @@
 {
   bool repeatable = true;
   std::set<BackendServerId> excluded; // tried before by this request
+  // Stays in the failure domain while a server there is fit for use, even if
+  // none has a free slot now.
+  bool staysNear = false;
 };
 
 struct AttemptReport
@@ -112,6 +116,14 @@
                        std::uint64_t aIncarnation,
                        bool aSuccess,
                        TimePoint aNow);
+  // What another host has outstanding; holds until it says otherwise or falls
+  // silent.
+  void SetPeerLoad(const HostId& aPeer,
+                   const std::map<BackendServerId, std::uint32_t>& aLoad,
+                   TimePoint aNow);
+  void ForgetSilentPeers(TimePoint aNow);
+  // What this host has outstanding at servers of its failure domain.
+  std::map<BackendServerId, std::uint32_t> OwnLoad() const;
   // Counts since the last call.
   std::vector<ReportedCounts> TakeEvidence();
   // The outcomes since the last call that other hosts should know of.
@@ -144,9 +156,10 @@
     TimePoint firstSeen;
     bool inSubset = true;
     std::uint32_t outstanding = 0;
-    TimePoint answeredStart;  // start of the newest good attempt
-    double failureRate = 0.0; // smoothed, this host's own requests
-    double othersLoad = 0.0;  // requests of other hosts, from reported load
+    std::uint32_t peersOutstanding = 0; // of hosts that share their load
+    TimePoint answeredStart;            // start of the newest good attempt
+    double failureRate = 0.0;           // smoothed, this host's own requests
+    double othersLoad = 0.0; // requests of other hosts, from reported load
     TimePoint othersLoadAt;
     TimePoint avoidUntil;
     bool broken = false; // since the last report
@@ -162,6 +175,8 @@
                   TimePoint aNow);
   std::optional<BackendServerId> ChooseByBelief(const ChoiceRequest& aRequest,
                                                 TimePoint aNow);
+  void CountPeerLoad();
+  bool HasFitServerNear(const ChoiceRequest& aRequest, TimePoint aNow) const;
   double Cost(const ServerView& aView, TimePoint aNow) const;
   void Believe(ServerView& aView, const AttemptReport& aReport, TimePoint aNow);
   void Share(const ServerView& aView, bool aSuccess);
@@ -180,6 +195,12 @@
   RetryBudget m_retries;
   std::uint64_t m_outstanding = 0;
   std::unordered_map<BackendServerId, ReportedCounts> m_shared;
+  struct PeerLoad
+  {
+    TimePoint heardAt;
+    std::map<BackendServerId, std::uint32_t> outstanding;
+  };
+  std::map<HostId, PeerLoad> m_peers;
   std::uint32_t m_reporters = 1;
   TimePoint m_verdictUntil;
   bool m_hasEvidence = false;
