--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -429,7 +429,9 @@
       // The server is full whatever this host knew; it is not sick.
       view.othersLoad = view.server.slots;
       view.othersLoadAt = aNow;
-      view.avoidUntil = std::max(view.avoidUntil, aNow + kAvoidShed);
+      if (m_options.byBelief) {
+        view.avoidUntil = std::max(view.avoidUntil, aNow + kAvoidShed);
+      }
       break;
     case AttemptOutcome::kBroken:
       // Counted by CountBroken once the request itself is cleared.
