--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -62,9 +62,13 @@
   }
   m_pullAt = aNow + (m_serving ? m_options.pullInterval : m_startInterval);
   // The first answer may carry the whole lists, so a host that waits for them
-  // asks less and less often.
-  m_startInterval =
-    std::min(2 * m_startInterval, m_options.longestStartInterval);
+  // asks less and less often; once it has them, only a word is missing.
+  if (m_lists.Version().Value() == 0) {
+    m_startInterval =
+      std::min(2 * m_startInterval, m_options.longestStartInterval);
+  } else {
+    m_startInterval = m_options.startInterval;
+  }
   PullFromControl(aNow);
   const bool controlSilent = IsDue(m_answeredAt + kLeaderSilence, aNow);
   if (controlSilent || !m_serving) {
