--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -15,7 +15,8 @@
 // round trips between regions.
 static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
 static constexpr Duration kAvoidSilent = std::chrono::seconds(4);
-static constexpr Duration kAvoidUnconfirmed = std::chrono::milliseconds(500);
+// Longer than a pull interval, so that other hosts get their turn.
+static constexpr Duration kAvoidUnconfirmed = std::chrono::seconds(3);
 
 ListsFollower::ListsFollower(ListsFollowerOptions aOptions,
                              ListsFollowerHooks aHooks,
@@ -96,10 +97,12 @@
     SendPull(it->first, false, aNow);
     return;
   }
-  const HostId nearest = NearestControlHost(aNow);
-  m_pullsFrom = nearest;
-  if (!nearest.IsEmpty()) {
-    SendPull(nearest, true, aNow);
+  if (!m_pullsFrom.IsEmpty()) {
+    SendPull(m_pullsFrom, true, aNow);
+  }
+  const HostId best = BestControlHost(aNow);
+  if (!best.IsEmpty() && best != m_pullsFrom) {
+    SendPull(best, false, aNow);
   }
 }
 
@@ -121,7 +124,7 @@
 }
 
 HostId
-ListsFollower::NearestControlHost(TimePoint aNow) const
+ListsFollower::BestControlHost(TimePoint aNow) const
 {
   const auto rank = [&](const auto& aItem) {
     return std::pair(!IsDue(aItem.second.avoidUntil, aNow),
@@ -147,7 +150,22 @@
   ControlHost& control = it->second;
   control.pull = 0;
   // A control host that lost its leader cannot tell what is new.
-  control.avoidUntil = aPush.confirmed() ? aNow : aNow + kAvoidUnconfirmed;
+  if (aPush.confirmed()) {
+    control.avoidUntil = aNow;
+    if (m_serving && aFrom != m_pullsFrom && aFrom == BestControlHost(aNow)) {
+      m_pullsFrom = aFrom;
+      m_pullAt = aNow;
+    }
+    return;
+  }
+  // The first miss is followed up at once, further ones at the usual pace,
+  // since a group without a leader has nobody who could vouch.
+  const bool vouchedBefore = IsDue(control.avoidUntil, aNow);
+  control.avoidUntil = aNow + kAvoidUnconfirmed;
+  if (m_serving && aFrom == m_pullsFrom && vouchedBefore) {
+    m_pullAt = aNow;
+  }
+}
 }
 
 ListsFollower::Distance
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -125,7 +125,8 @@
                   TimePoint aNow);
   void SendPull(const HostId& aTo, bool aSubscribes, TimePoint aNow);
   Distance DistanceOf(const wire::HostRecord& aRecord) const;
-  HostId NearestControlHost(TimePoint aNow) const;
+  // The nearest of those that are not avoided.
+  HostId BestControlHost(TimePoint aNow) const;
   void Adopt(const wire::ListsPush& aPush);
   void Serve(const char* aWhy);
   void PullFromControl(TimePoint aNow);
