--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -78,8 +78,9 @@
 }
 
 // Until this host serves it asks one control host after the other. From then on
-// it stays with the nearest one that answers; a host whose distance is not
-// known yet is asked once.
+// it stays with the nearest one that vouches for what it holds. It moves to
+// another one only after that one vouched: while none can, nobody moves, since
+// every move is news for the whole fleet.
 void
 ListsFollower::PullFromControl(TimePoint aNow)
 {
@@ -166,7 +167,6 @@
     m_pullAt = aNow;
   }
 }
-}
 
 ListsFollower::Distance
 ListsFollower::DistanceOf(const wire::HostRecord& aRecord) const
