--- a/packages/net/monotonic.h
+++ b/packages/net/monotonic.h
@@ -1,6 +1,8 @@
 // Reads the host's clocks; only adapters do.
 #pragma once
 
+#include <ctime>
+
 #include <chrono>
 #include <cstdint>
 
@@ -8,11 +10,16 @@
 
 namespace fuchsiaramp {
 
+// Time on this clock goes on while the machine is suspended, so that a lease or
+// a confirmation that ran out meanwhile is seen to have run out.
 inline TimePoint
 MonotonicNow()
 {
+  std::timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
   return TimePoint(std::chrono::duration_cast<Duration>(
-    std::chrono::steady_clock::now().time_since_epoch()));
+    std::chrono::seconds(time.tv_sec) +
+    std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 // Microseconds since the Unix epoch.
