--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -14,8 +14,6 @@
 static constexpr double kLeastLoadHalfLife = 0.002; // seconds
 static constexpr Duration kAvoidShed = std::chrono::milliseconds(40);
 static constexpr Duration kAvoidRefused = std::chrono::milliseconds(500);
-// Until its announcement lapses or is renewed from another address.
-static constexpr Duration kAvoidReplaced = std::chrono::seconds(5);
 static constexpr Duration kColdStart = std::chrono::seconds(10);
 static constexpr double kColdStartWeight = 0.25;
 // Trial requests a second to one server over all entry hosts.
@@ -419,7 +417,7 @@
       CountFailure(view);
       break;
     case AttemptOutcome::kOtherServer:
-      view.avoidUntil = aNow + kAvoidReplaced;
+      view.avoidUntil = kNever; // until it starts anew
       break;
     case AttemptOutcome::kRefused:
       view.avoidUntil = aNow + kAvoidRefused;
--- /dev/null
+++ b/packages/routing/service_router_test.cc
@@ -0,0 +1,176 @@
+#define BOOST_TEST_MODULE service_router
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "routing/service_router.h"
+
+namespace fuchsiaramp {
+
+// A router by belief in failure domain "a" of region "r"; servers "a1" and "a2"
+// are in its domain, "b1" in another one of the region.
+class Router
+{
+public:
+  Router()
+    : m_now(FromMicros(1'000'000))
+    , m_router(Options(), Random(3))
+  {
+    Add("a1", "a");
+    Add("a2", "a");
+    Add("b1", "b");
+  }
+
+  static RouterOptions Options()
+  {
+    RouterOptions options;
+    options.self = HostId("entry");
+    options.region = Region("r");
+    options.failureDomain = FailureDomain("a");
+    options.byBelief = true;
+    return options;
+  }
+
+  void Add(const std::string& aId,
+           const std::string& aDomain,
+           std::uint64_t aIncarnation = 1)
+  {
+    BackendServer server;
+    server.id = BackendServerId(aId);
+    server.address = "10.0.0.1:80";
+    server.region = Region("r");
+    server.failureDomain = FailureDomain(aDomain);
+    server.slots = 2;
+    server.incarnation = aIncarnation;
+    server.coldFor = Duration(0);
+    m_router.SetServer(server, m_now);
+  }
+
+  std::string Choose(bool aRepeatable = false, bool aStaysNear = false)
+  {
+    const auto server = m_router.Choose({ aRepeatable, {}, aStaysNear }, m_now);
+    return server ? server->Value() : "";
+  }
+
+  // One request that ends at once.
+  void Finish(const std::string& aId, AttemptOutcome aOutcome)
+  {
+    const BackendServerId id(aId);
+    m_router.OnStarted(id);
+    AttemptReport report;
+    report.outcome = aOutcome;
+    m_router.OnFinished(id, report, m_now);
+  }
+
+  // How often each server is chosen in 100 choices.
+  std::map<std::string, int> Choices(bool aRepeatable = false)
+  {
+    std::map<std::string, int> choices;
+    for (int i = 0; i < 100; ++i) {
+      ++choices[Choose(aRepeatable)];
+    }
+    return choices;
+  }
+
+  TimePoint m_now;
+  ServiceRouter m_router;
+};
+
+BOOST_AUTO_TEST_CASE(WorkStaysInTheDomainWhileItHasRoom)
+{
+  Router test;
+  auto choices = test.Choices();
+  BOOST_TEST(choices["b1"] == 0);
+  BOOST_TEST(choices["a1"] > 20);
+  BOOST_TEST(choices["a2"] > 20);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatFailedOnceGetsNoWorkThatCannotBeSentAgain)
+{
+  Router test;
+  test.Finish("a1", AttemptOutcome::kServerError);
+  BOOST_TEST(test.Choices()["a1"] == 0);
+  BOOST_TEST(test.m_router.HasSharedOutcomes());
+  const auto shared = test.m_router.TakeSharedOutcomes();
+  BOOST_REQUIRE(shared.size() == 1u);
+  BOOST_TEST(shared[0].counts.failures == 1.0);
+  BOOST_TEST(!test.m_router.HasSharedOutcomes());
+}
+
+BOOST_AUTO_TEST_CASE(WhatAnotherHostSawCountsTheSame)
+{
+  Router test;
+  test.m_router.OnSharedOutcome(BackendServerId("a1"), 1, false, test.m_now);
+  BOOST_TEST(test.Choices()["a1"] == 0);
+  // Not of a former incarnation.
+  Router other;
+  other.m_router.OnSharedOutcome(BackendServerId("a1"), 7, false, other.m_now);
+  BOOST_TEST(other.Choices()["a1"] > 20);
+}
+
+BOOST_AUTO_TEST_CASE(ARepeatableRequestTriesASuspectWhenARetryIsAtHand)
+{
+  Router test;
+  test.Finish("a1", AttemptOutcome::kServerError);
+  test.m_now += std::chrono::seconds(1);
+  BOOST_TEST(test.Choose(true) == "a1");
+  // One trial at a time.
+  BOOST_TEST(test.Choose(true) != "a1");
+  test.m_now += std::chrono::seconds(1);
+  while (test.m_router.Retries().TryRetry()) {
+  }
+  BOOST_TEST(test.Choose(true) != "a1");
+}
+
+BOOST_AUTO_TEST_CASE(AFailedPathIsNotToldToOthers)
+{
+  Router test;
+  test.Finish("a1", AttemptOutcome::kRefused);
+  BOOST_TEST(test.Choices()["a1"] == 0);
+  BOOST_TEST(!test.m_router.HasSharedOutcomes());
+}
+
+BOOST_AUTO_TEST_CASE(SlotsThatPeersUseAreTaken)
+{
+  Router test;
+  test.m_router.SetPeerLoad(
+    HostId("peer"), { { BackendServerId("a1"), 2 } }, test.m_now);
+  BOOST_TEST(test.Choices()["a1"] == 0);
+  test.m_now += std::chrono::seconds(1);
+  test.m_router.ForgetSilentPeers(test.m_now);
+  BOOST_TEST(test.Choices()["a1"] > 20);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestWaitsNearbyBeforeItLeavesTheDomain)
+{
+  Router test;
+  test.m_router.SetPeerLoad(
+    HostId("peer"),
+    { { BackendServerId("a1"), 2 }, { BackendServerId("a2"), 2 } },
+    test.m_now);
+  BOOST_TEST(test.Choose(false, true) == "");
+  BOOST_TEST(test.Choose(false, false) == "b1");
+}
+
+BOOST_AUTO_TEST_CASE(ItDoesNotWaitForServersThatAreAllSuspected)
+{
+  Router test;
+  test.Finish("a1", AttemptOutcome::kServerError);
+  test.Finish("a2", AttemptOutcome::kServerError);
+  BOOST_TEST(test.Choose(false, true) == "b1");
+}
+
+// Another server answered at the address: the one that was meant has ended, and
+// asking again each few seconds only wastes arrivals.
+BOOST_AUTO_TEST_CASE(AReplacedServerIsNotTriedAgain)
+{
+  Router test;
+  test.Finish("a1", AttemptOutcome::kOtherServer);
+  test.m_now += std::chrono::seconds(30);
+  BOOST_TEST(test.Choices()["a1"] == 0);
+  BOOST_TEST(test.Choices(true)["a1"] == 0);
+  test.Add("a1", "a", 2);
+  BOOST_TEST(test.Choices()["a1"] > 20);
+}
+
+} // namespace fuchsiaramp
