Spread the first requests of a trial; measure slow by region

Two faults: all 30 hosts hear of a trial in one verdict and each sent its first trial request at once, to a server of two slots; and a host measured an answer from another region (40 ms of way) by the latency of its own region, so that a good answer of 100 ms was slow, and one slow answer ends a trial. Ruled out: the server itself (its answers are 200), evidence of before the trial (cleared). Change: a host draws the time of its first trial request from the whole interval; the slow threshold is kept by region of the server. Tests: HostsSpreadTheFirstRequestsOfATrial and AFarServerIsNotSlowByTheMeasureOfANearOne, both seen failing on the former code (30 of 30 hosts at once; counted slow).

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -68,7 +68,7 @@
                    .With("request", aRequest.head.id)
                    .With("attempt", start.id)
                    .With("server", aServer));
-  attempt.overdueSpan = router->SlowThreshold();
+  attempt.overdueSpan = router->SlowThreshold(aServer);
   attempt.overdueAt = aNow + attempt.overdueSpan;
   m_attempts[start.id] = attempt;
   m_attempts[start.id].connection = m_hooks.startAttempt(start);
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -146,10 +146,18 @@
     const bool trial = view.inSubset && view.restriction &&
                        view.restriction->state == HealthState::kTrial &&
                        view.server.state == ServerState::kUp;
-    if (!trial || !IsDue(view.trialAt, aNow) || view.outstanding > 0) {
+    if (!trial || view.outstanding > 0) {
       continue;
     }
     const double interval = static_cast<double>(m_reporters) / kTrialRate;
+    if (!view.trialAt) {
+      // All hosts hear of a trial at once: their first requests are spread, or
+      // they would flood the server.
+      view.trialAt = aNow + FromSeconds(interval * m_random.Unit());
+    }
+    if (!IsDue(*view.trialAt, aNow)) {
+      continue;
+    }
     view.trialAt = aNow + FromSeconds(interval * (0.5 + m_random.Unit()));
     return id;
   }
@@ -266,13 +274,15 @@
     case AttemptOutcome::kSuccess: {
       view.failureRate *= 1.0 - kSmoothing;
       view.answeredStart = std::max(view.answeredStart, aNow - aReport.latency);
-      const bool slow = aReport.latency > m_latency.SlowThreshold();
+      LatencyTracker& inRegion = m_latencyByRegion[view.server.region];
+      const bool slow = aReport.latency > inRegion.SlowThreshold();
       if (!aReport.countedAsSlow) {
         view.counts.total += 1.0;
         view.counts.slow += slow ? 1.0 : 0.0;
         m_hasBadEvidence = m_hasBadEvidence || slow;
       }
       m_latency.Add(aReport.latency);
+      inRegion.Add(aReport.latency);
       m_hasEvidence = true;
       break;
     }
@@ -307,6 +317,17 @@
   }
 }
 
+Duration
+ServiceRouter::SlowThreshold(const BackendServerId& aServer) const
+{
+  const BackendServer* server = Find(aServer);
+  const auto inRegion = server == nullptr
+                          ? m_latencyByRegion.end()
+                          : m_latencyByRegion.find(server->region);
+  return inRegion == m_latencyByRegion.end() ? LatencyTracker().SlowThreshold()
+                                             : inRegion->second.SlowThreshold();
+}
+
 void
 ServiceRouter::CountFailure(ServerView& aView)
 {
@@ -359,6 +380,13 @@
       it->second.restriction = health;
     }
   }
+  for (auto& [id, view] : m_servers) {
+    const bool onTrial =
+      view.restriction && view.restriction->state == HealthState::kTrial;
+    if (!onTrial) {
+      view.trialAt.reset();
+    }
+  }
 }
 
 std::vector<ReportedCounts>
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -136,7 +136,8 @@
   bool HasBadEvidence() const { return m_hasBadEvidence; }
 
   std::vector<JudgedServer> JudgedServers() const;
-  Duration SlowThreshold() const { return m_latency.SlowThreshold(); }
+  // From when on an answer of the server counts as slow.
+  Duration SlowThreshold(const BackendServerId& aServer) const;
   Duration LatencyQuantile(double aShare) const
   {
     return m_latency.Quantile(aShare);
@@ -162,8 +163,8 @@
     double othersLoad = 0.0; // requests of other hosts, from reported load
     TimePoint othersLoadAt;
     TimePoint avoidUntil;
-    bool broken = false; // since the last report
-    TimePoint trialAt;
+    bool broken = false;              // since the last report
+    std::optional<TimePoint> trialAt; // empty until a trial has begun
     std::optional<ServerHealth> restriction;
     OutcomeCounts counts;
     ServerBelief belief; // of the server, shared
@@ -191,7 +192,9 @@
   RouterOptions m_options;
   Random m_random;
   std::unordered_map<BackendServerId, ServerView> m_servers;
-  LatencyTracker m_latency;
+  LatencyTracker m_latency; // all servers
+  // Answers from far away take longer without their server being slow.
+  std::map<Region, LatencyTracker> m_latencyByRegion;
   RetryBudget m_retries;
   std::uint64_t m_outstanding = 0;
   std::unordered_map<BackendServerId, ReportedCounts> m_shared;
--- a/packages/routing/service_router_belief.cc
+++ b/packages/routing/service_router_belief.cc
@@ -116,7 +116,8 @@
       std::max(view.belief.UpdatedAt(), view.path.UpdatedAt());
     const bool near = view.server.failureDomain == m_options.failureDomain;
     const bool tried = !IsDue(seenAt + kTrialGap, aNow) ||
-                       !IsDue(view.trialAt, aNow) || view.outstanding > 0;
+                       !IsDue(view.trialAt.value_or(aNow), aNow) ||
+                       view.outstanding > 0;
     const bool trial = aRequest.repeatable && aRequest.excluded.empty() &&
                        near && sick > kSuspected && !tried &&
                        m_retries.MayRetry();
--- a/packages/routing/service_router_test.cc
+++ b/packages/routing/service_router_test.cc
@@ -1,7 +1,10 @@
 #define BOOST_TEST_MODULE service_router
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
 #include <map>
+#include <string>
+#include <utility>
 
 #include "routing/service_router.h"
 
@@ -173,4 +176,77 @@
   BOOST_TEST(test.Choices()["a1"] > 20);
 }
 
+// The router of one of many entry hosts that follow an arbiter, with server
+// "near" in its region and "far" in another one.
+static ServiceRouter
+FollowingRouter(const std::string& aHost, std::uint64_t aSeed)
+{
+  RouterOptions options;
+  options.self = HostId(aHost);
+  options.region = Region("r");
+  options.failureDomain = FailureDomain("a");
+  ServiceRouter router(options, Random(aSeed));
+  for (const auto& [id, region] :
+       { std::pair{ "near", "r" }, std::pair{ "far", "s" } }) {
+    BackendServer server;
+    server.id = BackendServerId(id);
+    server.region = Region(region);
+    server.failureDomain = FailureDomain("a");
+    server.slots = 2;
+    server.incarnation = 1;
+    server.coldFor = Duration(0);
+    router.SetServer(server, FromMicros(0));
+  }
+  return router;
+}
+
+BOOST_AUTO_TEST_CASE(HostsSpreadTheFirstRequestsOfATrial)
+{
+  static constexpr std::uint32_t kHosts = 30;
+  const TimePoint begin = FromMicros(1'000'000);
+  ServerHealth onTrial;
+  onTrial.id = BackendServerId("near");
+  onTrial.incarnation = 1;
+  onTrial.state = HealthState::kTrial;
+  int atOnce = 0;
+  int withinInterval = 0;
+  for (std::uint32_t i = 0; i < kHosts; ++i) {
+    ServiceRouter router = FollowingRouter("entry-" + std::to_string(i), i + 1);
+    router.SetRestrictions(
+      { onTrial }, kHosts, begin + std::chrono::seconds(30));
+    const BackendServerId wanted("near");
+    atOnce += router.Choose({}, begin) == wanted ? 1 : 0;
+    const TimePoint later = begin + std::chrono::seconds(8);
+    withinInterval += router.Choose({}, later) == wanted ? 1 : 0;
+  }
+  // Four trial requests a second over all hosts: the server has two slots.
+  BOOST_TEST(atOnce <= 2);
+  BOOST_TEST(withinInterval >= 28);
+}
+
+BOOST_AUTO_TEST_CASE(AFarServerIsNotSlowByTheMeasureOfANearOne)
+{
+  ServiceRouter router = FollowingRouter("entry-1", 1);
+  const TimePoint now = FromMicros(1'000'000);
+  const auto finish = [&](const char* aId, int aMilliseconds) {
+    const BackendServerId id(aId);
+    router.OnStarted(id);
+    AttemptReport report;
+    report.latency = std::chrono::milliseconds(aMilliseconds);
+    router.OnFinished(id, report, now);
+  };
+  for (int i = 0; i < 200; ++i) {
+    finish("near", 20);
+  }
+  router.TakeEvidence();
+  finish("far", 110);
+  finish("near", 110);
+  std::map<std::string, double> slow;
+  for (const ReportedCounts& counts : router.TakeEvidence()) {
+    slow[counts.server.Value()] = counts.counts.slow;
+  }
+  BOOST_TEST(slow["far"] == 0.0);
+  BOOST_TEST(slow["near"] == 1.0);
+}
+
 } // namespace fuchsiaramp
--- a/tests/scenarios/scenario.cc
+++ b/tests/scenarios/scenario.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <sstream>
+#include <utility>
 
 #include "testing/entry_fleet.h"
 
@@ -112,8 +113,9 @@
 class Runner
 {
 public:
-  explicit Runner(Findings& aFindings)
+  Runner(Findings& aFindings, ScenarioEventHook aOnEvent)
     : m_findings(aFindings)
+    , m_onEvent(std::move(aOnEvent))
   {
   }
 
@@ -145,6 +147,11 @@
   {
     if (!m_fleet) {
       m_fleet = std::make_unique<EntryFleet>(m_deployment, m_options);
+      if (m_onEvent) {
+        m_fleet->onEvent = [this](const HostId& aHost, const Event& aEvent) {
+          m_onEvent(m_fleet->Queue().Now(), aHost, aEvent);
+        };
+      }
       m_fleet->Start();
     }
     return *m_fleet;
@@ -315,6 +322,7 @@
   void Fail(const std::string& aText) { m_findings.Add({ m_line, 1 }, aText); }
 
   Findings& m_findings;
+  ScenarioEventHook m_onEvent;
   int m_line = 0;
   Deployment m_deployment = AdzoaProfile();
   FleetOptions m_options;
@@ -349,9 +357,11 @@
 }
 
 void
-RunScenario(const std::vector<Statement>& aStatements, Findings& aFindings)
+RunScenario(const std::vector<Statement>& aStatements,
+            Findings& aFindings,
+            const ScenarioEventHook& aOnEvent)
 {
-  internal::Runner runner(aFindings);
+  internal::Runner runner(aFindings, aOnEvent);
   for (const Statement& statement : aStatements) {
     runner.Execute(statement);
   }
--- a/tests/scenarios/scenario.h
+++ b/tests/scenarios/scenario.h
@@ -24,10 +24,14 @@
 //   expect false-not-runs N
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
+#include "base/event.h"
 #include "base/findings.h"
+#include "base/ids.h"
+#include "base/time.h"
 
 namespace fuchsiaramp {
 
@@ -41,8 +45,14 @@
 std::vector<Statement>
 ParseScenario(const std::string& aText, Findings& aFindings);
 
+// Called for each event that an entry host records.
+using ScenarioEventHook =
+  std::function<void(TimePoint aAt, const HostId& aHost, const Event& aEvent)>;
+
 // Runs a scenario without findings; expectations that fail become findings.
 void
-RunScenario(const std::vector<Statement>& aStatements, Findings& aFindings);
+RunScenario(const std::vector<Statement>& aStatements,
+            Findings& aFindings,
+            const ScenarioEventHook& aOnEvent = {});
 
 } // namespace fuchsiaramp
