Name a share of a domain's entry hosts; log each request that was not served

And a request left no line at level INFO: a complaint with a caller's id led nowhere. Ruled out: naming all hosts; the load that they tell each other grows with their square. Change: NamedHosts is a component of its own and names a share (nearby_share) of the hosts of the failure domain; control tells entry hosts how many each domain has, so that the retry budget is split among exactly those that are named. request_refused, request_failed, request_late and a sample of request_served carry the caller's id, the lists' version, the load and the reason; attempt_failed tells what was believed of the server and how old that was; server_suspected and server_trusted when the belief turned. LineBudget bounds the lines of each kind and counts those left out. Histograms by Boost.Histogram on a metrics address of each role.

--- a/packages/base/event.h
+++ b/packages/base/event.h
@@ -44,11 +44,20 @@
     m_fields.push_back({ std::move(aKey), text.str() });
   }
 
+  // Logged only at level DEBUG: there are several for each request.
+  Event&& AsDetail() &&
+  {
+    m_isDetail = true;
+    return std::move(*this);
+  }
+
   const std::string& Name() const { return m_name; }
+  bool IsDetail() const { return m_isDetail; }
   const std::vector<EventField>& Fields() const { return m_fields; }
 
 private:
   std::string m_name;
+  bool m_isDetail = false;
   std::vector<EventField> m_fields;
 };
 
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -334,10 +334,12 @@
     }
     host->set_host(member.host());
   }
-  push.set_fleet_size(static_cast<std::uint32_t>(m_fleet.Count()));
   if (aKnown.direct && aKnown.sentFleet != m_fleet.Version()) {
     aKnown.sentFleet = m_fleet.Version();
     push.set_has_hosts(true);
+    for (const std::size_t size : m_fleet.DomainSizes()) {
+      push.add_domain_sizes(static_cast<std::uint32_t>(size));
+    }
     for (const wire::HostRecord& host : m_fleet.Near()) {
       *push.add_hosts() = host;
     }
--- a/packages/control/fleet_table.cc
+++ b/packages/control/fleet_table.cc
@@ -125,13 +125,18 @@
   for (const auto& [id, host] : m_own) {
     add(host.record);
   }
-  m_count = all.size();
+  std::map<std::string, std::size_t> sizes;
   m_near.clear();
   for (const auto& [host, record] : all) {
+    ++sizes[record.failure_domain()];
     if (record.region() == m_region.Value()) {
       m_near.push_back(record);
     }
   }
+  m_domainSizes.clear();
+  for (const auto& [domain, size] : sizes) {
+    m_domainSizes.push_back(size);
+  }
   ++m_version;
 }
 
--- a/packages/control/fleet_table.h
+++ b/packages/control/fleet_table.h
@@ -42,10 +42,10 @@
 
   // All entry hosts of the region, by name.
   const std::vector<wire::HostRecord>& Near() const { return m_near; }
-  // Grows with each change of Near() or Count().
+  // Grows with each change of Near() or DomainSizes().
   std::uint64_t Version() const { return m_version; }
-  // Entry hosts of the whole fleet.
-  std::size_t Count() const { return m_count; }
+  // How many entry hosts each failure domain of the fleet has.
+  const std::vector<std::size_t>& DomainSizes() const { return m_domainSizes; }
 
 private:
   struct OwnHost
@@ -65,7 +65,7 @@
   std::map<HostId, OwnHost> m_own;
   std::map<HostId, View> m_views; // of other control hosts
   std::vector<wire::HostRecord> m_near;
-  std::size_t m_count = 0;
+  std::vector<std::size_t> m_domainSizes;
   std::uint64_t m_version = 1;
   bool m_news = false;
   TimePoint m_refreshAt;
--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -62,12 +62,14 @@
   aRequest.attempts.push_back(start.id);
   aRequest.reached.insert(aServer);
   ++aRequest.started;
+  aRequest.startedAt = std::min(aRequest.startedAt, aNow);
   ++m_counters.attempts;
   router->OnStarted(aServer);
   m_hooks.record(Event("attempt_started")
                    .With("request", aRequest.head.id)
                    .With("attempt", start.id)
-                   .With("server", aServer));
+                   .With("server", aServer)
+                   .AsDetail());
   attempt.overdueSpan = router->SlowThreshold(aServer);
   attempt.overdueAt = aNow + attempt.overdueSpan;
   m_attempts[start.id] = attempt;
@@ -92,16 +94,7 @@
   report.reportedLoad = aEnd.reportedLoad;
   report.countedAsSlow = attempt.countedAsSlow;
   const double running = static_cast<double>(router->Outstanding());
-  m_hooks.record(Event(aEnd.outcome == AttemptOutcome::kSuccess
-                         ? "attempt_ended"
-                         : "attempt_failed")
-                   .With("request", attempt.request)
-                   .With("attempt", aEnd.id)
-                   .With("service", attempt.service)
-                   .With("server", attempt.server)
-                   .With("outcome", ToText(aEnd.outcome))
-                   .With("status", aEnd.status)
-                   .With("ms", report.latency.count() / 1000));
+  RecordEnded(attempt, aEnd, report.latency, aNow);
   router->OnFinished(attempt.server, report, aNow);
   if (aEnd.outcome == AttemptOutcome::kShed) {
     gate.limit.OnShed();
@@ -126,6 +119,36 @@
   Drain(attempt.service, aNow);
 }
 
+// A failed attempt is logged with what the host believed of its server when it
+// was chosen for the last time, and how old that belief was.
+void
+EntryNode::RecordEnded(const Attempt& aAttempt,
+                       const AttemptEnd& aEnd,
+                       Duration aLatency,
+                       TimePoint aNow)
+{
+  const bool failed = aEnd.outcome != AttemptOutcome::kSuccess;
+  Event event(failed ? "attempt_failed" : "attempt_ended");
+  event.Add("request", aAttempt.request);
+  event.Add("attempt", aEnd.id);
+  event.Add("service", aAttempt.service);
+  event.Add("server", aAttempt.server);
+  event.Add("outcome", ToText(aEnd.outcome));
+  event.Add("status", aEnd.status);
+  event.Add("ms", aLatency.count() / 1000);
+  if (!failed) {
+    m_hooks.record(std::move(event).AsDetail());
+    return;
+  }
+  const ServiceRouter* router = m_services->Find(aAttempt.service);
+  event.Add("sick", router->Sick(aAttempt.server, aNow));
+  const auto heardAt = router->HeardAt(aAttempt.server);
+  if (heardAt) {
+    event.Add("heard_ms_ago", (aNow - *heardAt).count() / 1000);
+  }
+  m_hooks.record(event);
+}
+
 void
 EntryNode::OnSuccess(Request& aRequest, const AttemptEnd& aEnd, TimePoint aNow)
 {
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -22,6 +22,7 @@
   ++m_counters.requests;
   Request& request = m_requests[aHead.id];
   request.head = aHead;
+  request.arrivedAt = aNow;
   static constexpr Filter kFilters[] = {
     &EntryNode::CheckServing, &EntryNode::FindOpenRoute,
     &EntryNode::Authenticate, &EntryNode::FindRoute,
@@ -79,6 +80,7 @@
   aRequest.claims = false;
   aRequest.priority = route->priority();
   aRequest.maxServers = static_cast<int>(route->max_servers());
+  aRequest.latencyObjective = Duration(route->latency_objective_us());
   head.deadline = std::min(head.deadline, aNow + Duration(route->timeout_us()));
   head.service = ChooseService(*route);
   return FilterResult::kContinue;
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -5,6 +5,7 @@
 
 #include "base/digest.h"
 #include "base/invariant.h"
+#include "entry/named_hosts.h"
 #include "routing/rendezvous.h"
 
 namespace fuchsiaramp {
@@ -13,10 +14,18 @@
 // out addresses.
 static constexpr Duration kSpreadTime = std::chrono::seconds(3);
 static constexpr std::uint32_t kUnauthorized = 401;
+// One of so many requests that were served in time is logged.
+static constexpr std::uint64_t kServedSample = 64;
 static constexpr std::size_t kAddressesPerAnswer = 8;
 // Entry hosts that share the callers of one service.
 static constexpr std::size_t kHostsPerService = 24;
 
+static NamingOptions
+Naming(const Settings& aSettings)
+{
+  return { aSettings.nearbyShare, aSettings.nearbyAddresses };
+}
+
 EntryNode::EntryNode(EntryOptions aOptions,
                      EntryHooks aHooks,
                      Random aRandom,
@@ -69,7 +78,7 @@
     const Settings& own = m_options.settings;
     std::vector<HostId> peers;
     for (const wire::HostRecord* host :
-         NamedHosts(own.region, own.failureDomain)) {
+         HostsNear(own.region, own.failureDomain)) {
       if (host->host() != own.host.Value() &&
           host->failure_domain() == own.failureDomain.Value()) {
         peers.emplace_back(host->host());
@@ -128,10 +137,11 @@
   };
   listsHooks.hostsChanged =
     [this, byControl](const std::vector<wire::HostRecord>& aHosts,
-                      std::size_t aFleetSize) {
+                      const std::vector<std::size_t>& aDomainSizes) {
       if (byControl) {
         m_membership->SetHosts(aHosts, m_now);
-        m_services->SetSharingHosts(SharingHosts(aFleetSize));
+        m_services->SetSharingHosts(
+          CountNamedHosts(aDomainSizes, Naming(m_options.settings)));
       }
     };
   listsHooks.record = m_hooks.record;
@@ -238,16 +248,6 @@
   m_membership->Watch(aRecord, aNow);
 }
 
-// Callers are sent to a few hosts of each failure domain.
-std::size_t
-EntryNode::SharingHosts(std::size_t aFleetSize) const
-{
-  const Settings& settings = m_options.settings;
-  const std::size_t named = settings.nearbyAddresses *
-                            std::max<std::size_t>(settings.regions.size(), 1);
-  return std::max<std::size_t>(std::min(aFleetSize, named), 1);
-}
-
 // Callers of a service are given the hosts that serve it, in an order that
 // rotates so that the first choice is spread evenly.
 AddressAnswer
@@ -280,32 +280,13 @@
   return answer;
 }
 
-// The first entry hosts of the failure domain by rendezvous hashing, and of its
-// region where there are not enough of them. The fewer hosts share the servers
-// of a place, the better each knows their load.
 std::vector<const wire::HostRecord*>
-EntryNode::NamedHosts(const Region& aRegion, const FailureDomain& aDomain) const
+EntryNode::HostsNear(const Region& aRegion, const FailureDomain& aDomain) const
 {
-  std::vector<std::pair<std::pair<int, std::uint64_t>, const wire::HostRecord*>>
-    ranked;
-  const std::uint64_t seed = Hash64(aDomain.Value());
-  for (const auto& [name, record] : m_membership->Table().Hosts()) {
-    if (record.state() != wire::HostRecord::ALIVE) {
-      continue;
-    }
-    const bool sameDomain = record.failure_domain() == aDomain.Value();
-    const bool sameRegion = record.region() == aRegion.Value();
-    const int distance = sameDomain ? 0 : (sameRegion ? 1 : 2);
-    ranked.push_back({ { distance, Hash64(name, seed) }, &record });
-  }
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<const wire::HostRecord*> named;
-  for (const auto& [rank, record] : ranked) {
-    if (named.size() < m_options.settings.nearbyAddresses) {
-      named.push_back(record);
-    }
-  }
-  return named;
+  return NamedHosts(m_membership->Table().Hosts(),
+                    aRegion,
+                    aDomain,
+                    Naming(m_options.settings));
 }
 
 AddressAnswer
@@ -315,7 +296,7 @@
 {
   AddressAnswer answer;
   answer.lifetime = m_options.settings.addressLifetime;
-  for (const wire::HostRecord* host : NamedHosts(aRegion, aDomain)) {
+  for (const wire::HostRecord* host : HostsNear(aRegion, aDomain)) {
     answer.addresses.push_back(host->caller_address());
   }
   if (!m_leaving) {
@@ -430,14 +411,7 @@
       ++m_counters.unknown;
       break;
   }
-  m_hooks.record(Event("request_finished")
-                   .With("request", aRequest.head.id)
-                   .With("service", aRequest.head.service)
-                   .With("customer", aRequest.customer)
-                   .With("outcome", ToText(answer.outcome))
-                   .With("status", answer.status)
-                   .With("attempts", aRequest.started)
-                   .With("reason", answer.reason));
+  RecordFinished(aRequest, answer, aNow);
   const ServiceName service = aRequest.head.service;
   const auto gate = m_gates.find(service);
   if (gate != m_gates.end()) {
@@ -447,4 +421,62 @@
   m_hooks.answer(answer);
 }
 
+// One line for each request that was not served in time, with what decided it,
+// and for a sample of the others.
+void
+EntryNode::RecordFinished(const Request& aRequest,
+                          const FinalAnswer& aAnswer,
+                          TimePoint aNow)
+{
+  const Duration spent = aNow - aRequest.arrivedAt;
+  const bool late = aRequest.latencyObjective > Duration::zero() &&
+                    spent > aRequest.latencyObjective;
+  const bool served =
+    aAnswer.outcome == CallerOutcome::kAnswered && aAnswer.status < 500;
+  const bool timely = served && !late;
+  const char* name = "request_failed";
+  if (served) {
+    name = late ? "request_late" : "request_served";
+  } else if (aAnswer.outcome == CallerOutcome::kNotRun) {
+    name = "request_refused";
+  }
+  const TimePoint began = std::min(aRequest.startedAt, aNow);
+  Event event(name);
+  event.Add("request", aRequest.head.id);
+  event.Add("caller_request", aRequest.head.callerId);
+  event.Add("service", aRequest.head.service);
+  event.Add("customer", aRequest.customer);
+  event.Add("lists_version", m_lists->Current().Version());
+  event.Add("outcome", ToText(aAnswer.outcome));
+  event.Add("status", aAnswer.status);
+  event.Add("attempts", aRequest.started);
+  event.Add("waited_ms", (began - aRequest.arrivedAt).count() / 1000);
+  event.Add("ms", spent.count() / 1000);
+  if (!served) {
+    AddLoad(aRequest.head.service, event);
+    event.Add("reason", aAnswer.reason);
+  }
+  const bool sampled = timely && m_timelyAnswers++ % kServedSample == 0;
+  if (sampled) {
+    event.Add("one_of", kServedSample);
+  }
+  const bool detail = timely && !sampled;
+  m_hooks.record(detail ? std::move(event).AsDetail() : std::move(event));
+}
+
+// What this host knew of the load when it decided.
+void
+EntryNode::AddLoad(const ServiceName& aService, Event& aEvent) const
+{
+  const auto gate = m_gates.find(aService);
+  const ServiceRouter* router = m_services->Find(aService);
+  if (gate == m_gates.end() || router == nullptr) {
+    return;
+  }
+  aEvent.Add("queued", gate->second.queue.size());
+  aEvent.Add("running", router->Outstanding());
+  aEvent.Add("slots", router->TotalSlots());
+  aEvent.Add("limit", gate->second.limit.Limit());
+}
+
 } // namespace fuchsiaramp
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -145,6 +145,9 @@
     std::set<BackendServerId> excluded;
     std::vector<AttemptId> attempts; // running
     std::vector<BackendServerId> broken;
+    TimePoint arrivedAt;
+    TimePoint startedAt = kNever; // first attempt
+    Duration latencyObjective{};  // zero where the route has none
     int started = 0;
     int shed = 0; // attempts that servers refused for overload
     bool mayHaveRun = false;
@@ -231,6 +234,10 @@
   void StartAttempt(Request& aRequest,
                     const BackendServerId& aServer,
                     TimePoint aNow);
+  void RecordEnded(const Attempt& aAttempt,
+                   const AttemptEnd& aEnd,
+                   Duration aLatency,
+                   TimePoint aNow);
   void OnSuccess(Request& aRequest, const AttemptEnd& aEnd, TimePoint aNow);
   void OnFailure(Request& aRequest,
                  const Attempt& aAttempt,
@@ -264,12 +271,15 @@
               TimePoint aNow);
   // Gives the final answer and forgets the request.
   void Answer(Request& aRequest, const FinalAnswer& aAnswer, TimePoint aNow);
+  void RecordFinished(const Request& aRequest,
+                      const FinalAnswer& aAnswer,
+                      TimePoint aNow);
 
   // The entry hosts that callers of a failure domain are sent to, best first.
-  std::vector<const wire::HostRecord*> NamedHosts(
+  std::vector<const wire::HostRecord*> HostsNear(
     const Region& aRegion,
     const FailureDomain& aDomain) const;
-  std::size_t SharingHosts(std::size_t aFleetSize) const;
+  void AddLoad(const ServiceName& aService, Event& aEvent) const;
   void Connect(Random& aRandom, TimePoint aNow);
 
   EntryOptions m_options;
@@ -291,6 +301,7 @@
   // What each service of a split is owed, by route.
   std::unordered_map<std::string, std::map<std::string, double>> m_splitDebts;
   std::uint64_t m_addressQueries = 0;
+  std::uint64_t m_timelyAnswers = 0; // for the sample that is logged
   EntryCounters m_counters;
   bool m_leaving = false;
   TimePoint m_addressesHeldUntil;
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -248,8 +248,9 @@
     HearAnswer(aFrom, aPush, aNow);
     HearControlHosts(aPush);
     if (aPush.has_hosts()) {
-      m_hooks.hostsChanged({ aPush.hosts().begin(), aPush.hosts().end() },
-                           aPush.fleet_size());
+      m_hooks.hostsChanged(
+        { aPush.hosts().begin(), aPush.hosts().end() },
+        { aPush.domain_sizes().begin(), aPush.domain_sizes().end() });
     }
     m_answeredAt = aNow;
     m_leader = HostId(aPush.leader());
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -52,8 +52,9 @@
   // The control hosts that are known now.
   std::function<void(const std::vector<HostId>&)> controlHostsChanged;
   // The entry hosts that control knows of: those of the region, and how many
-  // there are in all.
-  std::function<void(const std::vector<wire::HostRecord>&, std::size_t)>
+  // each failure domain has.
+  std::function<void(const std::vector<wire::HostRecord>&,
+                     const std::vector<std::size_t>&)>
     hostsChanged;
   // What this host says of itself; empty where gossip does.
   std::function<std::optional<wire::HostRecord>()> self;
--- /dev/null
+++ b/packages/entry/named_hosts.cc
@@ -0,0 +1,63 @@
+#include "entry/named_hosts.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace fuchsiaramp {
+
+// How many of the hosts of a failure domain its callers are sent to.
+static std::size_t
+CountInDomain(std::size_t aHosts, const NamingOptions& aOptions)
+{
+  const double share = aOptions.share * static_cast<double>(aHosts);
+  return std::max(aOptions.fewest,
+                  static_cast<std::size_t>(std::lround(share)));
+}
+
+std::vector<const wire::HostRecord*>
+NamedHosts(const std::unordered_map<std::string, wire::HostRecord>& aHosts,
+           const Region& aRegion,
+           const FailureDomain& aDomain,
+           const NamingOptions& aOptions)
+{
+  // The nearest first, by rendezvous hashing among those equally near.
+  using Rank = std::pair<int, std::uint64_t>;
+  std::vector<std::pair<Rank, const wire::HostRecord*>> ranked;
+  const std::uint64_t seed = Hash64(aDomain.Value());
+  std::size_t inDomain = 0;
+  for (const auto& [name, record] : aHosts) {
+    if (record.state() != wire::HostRecord::ALIVE) {
+      continue;
+    }
+    const bool sameDomain = record.failure_domain() == aDomain.Value();
+    const bool sameRegion = record.region() == aRegion.Value();
+    const int distance = sameDomain ? 0 : (sameRegion ? 1 : 2);
+    inDomain += sameDomain ? 1 : 0;
+    ranked.push_back({ { distance, Hash64(name, seed) }, &record });
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const std::size_t count =
+    std::min(CountInDomain(inDomain, aOptions), ranked.size());
+  std::vector<const wire::HostRecord*> named;
+  for (std::size_t i = 0; i < count; ++i) {
+    named.push_back(ranked[i].second);
+  }
+  return named;
+}
+
+std::size_t
+CountNamedHosts(const std::vector<std::size_t>& aDomainSizes,
+                const NamingOptions& aOptions)
+{
+  std::size_t named = 0;
+  for (const std::size_t size : aDomainSizes) {
+    named += std::min(size, CountInDomain(size, aOptions));
+  }
+  return std::max<std::size_t>(named, 1);
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/named_hosts_test.cc
@@ -0,0 +1,80 @@
+#define BOOST_TEST_MODULE named_hosts
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+#include <string>
+
+#include "entry/named_hosts.h"
+
+namespace fuchsiaramp {
+
+using HostTable = std::unordered_map<std::string, wire::HostRecord>;
+
+static void
+AddHosts(HostTable& aTable,
+         const std::string& aRegion,
+         const std::string& aDomain,
+         int aCount)
+{
+  for (int i = 0; i < aCount; ++i) {
+    const std::string name = aDomain + "-" + std::to_string(i);
+    wire::HostRecord& record = aTable[name];
+    record.set_host(name);
+    record.set_region(aRegion);
+    record.set_failure_domain(aDomain);
+    record.set_state(wire::HostRecord::ALIVE);
+  }
+}
+
+static std::set<std::string>
+Names(const HostTable& aTable, const NamingOptions& aOptions)
+{
+  std::set<std::string> names;
+  for (const wire::HostRecord* host :
+       NamedHosts(aTable, Region("r"), FailureDomain("r-a"), aOptions)) {
+    names.insert(host->host());
+  }
+  return names;
+}
+
+static const NamingOptions kThird{ 1.0 / 3.0, 2 };
+
+BOOST_AUTO_TEST_CASE(ALargeDomainNamesMoreHosts)
+{
+  HostTable small;
+  AddHosts(small, "r", "r-a", 5);
+  BOOST_TEST(Names(small, kThird).size() == 2u);
+  HostTable large;
+  AddHosts(large, "r", "r-a", 24);
+  BOOST_TEST(Names(large, kThird).size() == 8u);
+}
+
+BOOST_AUTO_TEST_CASE(ADomainWithTooFewHostsTakesThoseOfItsRegion)
+{
+  HostTable table;
+  AddHosts(table, "r", "r-a", 1);
+  AddHosts(table, "r", "r-b", 3);
+  AddHosts(table, "s", "s-a", 3);
+  const std::set<std::string> names = Names(table, kThird);
+  BOOST_TEST(names.size() == 2u);
+  BOOST_TEST(names.count("r-a-0") == 1u);
+  BOOST_TEST(
+    names.count("r-b-0") + names.count("r-b-1") + names.count("r-b-2") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingHostIsNotNamed)
+{
+  HostTable table;
+  AddHosts(table, "r", "r-a", 2);
+  table["r-a-0"].set_state(wire::HostRecord::LEAVING);
+  BOOST_TEST(Names(table, kThird).count("r-a-0") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(AllNamedHostsAreCounted)
+{
+  // Domains of one host, of five and of twenty-four name 1, 2 and 8.
+  BOOST_TEST(CountNamedHosts({ 1, 5, 24 }, kThird) == 11u);
+  BOOST_TEST(CountNamedHosts({}, kThird) == 1u);
+}
+
+} // namespace fuchsiaramp
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -91,8 +91,8 @@
     options.byBelief = m_options.routing.sharesBeliefs;
     options.domainCost = m_options.routing.domainCost;
     options.regionCost = m_options.routing.regionCost;
-    service.router =
-      std::make_unique<ServiceRouter>(options, Random(m_random.Bits()));
+    service.router = std::make_unique<ServiceRouter>(
+      options, Random(m_random.Bits()), m_hooks.record);
     service.arbiter = RendezvousFirst(aName.Value(), m_hooks.aliveHosts());
     service.verdictDueBy = kNever;
   }
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -46,7 +46,11 @@
     , m_settings(aSettings)
     , m_dialect(std::move(aDialect))
     , m_incarnation(static_cast<std::uint64_t>(WallClockMicros()))
-    , m_log(aSettings.host, m_incarnation, aSettings.logLevel, m_clock)
+    , m_log(aSettings.host,
+            m_incarnation,
+            aSettings.logLevel,
+            m_clock,
+            MonotonicNow)
     , m_transport(aIo,
                   TransportOptionsOf(m_settings, m_incarnation, aSecretKey),
                   m_clock,
@@ -85,6 +89,7 @@
                                            Random(m_incarnation),
                                            MonotonicNow());
     AddMetrics();
+    m_metricsServer = ServeMetrics(aIo, m_settings.metricsAddress, m_metrics);
     HttpServerOptions server;
     server.address = m_settings.callerAddress;
     server.bodyBytes = kMaxDocumentBytes;
@@ -232,10 +237,7 @@
 
   void OnPage(const HttpExchangePtr& aExchange, const MetricsPage&)
   {
-    HttpAnswer answer;
-    answer.contentType = "text/plain; version=0.0.4";
-    answer.body = m_metrics.Text();
-    aExchange->Respond(std::move(answer));
+    aExchange->Respond(MetricsAnswer(m_metrics));
   }
 
   void OnPage(const HttpExchangePtr& aExchange, const StatusPage&)
@@ -401,6 +403,7 @@
   std::vector<std::unique_ptr<SegmentLog>> m_logs;
   std::unique_ptr<ControlNode> m_node;
   std::optional<HttpServer> m_server;
+  std::unique_ptr<HttpServer> m_metricsServer;
   bool m_flushScheduled = false;
   bool m_leaving = false;
   TimePoint m_exitAt;
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -43,7 +43,11 @@
     , m_settings(aSettings)
     , m_dialect(std::move(aDialect))
     , m_incarnation(static_cast<std::uint64_t>(WallClockMicros()))
-    , m_log(aSettings.host, m_incarnation, aSettings.logLevel, m_clock)
+    , m_log(aSettings.host,
+            m_incarnation,
+            aSettings.logLevel,
+            m_clock,
+            MonotonicNow)
     , m_transport(aIo,
                   TransportOptionsOf(m_settings, m_incarnation, aSecretKey),
                   m_clock,
@@ -73,6 +77,7 @@
     Listen(Listener::kCallers, m_settings.callerAddress);
     Listen(Listener::kReadiness, m_settings.readinessAddress);
     Listen(Listener::kDirectory, m_settings.directoryAddress);
+    m_metricsServer = ServeMetrics(m_io, m_settings.metricsAddress, m_metrics);
     m_log.Write(Event("started").With("role", "entry"));
     ScheduleTick();
   }
@@ -225,10 +230,7 @@
 
   void OnPage(const HttpExchangePtr& aExchange, const MetricsPage&)
   {
-    HttpAnswer answer;
-    answer.contentType = "text/plain; version=0.0.4";
-    answer.body = m_metrics.Text();
-    aExchange->Respond(std::move(answer));
+    aExchange->Respond(MetricsAnswer(m_metrics));
   }
 
   void OnPage(const HttpExchangePtr& aExchange, const ServersPage&)
@@ -467,6 +469,7 @@
   TimePoint m_trafficAt; // when the next summary is logged
   std::unique_ptr<EntryNode> m_node;
   std::vector<std::unique_ptr<HttpServer>> m_servers; // the callers' first
+  std::unique_ptr<HttpServer> m_metricsServer;
   std::unordered_map<RequestId, Pending> m_pending;
   RequestId m_nextRequest{ 1 };
   AttemptId m_endedAttempt;
--- a/packages/net/service_parts.cc
+++ b/packages/net/service_parts.cc
@@ -1,7 +1,12 @@
 #include "net/service_parts.h"
 
+#include "net/http_answers.h"
+
 namespace fuchsiaramp {
 
+// Collectors that may ask at once.
+static constexpr std::size_t kMetricsConnections = 16;
+
 MessageTransportOptions
 TransportOptionsOf(const Settings& aSettings,
                    std::uint64_t aIncarnation,
@@ -47,4 +52,34 @@
   counter("refused_keys_total", &TransportCounters::refusedKeys);
 }
 
+HttpAnswer
+MetricsAnswer(const Metrics& aMetrics)
+{
+  HttpAnswer answer;
+  answer.contentType = "text/plain; version=0.0.4";
+  answer.body = aMetrics.Text();
+  return answer;
+}
+
+std::unique_ptr<HttpServer>
+ServeMetrics(boost::asio::io_context& aIo,
+             const std::string& aAddress,
+             const Metrics& aMetrics)
+{
+  if (aAddress.empty()) {
+    return nullptr;
+  }
+  HttpServerOptions options;
+  options.address = aAddress;
+  options.connections = kMetricsConnections;
+  return std::make_unique<HttpServer>(
+    aIo, options, [&aMetrics](const HttpExchangePtr& aExchange) {
+      const auto& message = aExchange->Message();
+      const bool asked = message.method() == boost::beast::http::verb::get &&
+                         message.target() == "/metrics";
+      aExchange->Respond(asked ? MetricsAnswer(aMetrics)
+                               : ErrorAnswer(404, "only /metrics is here"));
+    });
+}
+
 } // namespace fuchsiaramp
--- a/packages/net/service_parts.h
+++ b/packages/net/service_parts.h
@@ -2,9 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 
+#include <boost/asio/io_context.hpp>
+
 #include "base/event.h"
+#include "net/http_server.h"
 #include "net/message_transport.h"
 #include "observe/metrics.h"
 #include "settings/settings.h"
@@ -16,13 +20,23 @@
                    std::uint64_t aIncarnation,
                    const std::string& aSecretKey);
 
-// Processor time, memory and message traffic of this process. The transport
-// must outlive the metrics.
 // What this host sent since its start, by kind of message.
 Event
 TrafficEvent(const TransportCounters& aCounters);
 
+// Processor time, memory and message traffic of this process. The transport
+// must outlive the metrics.
 void
 AddProcessMetrics(Metrics& aMetrics, const MessageTransport& aTransport);
 
+HttpAnswer
+MetricsAnswer(const Metrics& aMetrics);
+
+// Answers GET /metrics on an address of its own, and nothing else. Null where
+// the address is empty. The metrics must outlive the server.
+std::unique_ptr<HttpServer>
+ServeMetrics(boost::asio::io_context& aIo,
+             const std::string& aAddress,
+             const Metrics& aMetrics);
+
 } // namespace fuchsiaramp
--- a/packages/observe/event_log.cc
+++ b/packages/observe/event_log.cc
@@ -1,6 +1,7 @@
 #include "observe/event_log.h"
 
 #include <memory>
+#include <utility>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
@@ -29,11 +30,13 @@
 EventLog::EventLog(const HostId& aHost,
                    std::uint64_t aIncarnation,
                    const std::string& aLevel,
-                   CausalClock& aClock)
+                   CausalClock& aClock,
+                   std::function<TimePoint()> aNow)
   : m_logger(log4cplus::Logger::getInstance("fuchsiaramp"))
   , m_host(aHost.Value())
   , m_incarnation(aIncarnation)
   , m_clock(aClock)
+  , m_now(std::move(aNow))
 {
   log4cplus::SharedAppenderPtr appender(
     new log4cplus::ConsoleAppender(false, true));
@@ -47,14 +50,15 @@
 void
 EventLog::Write(const Event& aEvent)
 {
-  const bool detail = aEvent.Name() == "attempt_started" ||
-                      aEvent.Name() == "attempt_ended" ||
-                      aEvent.Name() == "request_finished";
   const log4cplus::LogLevel level =
-    detail ? log4cplus::DEBUG_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL;
+    aEvent.IsDetail() ? log4cplus::DEBUG_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL;
   if (!m_logger.isEnabledFor(level)) {
     return;
   }
+  const auto leftOut = m_budget.TryTake(aEvent.Name(), m_now());
+  if (!leftOut) {
+    return;
+  }
   std::string line = "event=" + aEvent.Name();
   line += ' ' + FormatField("host", m_host);
   line += " incarnation=" + std::to_string(m_incarnation);
@@ -63,6 +67,9 @@
   for (const EventField& field : aEvent.Fields()) {
     line += ' ' + FormatField(field.key, field.value);
   }
+  if (*leftOut > 0) {
+    line += " left_out=" + std::to_string(*leftOut);
+  }
   m_logger.log(level, line);
 }
 
--- a/packages/observe/event_log.h
+++ b/packages/observe/event_log.h
@@ -1,13 +1,15 @@
 // Writes events as lines of key=value pairs through log4cplus.
 //
 // Each line has the host, its incarnation, a sequence number and the causal
-// clock, from which the time line over all processes is built.
+// clock, from which the time line over all processes is built. Lines of one
+// kind beyond a rate are left out and counted in the next one's "left_out".
 //
-//   EventLog log(host, incarnation, "INFO", clock);
+//   EventLog log(host, incarnation, "INFO", clock, MonotonicNow);
 //   log.Write(Event("leader_elected").With("term", 7));
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include <log4cplus/initializer.h>
@@ -15,7 +17,9 @@
 
 #include "base/event.h"
 #include "base/ids.h"
+#include "base/time.h"
 #include "observe/causal_clock.h"
+#include "observe/line_budget.h"
 
 namespace fuchsiaramp {
 
@@ -30,7 +34,8 @@
   EventLog(const HostId& aHost,
            std::uint64_t aIncarnation,
            const std::string& aLevel,
-           CausalClock& aClock);
+           CausalClock& aClock,
+           std::function<TimePoint()> aNow);
 
   void Write(const Event& aEvent);
 
@@ -41,6 +46,8 @@
   std::uint64_t m_incarnation;
   std::uint64_t m_sequence = 0;
   CausalClock& m_clock;
+  std::function<TimePoint()> m_now;
+  LineBudget m_budget{ LineBudgetOptions() };
 };
 
 } // namespace fuchsiaramp
--- /dev/null
+++ b/packages/observe/line_budget.cc
@@ -0,0 +1,25 @@
+#include "observe/line_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsiaramp {
+
+std::optional<std::uint64_t>
+LineBudget::TryTake(const std::string& aKind, TimePoint aNow)
+{
+  const auto [it, isNew] =
+    m_kinds.try_emplace(aKind, Kind{ m_options.burst, aNow, 0 });
+  Kind& kind = it->second;
+  const double earned = m_options.rate * ToSeconds(aNow - kind.countedAt);
+  kind.tokens = std::min(m_options.burst, kind.tokens + earned);
+  kind.countedAt = aNow;
+  if (kind.tokens < 1.0) {
+    ++kind.leftOut;
+    return std::nullopt;
+  }
+  kind.tokens -= 1.0;
+  return std::exchange(kind.leftOut, 0);
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/observe/line_budget.h
@@ -0,0 +1,53 @@
+// Bounds how many lines of one kind a process logs, and counts what it leaves
+// out.
+//
+//   LineBudget budget(options);
+//   if (const auto leftOut = budget.TryTake("request_failed", now)) {
+//     // write the line, with *leftOut as the number left out before it
+//   }
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "base/time.h"
+
+namespace fuchsiaramp {
+
+struct LineBudgetOptions
+{
+  // Lines a second of one kind. A line costs some 20 microseconds, so that all
+  // of one kind take about 0.1 % of a core.
+  double rate = 50.0;
+  // Lines that may come at once.
+  double burst = 200.0;
+};
+
+class LineBudget
+{
+public:
+  explicit LineBudget(LineBudgetOptions aOptions)
+    : m_options(aOptions)
+  {
+  }
+
+  // How many lines of the kind were left out since the last one, or empty when
+  // this one is to be left out too.
+  std::optional<std::uint64_t> TryTake(const std::string& aKind,
+                                       TimePoint aNow);
+
+private:
+  struct Kind
+  {
+    double tokens = 0.0;
+    TimePoint countedAt;
+    std::uint64_t leftOut = 0;
+  };
+
+  LineBudgetOptions m_options;
+  std::unordered_map<std::string, Kind> m_kinds;
+};
+
+} // namespace fuchsiaramp
--- a/packages/observe/metrics.cc
+++ b/packages/observe/metrics.cc
@@ -1,9 +1,11 @@
 #include "observe/metrics.h"
 
-#include <array>
+#include <cmath>
 #include <fstream>
+#include <limits>
 #include <sstream>
 #include <utility>
+#include <vector>
 
 #include <sys/resource.h>
 #include <unistd.h>
@@ -12,30 +14,55 @@
 
 namespace acc = boost::accumulators;
 
-static constexpr std::array<double, 3> kQuantiles = { 0.5, 0.9, 0.99 };
+// Upper bounds in seconds: from a request that is refused at once to one that
+// takes as long as callers wait.
+static const std::vector<double> kBounds = { 0.001, 0.0025, 0.005, 0.01, 0.025,
+                                             0.05,  0.1,    0.25,  0.5,  1.0,
+                                             2.5,   5.0,    10.0,  30.0 };
 static constexpr char kPrefix[] = "fuchsiaramp_";
 
+// The library's buckets hold their lower bound and not their upper one.
+static std::vector<double>
+BucketEdges()
+{
+  std::vector<double> edges = { 0.0 };
+  for (const double bound : kBounds) {
+    edges.push_back(
+      std::nextafter(bound, std::numeric_limits<double>::infinity()));
+  }
+  return edges;
+}
+
 LatencyMetric::LatencyMetric()
-  : m_values(acc::extended_p_square_probabilities = kQuantiles)
+  : m_buckets(boost::histogram::make_histogram(Axis(BucketEdges())))
+{
+}
+
+void
+LatencyMetric::Add(double aSeconds)
 {
+  m_buckets(aSeconds);
+  m_values(aSeconds);
 }
 
 std::string
 LatencyMetric::Text(const std::string& aName) const
 {
   std::ostringstream text;
-  const std::size_t count = acc::count(m_values);
-  text << kPrefix << aName << "_count " << count << '\n';
-  if (count == 0) {
-    return text.str();
-  }
-  for (double quantile : kQuantiles) {
-    text << kPrefix << aName << "{quantile=\"" << quantile << "\"} "
-         << acc::quantile(m_values, acc::quantile_probability = quantile)
-         << '\n';
+  const auto line = [&](const std::string& aSuffix, double aValue) {
+    text << kPrefix << aName << aSuffix << ' ' << aValue << '\n';
+  };
+  double below = 0.0;
+  for (std::size_t i = 0; i < kBounds.size(); ++i) {
+    below += m_buckets.at(static_cast<int>(i));
+    std::ostringstream bound;
+    bound << kBounds[i];
+    line("_bucket{le=\"" + bound.str() + "\"}", below);
   }
-  text << kPrefix << aName << "_mean " << acc::mean(m_values) << '\n';
-  text << kPrefix << aName << "_max " << acc::max(m_values) << '\n';
+  const auto count = static_cast<double>(acc::count(m_values));
+  line("_bucket{le=\"+Inf\"}", count);
+  line("_sum", acc::sum(m_values));
+  line("_count", count);
   return text.str();
 }
 
--- a/packages/observe/metrics.h
+++ b/packages/observe/metrics.h
@@ -5,37 +5,37 @@
 //   std::string text = metrics.Text();
 #pragma once
 
-#include <cstddef>
 #include <functional>
 #include <map>
-#include <sstream>
 #include <string>
+#include <tuple>
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 
 namespace fuchsiaramp {
 
-// Distribution of one measured quantity since the start, in seconds.
+// Histogram of one measured quantity since the start, in seconds.
 class LatencyMetric
 {
 public:
   LatencyMetric();
-  void Add(double aSeconds) { m_values(aSeconds); }
+  void Add(double aSeconds);
+  // Lines "NAME_bucket{le="BOUND"}", "NAME_sum" and "NAME_count"; each bucket
+  // counts all values up to its bound.
   std::string Text(const std::string& aName) const;
 
 private:
+  using Axis = boost::histogram::axis::variable<>;
+
+  boost::histogram::histogram<std::tuple<Axis>> m_buckets;
   boost::accumulators::accumulator_set<
     double,
-    boost::accumulators::stats<
-      boost::accumulators::tag::count,
-      boost::accumulators::tag::mean,
-      boost::accumulators::tag::max,
-      boost::accumulators::tag::extended_p_square_quantile>>
+    boost::accumulators::stats<boost::accumulators::tag::count,
+                               boost::accumulators::tag::sum>>
     m_values;
 };
 
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -51,9 +51,12 @@
   return "cancelled";
 }
 
-ServiceRouter::ServiceRouter(RouterOptions aOptions, Random aRandom)
+ServiceRouter::ServiceRouter(RouterOptions aOptions,
+                             Random aRandom,
+                             EventHook aRecord)
   : m_options(std::move(aOptions))
   , m_random(aRandom)
+  , m_record(std::move(aRecord))
   , m_retries(m_options.retryBudget)
 {
 }
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -1,7 +1,7 @@
 // Chooses backend servers of one service on one entry host, and counts the
 // evidence that goes to the service's arbiter.
 //
-//   ServiceRouter router(options, random);
+//   ServiceRouter router(options, random, record);
 //   router.SetServer(server, now);
 //   if (auto id = router.Choose({ true, {} }, now)) {
 //     router.OnStarted(*id);
@@ -17,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/event.h"
 #include "base/ids.h"
 #include "base/random.h"
 #include "base/time.h"
@@ -84,7 +85,7 @@
 class ServiceRouter
 {
 public:
-  ServiceRouter(RouterOptions aOptions, Random aRandom);
+  ServiceRouter(RouterOptions aOptions, Random aRandom, EventHook aRecord);
 
   void SetServer(const BackendServer& aServer, TimePoint aNow);
   void RemoveServer(const BackendServerId& aServer);
@@ -131,6 +132,8 @@
   bool HasSharedOutcomes() const { return !m_shared.empty(); }
   // The probability that a server is sick.
   double Sick(const BackendServerId& aServer, TimePoint aNow) const;
+  // When an outcome last moved that belief, if ever.
+  std::optional<TimePoint> HeardAt(const BackendServerId& aServer) const;
   bool HasEvidence() const { return m_hasEvidence; }
   // Bad outcomes since the last call: the report should not wait.
   bool HasBadEvidence() const { return m_hasBadEvidence; }
@@ -180,6 +183,7 @@
   bool HasFitServerNear(const ChoiceRequest& aRequest, TimePoint aNow) const;
   double Cost(const ServerView& aView, TimePoint aNow) const;
   void Believe(ServerView& aView, const AttemptReport& aReport, TimePoint aNow);
+  void Learn(ServerView& aView, const AttemptReport& aReport, TimePoint aNow);
   void Share(const ServerView& aView, bool aSuccess);
   std::optional<BackendServerId> ChooseTrial(const ChoiceRequest& aRequest,
                                              TimePoint aNow);
@@ -191,6 +195,7 @@
 
   RouterOptions m_options;
   Random m_random;
+  EventHook m_record;
   std::unordered_map<BackendServerId, ServerView> m_servers;
   LatencyTracker m_latency; // all servers
   // Answers from far away take longer without their server being slow.
--- a/packages/routing/service_router_belief.cc
+++ b/packages/routing/service_router_belief.cc
@@ -143,12 +143,35 @@
                          : std::optional<BackendServerId>(best->server.id);
 }
 
-// What the server itself did is told to all hosts; what may be the fault of the
-// way to it is kept here.
+// Only what this host saw itself is recorded; others record what they saw.
 void
 ServiceRouter::Believe(ServerView& aView,
                        const AttemptReport& aReport,
                        TimePoint aNow)
+{
+  const auto sick = [&] {
+    return std::max(aView.belief.Sick(aNow), aView.path.Sick(aNow));
+  };
+  const double before = sick();
+  Learn(aView, aReport, aNow);
+  const double after = sick();
+  if ((before > kMostSick) == (after > kMostSick)) {
+    return;
+  }
+  m_record(Event(after > before ? "server_suspected" : "server_trusted")
+             .With("server", aView.server.id)
+             .With("outcome", ToText(aReport.outcome))
+             .With("sick_before", before)
+             .With("sick", after)
+             .With("path", aView.path.Sick(aNow)));
+}
+
+// What the server itself did is told to all hosts; what may be the fault of the
+// way to it is kept here.
+void
+ServiceRouter::Learn(ServerView& aView,
+                     const AttemptReport& aReport,
+                     TimePoint aNow)
 {
   switch (aReport.outcome) {
     case AttemptOutcome::kSuccess:
@@ -211,6 +234,16 @@
   }
 }
 
+std::optional<TimePoint>
+ServiceRouter::HeardAt(const BackendServerId& aServer) const
+{
+  const auto it = m_servers.find(aServer);
+  if (it == m_servers.end() || it->second.belief.UpdatedAt() == TimePoint()) {
+    return std::nullopt;
+  }
+  return it->second.belief.UpdatedAt();
+}
+
 double
 ServiceRouter::Sick(const BackendServerId& aServer, TimePoint aNow) const
 {
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -356,6 +356,8 @@
     internal::OptionalAddress(map, "readiness_address", aFindings);
   settings.directoryAddress =
     internal::OptionalAddress(map, "directory_address", aFindings);
+  settings.metricsAddress =
+    internal::OptionalAddress(map, "metrics_address", aFindings);
   settings.name = map.Text("name", settings.host.Value());
   settings.interface = internal::ReadInterface(map, aFindings);
   settings.dataFolder = map.Text("data_folder", "");
@@ -377,6 +379,8 @@
   settings.pullInterval = map.Span("pull_interval", settings.pullInterval);
   settings.nearbyAddresses =
     map.Number("nearby_addresses", settings.nearbyAddresses, 1, 64);
+  settings.nearbyShare =
+    map.Real("nearby_share", settings.nearbyShare, 0.0, 1.0);
   settings.addressLifetime =
     map.Span("address_lifetime", settings.addressLifetime);
   settings.announcementLifetime =
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -114,6 +114,7 @@
   std::string callerAddress;     // IP:port for callers (entry) or operators
   std::string readinessAddress;  // IP:port; empty: on the callers' address
   std::string directoryAddress;  // IP:port; empty: on the callers' address
+  std::string metricsAddress;    // IP:port; empty: no address of its own
   std::string messageAddress;    // IP:port between the system's processes
   std::string dataFolder;        // control only
   std::string operatorTokenHash; // SHA-256, hexadecimal
@@ -131,8 +132,10 @@
   GroupSettings group;
   // Entry hosts learn of each other through control instead of by gossip.
   bool membershipByControl = false;
-  // Entry hosts named to a caller that asks for those nearby.
+  // Entry hosts named to a caller that asks for those nearby: a share of those
+  // of its failure domain, and no fewer than a number.
   std::size_t nearbyAddresses = 2;
+  double nearbyShare = 0.0;
   // How often an entry host asks a control host for news.
   Duration pullInterval = std::chrono::seconds(1);
   Duration addressLifetime = std::chrono::seconds(30);
