Hear of the entry hosts of one's own region; let repeatable work look first

A control host told every entry host that pulled from it of the entry hosts of its own region, not of theirs, and an entry host took every control host's word: views of two regions came and went (24 times a peer). A host whose nearest control host was away thus sent its callers to another region. Change: the hosts of the asker's region, from the control host that is pulled from alone, and anew when a host subscribes again. Of the servers nearby a request that may be repeated goes to the one not heard of for longest, work that runs once keeps to those heard of lately; the belief of a server returns to the share of time that servers are sick within a spell, that of a path as before.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -42,7 +42,6 @@
   , m_hooks(std::move(aHooks))
   , m_commands(m_options.hosts, m_hooks.send)
   , m_watch(m_options.self, m_options.serverLifetime)
-  , m_fleet(m_options.region)
   , m_knownHosts(m_options.hosts)
   , m_lapseAt(aNow)
 {
@@ -297,8 +296,13 @@
   known.reportedAt = aNow;
   known.sentLists = aPull.have_version();
   known.sentServers = aPull.have_servers_version();
-  known.direct = direct && aPull.subscribes();
+  const bool subscribes = direct && aPull.subscribes();
+  if (subscribes && !known.direct) {
+    known.sentFleet = 0; // it may have heard of other hosts elsewhere since
+  }
+  known.direct = subscribes;
   if (aPull.has_self()) {
+    known.region = Region(aPull.self().region());
     m_fleet.Heard(aPull.self(), aNow);
   }
   wire::Envelope envelope;
@@ -340,7 +344,7 @@
     for (const std::size_t size : m_fleet.DomainSizes()) {
       push.add_domain_sizes(static_cast<std::uint32_t>(size));
     }
-    for (const wire::HostRecord& host : m_fleet.Near()) {
+    for (const wire::HostRecord& host : m_fleet.Near(aKnown.region)) {
       *push.add_hosts() = host;
     }
   }
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -97,6 +97,7 @@
   std::uint64_t sentFleet = 0;
   // Whether it pulls from this host itself, so that changes are pushed to it.
   bool direct = false;
+  Region region; // it hears of the entry hosts there
 };
 
 class ControlNode
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -175,4 +175,47 @@
   }
 }
 
+// Pulls as an entry host of the region; returns the entry hosts that the answer
+// names.
+static std::vector<std::string>
+HostsHeard(ControlGroup& aGroup,
+           const std::string& aHost,
+           const std::string& aRegion,
+           std::uint64_t aPull)
+{
+  wire::Envelope pull;
+  pull.mutable_lists_pull()->set_pull_id(aPull);
+  pull.mutable_lists_pull()->set_subscribes(true);
+  wire::HostRecord* self = pull.mutable_lists_pull()->mutable_self();
+  self->set_host(aHost);
+  self->set_region(aRegion);
+  self->set_incarnation(1);
+  aGroup.m_toOthers.clear();
+  aGroup.m_network.Send(
+    HostId(aHost), aGroup.m_hosts.front(), pull, aGroup.m_now);
+  aGroup.Run(std::chrono::milliseconds(100));
+  std::vector<std::string> heard;
+  for (const wire::Envelope& envelope : aGroup.m_toOthers) {
+    const wire::ListsPush& push = envelope.lists_push();
+    if (push.pull_id() == aPull && push.has_hosts()) {
+      for (const wire::HostRecord& host : push.hosts()) {
+        heard.push_back(host.host());
+      }
+    }
+  }
+  return heard;
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryHostHearsOfTheHostsOfItsOwnRegion)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  const auto south = HostsHeard(group, "entry-south", "south", 11);
+  BOOST_TEST(south == std::vector<std::string>({ "entry-south" }),
+             boost::test_tools::per_element());
+  const auto north = HostsHeard(group, "entry-north", "north", 12);
+  BOOST_TEST(north == std::vector<std::string>({ "entry-north" }),
+             boost::test_tools::per_element());
+}
+
 } // namespace fuchsiaramp
--- a/packages/control/fleet_table.cc
+++ b/packages/control/fleet_table.cc
@@ -23,11 +23,6 @@
   return digest;
 }
 
-FleetTable::FleetTable(Region aRegion)
-  : m_region(std::move(aRegion))
-{
-}
-
 void
 FleetTable::Heard(const wire::HostRecord& aRecord, TimePoint aNow)
 {
@@ -106,9 +101,9 @@
 void
 FleetTable::Merge()
 {
-  std::map<std::string, wire::HostRecord> all;
+  m_all.clear();
   const auto add = [&](const wire::HostRecord& aRecord) {
-    wire::HostRecord& record = all[aRecord.host()];
+    wire::HostRecord& record = m_all[aRecord.host()];
     const auto rank = [](const wire::HostRecord& aHost) {
       return std::pair(aHost.incarnation(),
                        aHost.state() == wire::HostRecord::LEAVING);
@@ -126,12 +121,8 @@
     add(host.record);
   }
   std::map<std::string, std::size_t> sizes;
-  m_near.clear();
-  for (const auto& [host, record] : all) {
+  for (const auto& [host, record] : m_all) {
     ++sizes[record.failure_domain()];
-    if (record.region() == m_region.Value()) {
-      m_near.push_back(record);
-    }
   }
   m_domainSizes.clear();
   for (const auto& [domain, size] : sizes) {
@@ -140,4 +131,16 @@
   ++m_version;
 }
 
+std::vector<wire::HostRecord>
+FleetTable::Near(const Region& aRegion) const
+{
+  std::vector<wire::HostRecord> hosts;
+  for (const auto& [host, record] : m_all) {
+    if (record.region() == aRegion.Value()) {
+      hosts.push_back(record);
+    }
+  }
+  return hosts;
+}
+
 } // namespace fuchsiaramp
--- a/packages/control/fleet_table.h
+++ b/packages/control/fleet_table.h
@@ -24,8 +24,6 @@
 class FleetTable
 {
 public:
-  explicit FleetTable(Region aRegion);
-
   // An entry host pulled from this host.
   void Heard(const wire::HostRecord& aRecord, TimePoint aNow);
   // Returns whether the sender must be asked for its whole view.
@@ -40,8 +38,8 @@
   // The entry hosts that pull from this host.
   wire::FleetView OwnView() const;
 
-  // All entry hosts of the region, by name.
-  const std::vector<wire::HostRecord>& Near() const { return m_near; }
+  // All entry hosts of a region, by name.
+  std::vector<wire::HostRecord> Near(const Region& aRegion) const;
   // Grows with each change of Near() or DomainSizes().
   std::uint64_t Version() const { return m_version; }
   // How many entry hosts each failure domain of the fleet has.
@@ -61,10 +59,9 @@
 
   void Merge();
 
-  Region m_region;
   std::map<HostId, OwnHost> m_own;
   std::map<HostId, View> m_views; // of other control hosts
-  std::vector<wire::HostRecord> m_near;
+  std::map<std::string, wire::HostRecord> m_all;
   std::vector<std::size_t> m_domainSizes;
   std::uint64_t m_version = 1;
   bool m_news = false;
--- a/packages/control/fleet_table_test.cc
+++ b/packages/control/fleet_table_test.cc
@@ -7,6 +7,8 @@
 
 static const TimePoint kStart = FromMicros(1'000'000);
 
+static const Region kNorth("north");
+
 static wire::HostRecord
 Host(const std::string& aName, const std::string& aRegion)
 {
@@ -18,9 +20,9 @@
   return record;
 }
 
-BOOST_AUTO_TEST_CASE(HostsOfTheRegionAreListedAndAllAreCounted)
+BOOST_AUTO_TEST_CASE(HostsOfEachRegionAreListedAndAllAreCounted)
 {
-  FleetTable table(Region("north"));
+  FleetTable table;
   table.Heard(Host("a", "north"), kStart);
   wire::FleetView other;
   *other.add_hosts() = Host("b", "north");
@@ -28,14 +30,15 @@
   other.set_digest(7);
   other.set_whole(true);
   BOOST_TEST(!table.HeardView(HostId("control-2"), other, kStart));
-  BOOST_TEST(table.Near().size() == 2u);
+  BOOST_TEST(table.Near(kNorth).size() == 2u);
+  BOOST_TEST(table.Near(Region("south")).size() == 1u);
   BOOST_TEST(table.DomainSizes() == std::vector<std::size_t>({ 2, 1 }),
              boost::test_tools::per_element());
 }
 
 BOOST_AUTO_TEST_CASE(OnlyChangesAreToldInFull)
 {
-  FleetTable table(Region("north"));
+  FleetTable table;
   table.Heard(Host("a", "north"), kStart);
   BOOST_TEST(table.TakeNews(kStart)->whole());
   table.Heard(Host("a", "north"), kStart + std::chrono::seconds(1));
@@ -48,8 +51,8 @@
 
 BOOST_AUTO_TEST_CASE(AMissedChangeIsAskedFor)
 {
-  FleetTable sender(Region("north"));
-  FleetTable receiver(Region("north"));
+  FleetTable sender;
+  FleetTable receiver;
   sender.Heard(Host("a", "north"), kStart);
   sender.TakeNews(kStart); // lost
   const TimePoint later = kStart + std::chrono::milliseconds(1000);
@@ -57,12 +60,12 @@
   const HostId from("control-1");
   BOOST_TEST(receiver.HeardView(from, *refresh, later));
   BOOST_TEST(!receiver.HeardView(from, sender.OwnView(), later));
-  BOOST_TEST(receiver.Near().size() == 1u);
+  BOOST_TEST(receiver.Near(kNorth).size() == 1u);
 }
 
 BOOST_AUTO_TEST_CASE(SilentHostsAndViewsAreForgotten)
 {
-  FleetTable table(Region("north"));
+  FleetTable table;
   table.Heard(Host("a", "north"), kStart);
   wire::FleetView other;
   *other.add_hosts() = Host("b", "north");
@@ -70,14 +73,14 @@
   other.set_whole(true);
   table.HeardView(HostId("control-2"), other, kStart);
   table.Tick(kStart + std::chrono::seconds(3));
-  BOOST_TEST(table.Near().size() == 1u);
+  BOOST_TEST(table.Near(kNorth).size() == 1u);
   table.Tick(kStart + std::chrono::seconds(13));
   BOOST_TEST(table.DomainSizes().empty());
 }
 
 BOOST_AUTO_TEST_CASE(ALeavingHostIsNotListedAsAliveByAnOlderView)
 {
-  FleetTable table(Region("north"));
+  FleetTable table;
   wire::FleetView other;
   *other.add_hosts() = Host("a", "north");
   other.set_digest(7);
@@ -86,8 +89,8 @@
   wire::HostRecord leaving = Host("a", "north");
   leaving.set_state(wire::HostRecord::LEAVING);
   table.Heard(leaving, kStart);
-  BOOST_REQUIRE(table.Near().size() == 1u);
-  BOOST_TEST(table.Near()[0].state() == wire::HostRecord::LEAVING);
+  BOOST_REQUIRE(table.Near(kNorth).size() == 1u);
+  BOOST_TEST(table.Near(kNorth)[0].state() == wire::HostRecord::LEAVING);
 }
 
 } // namespace fuchsiaramp
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -247,7 +247,9 @@
   if (control) {
     HearAnswer(aFrom, aPush, aNow);
     HearControlHosts(aPush);
-    if (aPush.has_hosts()) {
+    // Another control host may know less, and its view would come and go with
+    // the one that counts.
+    if (aPush.has_hosts() && aFrom == m_pullsFrom) {
       m_hooks.hostsChanged(
         { aPush.hosts().begin(), aPush.hosts().end() },
         { aPush.domain_sizes().begin(), aPush.domain_sizes().end() });
--- a/packages/entry/lists_follower_test.cc
+++ b/packages/entry/lists_follower_test.cc
@@ -79,8 +79,10 @@
     hooks.aliveHosts = [] { return std::vector<HostId>{ HostId("entry") }; };
     hooks.groupLeaders = [](const std::vector<std::string>&) {};
     hooks.controlHostsChanged = [](const std::vector<HostId>&) {};
-    hooks.hostsChanged = [](const std::vector<wire::HostRecord>&,
-                            const std::vector<std::size_t>&) {};
+    hooks.hostsChanged = [this](const std::vector<wire::HostRecord>&,
+                                const std::vector<std::size_t>&) {
+      ++m_hostsHeard;
+    };
     hooks.self = [] { return std::optional<wire::HostRecord>(); };
     hooks.serverChanged = [](const wire::BackendServerRecord&) {};
     hooks.record = [](const Event&) {};
@@ -92,6 +94,7 @@
   std::set<HostId> m_silent;
   std::set<HostId> m_stale; // cannot vouch for what they hold
   std::map<HostId, int> m_asked;
+  int m_hostsHeard = 0;
   std::vector<std::pair<HostId, wire::ListsPull>> m_pulls;
   ListsFollower m_follower;
 };
@@ -148,4 +151,18 @@
   BOOST_TEST(test.m_asked[kNear] + test.m_asked[kFar] <= 24);
 }
 
+BOOST_AUTO_TEST_CASE(OnlyTheControlHostThatIsPulledFromTellsOfEntryHosts)
+{
+  Follower test;
+  test.Run(std::chrono::seconds(2));
+  BOOST_REQUIRE(test.m_follower.PullsFrom() == kNear);
+  wire::ListsPush push;
+  push.set_has_hosts(true);
+  test.m_hostsHeard = 0;
+  test.m_follower.OnPush(kFar, push, test.m_now);
+  BOOST_TEST(test.m_hostsHeard == 0);
+  test.m_follower.OnPush(kNear, push, test.m_now);
+  BOOST_TEST(test.m_hostsHeard == 1);
+}
+
 } // namespace fuchsiaramp
--- a/packages/routing/server_belief.h
+++ b/packages/routing/server_belief.h
@@ -17,14 +17,33 @@
 
 namespace fuchsiaramp {
 
+struct BeliefOptions
+{
+  double base = 0.08;        // belief without any evidence
+  double spellSeconds = 4.0; // time over which evidence is forgotten
+};
+
+// Of a server: sick spells last some five seconds, and a server is in one of
+// them for about a tenth of the time.
+inline constexpr BeliefOptions kServerBelief{ 0.08, 4.0 };
+// Of the way from a host to a server: it fails less often, and for longer.
+inline constexpr BeliefOptions kPathBelief{ 0.03, 8.0 };
+
 class ServerBelief
 {
 public:
+  explicit ServerBelief(BeliefOptions aOptions = kServerBelief)
+    : m_options(aOptions)
+    , m_sick(aOptions.base)
+  {
+  }
+
   // The probability that the server is sick.
   double Sick(TimePoint aNow) const
   {
     const double age = std::max(0.0, ToSeconds(aNow - m_updatedAt));
-    return kBase + (m_sick - kBase) * std::exp(-age / kSpellSeconds);
+    return m_options.base +
+           (m_sick - m_options.base) * std::exp(-age / m_options.spellSeconds);
   }
 
   void OnSuccess(TimePoint aNow)
@@ -48,10 +67,8 @@
   // nine in ten, well ones about one in eighty.
   static constexpr double kFailsWhenSick = 0.9;
   static constexpr double kFailsWhenWell = 0.015;
-  static constexpr double kDelayRatio = 12.0;
+  static constexpr double kDelayRatio = 10.0;
   static constexpr double kUnreachableRatio = 60.0;
-  static constexpr double kSpellSeconds = 8.0;
-  static constexpr double kBase = 0.03; // belief without any evidence
   static constexpr double kLowest = 0.005;
   static constexpr double kHighest = 0.97;
 
@@ -63,7 +80,8 @@
     m_updatedAt = aNow;
   }
 
-  double m_sick = kBase;
+  BeliefOptions m_options;
+  double m_sick;
   TimePoint m_updatedAt;
 };
 
--- a/packages/routing/service_router_belief.cc
+++ b/packages/routing/service_router_belief.cc
@@ -8,13 +8,19 @@
 // Choice by belief. Above kSuspected a server is worth a trial by a repeatable
 // request; above kMostSick work goes there only as a trial.
 static constexpr double kSuspected = 0.15;
-static constexpr double kMostSick = 0.5;
+static constexpr double kMostSick = 0.3;
 static constexpr Duration kTrialGap = std::chrono::milliseconds(800);
 // Cost of a server whose slots are all taken, as a share of a request's worth.
-static constexpr double kLoadCost = 0.1;
+static constexpr double kLoadCost = 0.05;
 // Peers repeat their load while it is not zero.
 static constexpr Duration kPeerSilence = std::chrono::milliseconds(600);
 static constexpr double kTieNoise = 0.02;
+// A request that can be sent once more is better the first to meet a sick spell
+// than one that cannot: it goes to the server nearby that was not heard of for
+// longest, and the others keep to those heard of lately. Both are shares of a
+// request's worth for a server that is surely sick.
+static constexpr double kLookWorth = 2.0;
+static constexpr double kOnceRisk = 1.0;
 
 // Share of a request's worth that is expected to be lost on the server.
 double
@@ -104,6 +110,8 @@
   ServerView* suspect = nullptr;
   double bestCost = 0.0;
   const bool staysNear = aRequest.staysNear && HasFitServerNear(aRequest, aNow);
+  const bool mayLook =
+    aRequest.repeatable && aRequest.excluded.empty() && m_retries.MayRetry();
   for (auto& [id, view] : m_servers) {
     if (staysNear && view.server.failureDomain != m_options.failureDomain) {
       continue;
@@ -118,9 +126,7 @@
     const bool tried = !IsDue(seenAt + kTrialGap, aNow) ||
                        !IsDue(view.trialAt.value_or(aNow), aNow) ||
                        view.outstanding > 0;
-    const bool trial = aRequest.repeatable && aRequest.excluded.empty() &&
-                       near && sick > kSuspected && !tried &&
-                       m_retries.MayRetry();
+    const bool trial = mayLook && near && sick > kSuspected && !tried;
     if (trial && (suspect == nullptr || m_random.Chance(0.5))) {
       suspect = &view;
     }
@@ -129,7 +135,12 @@
     if (sick > kMostSick) {
       continue;
     }
-    const double cost = Cost(view, aNow) + kTieNoise * m_random.Unit();
+    double cost = Cost(view, aNow) + kTieNoise * m_random.Unit();
+    if (mayLook && near && sick <= kSuspected) {
+      cost -= kLookWorth * sick;
+    } else if (!aRequest.repeatable) {
+      cost += kOnceRisk * sick;
+    }
     if (best == nullptr || cost < bestCost) {
       best = &view;
       bestCost = cost;
--- /dev/null
+++ b/packages/testing/spell_model.cc
@@ -0,0 +1,247 @@
+#include "testing/spell_model.h"
+
+#include <cmath>
+#include <string>
+#include <utility>
+
+namespace fuchsiaramp {
+
+// How the shipped entry hosts hear of each other on the users' platform.
+static constexpr Duration kTick = std::chrono::milliseconds(20);
+static constexpr Duration kNewsDelay = std::chrono::milliseconds(30);
+static constexpr Duration kPeerDelay = std::chrono::milliseconds(1);
+static constexpr Duration kWaitStep = std::chrono::milliseconds(10);
+static constexpr Duration kStaysNear = std::chrono::milliseconds(80);
+static constexpr Duration kFailureTime = std::chrono::milliseconds(2);
+static constexpr double kWorkSpread = 0.6; // of the logarithm
+
+SpellModel::SpellModel(SpellOptions aOptions)
+  : m_options(aOptions)
+  , m_random(aOptions.seed)
+  , m_queue(FromMicros(1'000'000))
+{
+  AddServers();
+  AddHosts();
+}
+
+Region
+SpellModel::RegionOf(std::size_t aDomain) const
+{
+  return Region("region-" +
+                std::to_string(aDomain / m_options.domainsPerRegion));
+}
+
+void
+SpellModel::AddServers()
+{
+  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  for (std::size_t i = 0; i < domains * m_options.serversPerDomain; ++i) {
+    const std::size_t domain = i % domains;
+    Server server;
+    server.known.id = BackendServerId("server-" + std::to_string(i));
+    server.known.region = RegionOf(domain);
+    server.known.failureDomain = FailureDomain(std::to_string(domain));
+    server.known.slots = m_options.slots;
+    server.known.incarnation = 1;
+    server.known.coldFor = Duration(0);
+    m_servers.push_back(std::move(server));
+  }
+}
+
+void
+SpellModel::AddHosts()
+{
+  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  const std::size_t hosts = domains * m_options.hostsPerDomain;
+  for (std::size_t i = 0; i < hosts; ++i) {
+    RouterOptions options;
+    options.self = HostId("entry-" + std::to_string(i));
+    options.region = RegionOf(i % domains);
+    options.failureDomain = FailureDomain(std::to_string(i % domains));
+    options.byBelief = true;
+    options.subsetSize = m_servers.size();
+    options.retryBudget = { 0.2, 64.0 / static_cast<double>(hosts), 0.0 };
+    Host host;
+    host.id = options.self;
+    host.domain = i % domains;
+    host.router = std::make_unique<ServiceRouter>(
+      options, Random(m_random.Bits()), [](const Event&) {});
+    for (const Server& server : m_servers) {
+      host.router->SetServer(server.known, m_queue.Now());
+    }
+    m_hosts.push_back(std::move(host));
+  }
+}
+
+SpellResult
+SpellModel::Play(Duration aSpan)
+{
+  for (std::size_t i = 0; i < m_servers.size(); ++i) {
+    Turn(i);
+  }
+  ScheduleArrival();
+  ScheduleTick();
+  m_queue.RunUntil(m_queue.Now() + aSpan);
+  return m_result;
+}
+
+// Changes the state of the server when its present time is over.
+void
+SpellModel::Turn(std::size_t aServer)
+{
+  const double mean =
+    m_servers[aServer].sick ? m_options.sickSeconds : m_options.wellSeconds;
+  const Duration length = FromSeconds(m_random.Exponential(mean));
+  m_queue.At(m_queue.Now() + length, [this, aServer] {
+    Server& server = m_servers[aServer];
+    server.sick = !server.sick;
+    m_result.spells += server.sick ? 1.0 : 0.0;
+    Turn(aServer);
+  });
+}
+
+void
+SpellModel::ScheduleArrival()
+{
+  const double mean = 1.0 / m_options.requestsPerSecond;
+  m_queue.At(m_queue.Now() + FromSeconds(m_random.Exponential(mean)), [this] {
+    Request request;
+    request.repeatable = m_random.Chance(m_options.repeatableShare);
+    request.host = m_random.Below(m_hosts.size());
+    request.arrivedAt = m_queue.Now();
+    (request.repeatable ? m_result.repeatable : m_result.once) += 1.0;
+    m_hosts[request.host].router->Retries().OnRequest();
+    Place(std::move(request));
+    ScheduleArrival();
+  });
+}
+
+void
+SpellModel::ScheduleTick()
+{
+  m_queue.At(m_queue.Now() + kTick, [this] {
+    ShareNews();
+    ScheduleTick();
+  });
+}
+
+// Outcomes go to all hosts, loads to those of the failure domain.
+void
+SpellModel::ShareNews()
+{
+  for (std::size_t from = 0; from < m_hosts.size(); ++from) {
+    ServiceRouter& router = *m_hosts[from].router;
+    router.ForgetSilentPeers(m_queue.Now());
+    const auto outcomes = router.TakeSharedOutcomes();
+    const auto load = router.OwnLoad();
+    for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+      if (to == from) {
+        continue;
+      }
+      if (!outcomes.empty()) {
+        m_queue.At(m_queue.Now() + kNewsDelay, [this, to, outcomes] {
+          for (const ReportedCounts& item : outcomes) {
+            const bool good = item.counts.failures == 0.0;
+            m_hosts[to].router->OnSharedOutcome(
+              item.server, item.incarnation, good, m_queue.Now());
+          }
+        });
+      }
+      if (m_hosts[to].domain == m_hosts[from].domain) {
+        m_queue.At(m_queue.Now() + kPeerDelay, [this, from, to, load] {
+          m_hosts[to].router->SetPeerLoad(
+            m_hosts[from].id, load, m_queue.Now());
+        });
+      }
+    }
+  }
+}
+
+void
+SpellModel::Place(Request aRequest)
+{
+  const TimePoint now = m_queue.Now();
+  ServiceRouter& router = *m_hosts[aRequest.host].router;
+  const bool staysNear = !IsDue(aRequest.arrivedAt + kStaysNear, now);
+  const auto chosen =
+    router.Choose({ aRequest.repeatable, aRequest.excluded, staysNear }, now);
+  if (chosen) {
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+      if (m_servers[i].known.id == *chosen) {
+        Run(aRequest, i);
+      }
+    }
+    return;
+  }
+  if (IsDue(aRequest.arrivedAt + m_options.patience, now)) {
+    (aRequest.repeatable ? m_result.repeatableFailed : m_result.onceRefused) +=
+      1.0;
+    return;
+  }
+  m_queue.At(now + kWaitStep,
+             [this, request = std::move(aRequest)] { Place(request); });
+}
+
+void
+SpellModel::Run(const Request& aRequest, std::size_t aServer)
+{
+  Server& server = m_servers[aServer];
+  const Host& host = m_hosts[aRequest.host];
+  host.router->OnStarted(server.known.id);
+  const TimePoint now = m_queue.Now();
+  AttemptOutcome outcome = AttemptOutcome::kSuccess;
+  Duration length = kFailureTime;
+  if (server.running >= server.known.slots) {
+    outcome = AttemptOutcome::kShed;
+  } else if (m_random.Chance(server.sick ? m_options.sickFails
+                                         : m_options.wellFails)) {
+    outcome = AttemptOutcome::kServerError;
+  } else {
+    const double normal = std::sqrt(-2.0 * std::log1p(-m_random.Unit())) *
+                          std::cos(2.0 * std::acos(-1.0) * m_random.Unit());
+    length = FromSeconds(
+      m_options.workSeconds *
+      std::exp(kWorkSpread * normal - kWorkSpread * kWorkSpread / 2.0));
+  }
+  const bool outside =
+    server.known.failureDomain != FailureDomain(std::to_string(host.domain));
+  m_result.outside += outside ? 1.0 : 0.0;
+  ++server.running;
+  m_queue.At(now + length, [this, aRequest, aServer, outcome, now] {
+    Finish(aRequest, aServer, outcome, now);
+  });
+}
+
+void
+SpellModel::Finish(Request aRequest,
+                   std::size_t aServer,
+                   AttemptOutcome aOutcome,
+                   TimePoint aStartedAt)
+{
+  Server& server = m_servers[aServer];
+  --server.running;
+  ServiceRouter& router = *m_hosts[aRequest.host].router;
+  AttemptReport report;
+  report.outcome = aOutcome;
+  report.latency = m_queue.Now() - aStartedAt;
+  router.OnFinished(server.known.id, report, m_queue.Now());
+  if (aOutcome == AttemptOutcome::kSuccess) {
+    return;
+  }
+  const bool mayRetry = aOutcome == AttemptOutcome::kShed ||
+                        (aRequest.repeatable && aRequest.excluded.empty());
+  if (mayRetry && router.Retries().TryRetry()) {
+    aRequest.excluded.insert(server.known.id);
+    Place(std::move(aRequest));
+    return;
+  }
+  if (aRequest.repeatable) {
+    m_result.repeatableFailed += 1.0;
+  } else if (aOutcome == AttemptOutcome::kShed) {
+    m_result.onceRefused += 1.0;
+  } else {
+    m_result.onceFailed += 1.0;
+  }
+}
+
+} // namespace fuchsiaramp
