Take request limits from the lists; tell outcomes to hosts that take requests

Cause: the listener held the limits of its settings, whatever the operator's configuration said, and a long body had to come within the time of a header; malformed requests left no line. Change: EffectiveLimits (the lists where they name a limit, sizes bounded by the settings) hold from a connection's next request on; a body may take idle_timeout between parts; request_malformed names peer, status and reason. Entry hosts that take fewer than two requests a second do not hear outcomes; hosts that come or die are told with the next pull, only hosts that leave are pushed. Tests: request_limits_test; a body beyond new limits is refused and reported, a header that takes too long ends its connection; OutcomesGoToHostsThatTakeRequests; LeavingVersion. The new tests of limits use interfaces that did not exist before.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -205,7 +205,8 @@
   }
   for (const auto& [host, known] : m_entryHosts) {
     const bool subscribed = !IsDue(known.reportedAt + kSubscription, aNow);
-    if (host != aFrom && known.direct && subscribed) {
+    const bool hears = known.direct && known.hearsOutcomes && subscribed;
+    if (host != aFrom && hears) {
       m_hooks.send(host, aMessage);
     }
   }
@@ -301,6 +302,7 @@
     known.sentFleet = 0; // it may have heard of other hosts elsewhere since
   }
   known.direct = subscribes;
+  known.hearsOutcomes = aPull.hears_outcomes();
   if (aPull.has_self()) {
     known.region = Region(aPull.self().region());
     m_fleet.Heard(aPull.self(), aNow);
@@ -354,7 +356,8 @@
 }
 
 // A push that is lost is made up for by the next pull, which says what the
-// entry host has.
+// entry host has. Entry hosts that come or die are told with the next pull:
+// when all start, each would be news for all others.
 void
 ControlNode::PushChanges(TimePoint aNow)
 {
@@ -369,7 +372,7 @@
     }
     const bool behind = known.sentLists < lists ||
                         known.sentServers < servers ||
-                        known.sentFleet != m_fleet.Version();
+                        known.sentFleet < m_fleet.LeavingVersion();
     const bool subscribed = !IsDue(known.reportedAt + kSubscription, aNow);
     if (behind && subscribed && known.direct) {
       wire::Envelope envelope;
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -181,9 +181,11 @@
 HostsHeard(ControlGroup& aGroup,
            const std::string& aHost,
            const std::string& aRegion,
-           std::uint64_t aPull)
+           std::uint64_t aPull,
+           bool aHearsOutcomes = true)
 {
   wire::Envelope pull;
+  pull.mutable_lists_pull()->set_hears_outcomes(aHearsOutcomes);
   pull.mutable_lists_pull()->set_pull_id(aPull);
   pull.mutable_lists_pull()->set_subscribes(true);
   wire::HostRecord* self = pull.mutable_lists_pull()->mutable_self();
@@ -218,4 +220,23 @@
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(OutcomesGoToHostsThatTakeRequests)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  HostsHeard(group, "entry-busy", "north", 11, true);
+  HostsHeard(group, "entry-idle", "north", 12, false);
+  group.m_toOthers.clear();
+  wire::Envelope evidence;
+  evidence.mutable_evidence()->add_reports()->set_service("s");
+  group.m_network.Send(
+    HostId("entry-other"), group.m_hosts.front(), evidence, group.m_now);
+  group.Run(std::chrono::milliseconds(100));
+  int heard = 0;
+  for (const wire::Envelope& envelope : group.m_toOthers) {
+    heard += envelope.has_evidence() ? 1 : 0;
+  }
+  BOOST_TEST(heard == 1);
+}
+
 } // namespace fuchsiaramp
--- a/packages/control/fleet_table.cc
+++ b/packages/control/fleet_table.cc
@@ -121,14 +121,22 @@
     add(host.record);
   }
   std::map<std::string, std::size_t> sizes;
+  std::set<std::string> leaving;
   for (const auto& [host, record] : m_all) {
     ++sizes[record.failure_domain()];
+    if (record.state() == wire::HostRecord::LEAVING) {
+      leaving.insert(host);
+    }
   }
   m_domainSizes.clear();
   for (const auto& [domain, size] : sizes) {
     m_domainSizes.push_back(size);
   }
   ++m_version;
+  if (leaving != m_leaving) {
+    m_leaving = std::move(leaving);
+    m_leavingVersion = m_version;
+  }
 }
 
 std::vector<wire::HostRecord>
--- a/packages/control/fleet_table.h
+++ b/packages/control/fleet_table.h
@@ -13,6 +13,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "base/ids.h"
@@ -42,6 +44,8 @@
   std::vector<wire::HostRecord> Near(const Region& aRegion) const;
   // Grows with each change of Near() or DomainSizes().
   std::uint64_t Version() const { return m_version; }
+  // The version in which a host last began to leave.
+  std::uint64_t LeavingVersion() const { return m_leavingVersion; }
   // How many entry hosts each failure domain of the fleet has.
   const std::vector<std::size_t>& DomainSizes() const { return m_domainSizes; }
 
@@ -64,6 +68,8 @@
   std::map<std::string, wire::HostRecord> m_all;
   std::vector<std::size_t> m_domainSizes;
   std::uint64_t m_version = 1;
+  std::set<std::string> m_leaving;
+  std::uint64_t m_leavingVersion = 0;
   bool m_news = false;
   TimePoint m_refreshAt;
 };
--- a/packages/control/fleet_table_test.cc
+++ b/packages/control/fleet_table_test.cc
@@ -91,6 +91,10 @@
   table.Heard(leaving, kStart);
   BOOST_REQUIRE(table.Near(kNorth).size() == 1u);
   BOOST_TEST(table.Near(kNorth)[0].state() == wire::HostRecord::LEAVING);
+  // Only that news is urgent.
+  BOOST_TEST(table.LeavingVersion() == table.Version());
+  table.Heard(Host("b", "north"), kStart);
+  BOOST_TEST(table.LeavingVersion() < table.Version());
 }
 
 } // namespace fuchsiaramp
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -20,6 +20,7 @@
 {
   m_now = aNow;
   ++m_counters.requests;
+  m_recentRequests.Add({ 1.0, 0.0, 0.0 }, aNow);
   Request& request = m_requests[aHead.id];
   request.head = aHead;
   request.arrivedAt = aNow;
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -14,6 +14,11 @@
 // out addresses.
 static constexpr Duration kSpreadTime = std::chrono::seconds(3);
 static constexpr std::uint32_t kUnauthorized = 401;
+// Half-life of the count of recent requests. An entry host that is not named to
+// callers gets less than one a second, from whoever looks after the hosts; from
+// two a second on it pays to hear what others see of the servers.
+static constexpr Duration kRecent = std::chrono::seconds(3);
+static constexpr double kEnoughToHear = 2.0 * 3.0 / 0.69;
 // One of so many requests that were served in time is logged.
 static constexpr std::uint64_t kServedSample = 64;
 static constexpr std::size_t kAddressesPerAnswer = 8;
@@ -44,6 +49,7 @@
       [this](const BackendServer& aServer) {
         m_services->UpdateServer(aServer, m_now);
       })
+  , m_recentRequests(kRecent)
 {
   Connect(aRandom, aNow);
 }
@@ -135,6 +141,9 @@
   listsHooks.self = [this, byControl]() -> std::optional<wire::HostRecord> {
     return byControl ? std::optional(m_membership->Self()) : std::nullopt;
   };
+  listsHooks.hearsOutcomes = [this] {
+    return m_recentRequests.At(m_now).total >= kEnoughToHear;
+  };
   listsHooks.hostsChanged =
     [this, byControl](const std::vector<wire::HostRecord>& aHosts,
                       const std::vector<std::size_t>& aDomainSizes) {
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -33,6 +33,7 @@
 #include "limits/plan_limiter.h"
 #include "membership/directory.h"
 #include "membership/membership.h"
+#include "routing/decayed_counts.h"
 #include "settings/settings.h"
 #include "wire/messages.h"
 
@@ -301,6 +302,7 @@
   // What each service of a split is owed, by route.
   std::unordered_map<std::string, std::map<std::string, double>> m_splitDebts;
   std::uint64_t m_addressQueries = 0;
+  DecayedCounts m_recentRequests;
   std::uint64_t m_timelyAnswers = 0; // for the sample that is logged
   EntryCounters m_counters;
   bool m_leaving = false;
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -58,6 +58,8 @@
     hostsChanged;
   // What this host says of itself; empty where gossip does.
   std::function<std::optional<wire::HostRecord>()> self;
+  // Whether this host needs to hear what others saw of the servers.
+  std::function<bool()> hearsOutcomes;
   // Control says this of a backend server.
   std::function<void(const wire::BackendServerRecord&)> serverChanged;
   EventHook record;
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -92,7 +92,8 @@
     m_metricsServer = ServeMetrics(aIo, m_settings.metricsAddress, m_metrics);
     HttpServerOptions server;
     server.address = m_settings.callerAddress;
-    server.bodyBytes = kMaxDocumentBytes;
+    server.limits.bodyBytes = kMaxDocumentBytes;
+    server.onRejected = RejectedHook(m_log);
     m_server.emplace(aIo, server, [this](const HttpExchangePtr& aExchange) {
       OnExchange(aExchange);
     });
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -18,6 +18,7 @@
 #include "net/http_server.h"
 #include "net/message_transport.h"
 #include "net/monotonic.h"
+#include "net/request_limits.h"
 #include "net/service_parts.h"
 #include "observe/causal_clock.h"
 #include "observe/event_log.h"
@@ -141,15 +142,12 @@
       }));
   }
 
-  HttpServerOptions ServerOptions() const
+  HttpServerOptions ServerOptions()
   {
     HttpServerOptions options;
-    options.bodyBytes = m_settings.limits.requestBodyBytes;
-    options.headerBytes =
-      static_cast<std::uint32_t>(m_settings.limits.headerBytes);
+    options.limits = EffectiveLimits(m_settings.limits, {});
+    options.onRejected = RejectedHook(m_log);
     options.connections = m_settings.limits.callerConnections;
-    options.headerTimeout = m_settings.limits.headerTimeout;
-    options.idleTimeout = m_settings.limits.idleTimeout;
     return options;
   }
 
@@ -187,6 +185,7 @@
         m_log.Write(TrafficEvent(m_transport.Counters()));
       }
       m_node->Tick(MonotonicNow());
+      ApplyLimits();
       if (m_node->MayExit(MonotonicNow())) {
         m_log.Write(Event("stopped"));
         for (const auto& server : m_servers) {
@@ -199,6 +198,18 @@
     });
   }
 
+  // The lists bound what callers may send.
+  void ApplyLimits()
+  {
+    const Lists& lists = m_node->ListsInForce().Current();
+    if (lists.Version() == m_limitsOf) {
+      return;
+    }
+    m_limitsOf = lists.Version();
+    m_servers.front()->SetLimits(
+      EffectiveLimits(m_settings.limits, lists.Limits()));
+  }
+
   // Requests of callers.
 
   void OnExchange(Listener aListener, const HttpExchangePtr& aExchange)
@@ -470,6 +481,7 @@
   std::unique_ptr<EntryNode> m_node;
   std::vector<std::unique_ptr<HttpServer>> m_servers; // the callers' first
   std::unique_ptr<HttpServer> m_metricsServer;
+  ListsVersion m_limitsOf; // the lists whose limits hold
   std::unordered_map<RequestId, Pending> m_pending;
   RequestId m_nextRequest{ 1 };
   AttemptId m_endedAttempt;
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -96,9 +96,10 @@
   void Read()
   {
     m_parser.emplace();
-    m_parser->header_limit(m_state->options.headerBytes);
-    m_parser->body_limit(m_state->options.bodyBytes);
-    m_stream.expires_after(m_state->options.idleTimeout);
+    m_parser->header_limit(
+      static_cast<std::uint32_t>(m_state->options.limits.headerBytes));
+    m_parser->body_limit(m_state->options.limits.bodyBytes);
+    m_stream.expires_after(m_state->options.limits.idleTimeout);
     if (m_buffer.size() > 0) {
       ReadRequest(); // it came together with the one before
       return;
@@ -119,7 +120,7 @@
   void WatchIdle()
   {
     m_idle.emplace(m_stream.get_executor());
-    m_idle->expires_after(m_state->options.idleTimeout);
+    m_idle->expires_after(m_state->options.limits.idleTimeout);
     m_idle->async_wait(
       [self = shared_from_this()](const beast::error_code& aError) {
         if (!aError) {
@@ -133,8 +134,8 @@
     if (m_idle) {
       m_idle->cancel();
     }
-    m_stream.expires_after(m_state->options.headerTimeout);
-    m_buffer.max_size(m_state->options.headerBytes + kReadAhead);
+    m_stream.expires_after(m_state->options.limits.headerTimeout);
+    m_buffer.max_size(m_state->options.limits.headerBytes + kReadAhead);
     asio::async_read_until(
       m_stream,
       beast::ref(m_buffer),
@@ -149,8 +150,8 @@
   // readers understand differently.
   void OnHead(const beast::error_code& aError, std::size_t aBytes)
   {
-    const bool tooLong =
-      aError == asio::error::not_found || aBytes > m_state->options.headerBytes;
+    const bool tooLong = aError == asio::error::not_found ||
+                         aBytes > m_state->options.limits.headerBytes;
     if (aError && !tooLong) {
       ++m_exchange;
       Reject(aError);
@@ -166,6 +167,8 @@
       RejectWith(*fault);
       return;
     }
+    // A long body may take longer than a header.
+    m_stream.expires_after(m_state->options.limits.idleTimeout);
     http::async_read(
       m_stream,
       m_buffer,
@@ -214,6 +217,12 @@
 
   void RejectWith(const FramingFault& aFault)
   {
+    if (m_state->options.onRejected) {
+      beast::error_code unknown;
+      const auto peer = m_stream.socket().remote_endpoint(unknown);
+      m_state->options.onRejected(
+        unknown ? "" : peer.address().to_string(), aFault.status, aFault.text);
+    }
     m_answered = true;
     m_response = {};
     m_response.version(11);
@@ -384,6 +393,12 @@
   m_impl->Stop();
 }
 
+void
+HttpServer::SetLimits(const HttpLimits& aLimits)
+{
+  m_impl->State().options.limits = aLimits;
+}
+
 void
 HttpServer::CloseAfterAnswers()
 {
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -23,16 +23,30 @@
 
 namespace fuchsiaramp {
 
-struct HttpServerOptions
+// What a peer may send, and how long it may take.
+struct HttpLimits
 {
-  std::string address; // IP:port
   std::uint64_t bodyBytes = 1 << 20;
-  std::uint32_t headerBytes = 16 << 10;
-  std::uint64_t connections = 4096;
+  std::uint64_t headerBytes = 16 << 10;
+  // From the first byte of a request to the end of its header.
   Duration headerTimeout = std::chrono::seconds(10);
+  // Between two requests, and between two parts of a body.
   Duration idleTimeout = std::chrono::seconds(60);
 };
 
+struct HttpServerOptions
+{
+  std::string address; // IP:port
+  HttpLimits limits;
+  std::uint64_t connections = 4096;
+  // Called for each request that is malformed or beyond a limit, with its peer
+  // and the answer that it gets.
+  std::function<void(const std::string& aPeer,
+                     std::uint32_t aStatus,
+                     const std::string& aText)>
+    onRejected;
+};
+
 struct HttpAnswer
 {
   std::uint32_t status = 200;
@@ -68,6 +82,8 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  // Hold from the next request of each connection on.
+  void SetLimits(const HttpLimits& aLimits);
   // Answers what is in flight, then closes each connection.
   void CloseAfterAnswers();
   // Accepts no more connections.
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,7 +31,11 @@
     }
     HttpServerOptions options;
     options.address = "127.0.0.1:" + std::to_string(m_port);
-    options.headerBytes = 2048;
+    options.limits.headerBytes = 2048;
+    options.onRejected =
+      [this](const std::string&, std::uint32_t aStatus, const std::string&) {
+        m_rejected.push_back(aStatus);
+      };
     m_server = std::make_unique<HttpServer>(
       m_io, options, [this](const HttpExchangePtr& aExchange) {
         m_paths.emplace_back(aExchange->Message().target());
@@ -61,11 +66,14 @@
 
   bool Closed() const { return m_closed; }
   const std::vector<std::string>& Paths() const { return m_paths; }
+  const std::vector<std::uint32_t>& Rejected() const { return m_rejected; }
+  void SetLimits(const HttpLimits& aLimits) { m_server->SetLimits(aLimits); }
 
 private:
   asio::io_context m_io;
   std::uint16_t m_port = 0;
   std::vector<std::string> m_paths;
+  std::vector<std::uint32_t> m_rejected;
   bool m_closed = false;
   std::unique_ptr<HttpServer> m_server;
 };
@@ -143,4 +151,30 @@
   BOOST_TEST(server.Paths().size() == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(ABodyBeyondNewLimitsIsRefusedAndReported)
+{
+  TestServer server;
+  const std::string request = "POST /a HTTP/1.1\r\nHost: x\r\n"
+                              "Connection: close\r\n"
+                              "Content-Length: 20\r\n\r\n01234567890123456789";
+  BOOST_TEST(StatusOf(server.Exchange(request)) == "HTTP/1.1 200");
+  HttpLimits limits;
+  limits.bodyBytes = 10;
+  server.SetLimits(limits);
+  BOOST_TEST(StatusOf(server.Exchange(request)) == "HTTP/1.1 413");
+  BOOST_TEST(server.Paths().size() == 1u);
+  BOOST_REQUIRE(server.Rejected().size() == 1u);
+  BOOST_TEST(server.Rejected()[0] == 413u);
+}
+
+BOOST_AUTO_TEST_CASE(AHeaderThatTakesTooLongEndsTheConnection)
+{
+  TestServer server;
+  HttpLimits limits;
+  limits.headerTimeout = std::chrono::milliseconds(20);
+  server.SetLimits(limits);
+  BOOST_TEST(server.Exchange("GET /a HTTP/1.1\r\nHost: x\r\n").empty());
+  BOOST_TEST(server.Closed());
+}
+
 } // namespace fuchsiaramp
--- /dev/null
+++ b/packages/net/request_limits.cc
@@ -0,0 +1,32 @@
+#include "net/request_limits.h"
+
+#include <algorithm>
+
+namespace fuchsiaramp {
+
+static std::uint64_t
+Smaller(std::uint64_t aSettings, std::uint64_t aLists)
+{
+  return aLists == 0 ? aSettings : std::min(aSettings, aLists);
+}
+
+static Duration
+Either(Duration aSettings, std::int64_t aListsMicros)
+{
+  return aListsMicros <= 0 ? aSettings : Duration(aListsMicros);
+}
+
+HttpLimits
+EffectiveLimits(const LimitSettings& aSettings,
+                const wire::RequestLimits& aLists)
+{
+  HttpLimits limits;
+  limits.bodyBytes = Smaller(aSettings.requestBodyBytes, aLists.body_bytes());
+  limits.headerBytes = Smaller(aSettings.headerBytes, aLists.header_bytes());
+  limits.headerTimeout =
+    Either(aSettings.headerTimeout, aLists.header_timeout_us());
+  limits.idleTimeout = Either(aSettings.idleTimeout, aLists.idle_timeout_us());
+  return limits;
+}
+
+} // namespace fuchsiaramp
--- a/packages/net/service_parts.cc
+++ b/packages/net/service_parts.cc
@@ -52,6 +52,19 @@
   counter("refused_keys_total", &TransportCounters::refusedKeys);
 }
 
+std::function<void(const std::string&, std::uint32_t, const std::string&)>
+RejectedHook(EventLog& aLog)
+{
+  return [&aLog](const std::string& aPeer,
+                 std::uint32_t aStatus,
+                 const std::string& aText) {
+    aLog.Write(Event("request_malformed")
+                 .With("peer", aPeer)
+                 .With("status", aStatus)
+                 .With("reason", aText));
+  };
+}
+
 HttpAnswer
 MetricsAnswer(const Metrics& aMetrics)
 {
--- a/packages/net/service_parts.h
+++ b/packages/net/service_parts.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -10,6 +11,7 @@
 #include "base/event.h"
 #include "net/http_server.h"
 #include "net/message_transport.h"
+#include "observe/event_log.h"
 #include "observe/metrics.h"
 #include "settings/settings.h"
 
@@ -29,6 +31,11 @@
 void
 AddProcessMetrics(Metrics& aMetrics, const MessageTransport& aTransport);
 
+// Logs each request that is malformed or beyond a limit. The log must outlive
+// the server.
+std::function<void(const std::string&, std::uint32_t, const std::string&)>
+RejectedHook(EventLog& aLog);
+
 HttpAnswer
 MetricsAnswer(const Metrics& aMetrics);
 
--- a/packages/routing/server_belief.h
+++ b/packages/routing/server_belief.h
@@ -19,13 +19,13 @@
 
 struct BeliefOptions
 {
-  double base = 0.08;        // belief without any evidence
-  double spellSeconds = 4.0; // time over which evidence is forgotten
+  double base = 0.06;        // belief without any evidence
+  double spellSeconds = 8.0; // time over which evidence is forgotten
 };
 
-// Of a server: sick spells last some five seconds, and a server is in one of
-// them for about a tenth of the time.
-inline constexpr BeliefOptions kServerBelief{ 0.08, 4.0 };
+// Of a server: sick spells last some five seconds and up to fifteen, and a
+// server is in one of them for up to a tenth of the time.
+inline constexpr BeliefOptions kServerBelief{ 0.06, 8.0 };
 // Of the way from a host to a server: it fails less often, and for longer.
 inline constexpr BeliefOptions kPathBelief{ 0.03, 8.0 };
 
--- a/packages/routing/service_router_belief.cc
+++ b/packages/routing/service_router_belief.cc
@@ -8,10 +8,10 @@
 // Choice by belief. Above kSuspected a server is worth a trial by a repeatable
 // request; above kMostSick work goes there only as a trial.
 static constexpr double kSuspected = 0.15;
-static constexpr double kMostSick = 0.3;
+static constexpr double kMostSick = 0.5;
 static constexpr Duration kTrialGap = std::chrono::milliseconds(800);
 // Cost of a server whose slots are all taken, as a share of a request's worth.
-static constexpr double kLoadCost = 0.05;
+static constexpr double kLoadCost = 0.1;
 // Peers repeat their load while it is not zero.
 static constexpr Duration kPeerSilence = std::chrono::milliseconds(600);
 static constexpr double kTieNoise = 0.02;
