--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -119,8 +119,8 @@
   Drain(attempt.service, aNow);
 }
 
-// A failed attempt is logged with what the host believed of its server when it
-// was chosen for the last time, and how old that belief was.
+// A failed attempt is logged with what this host believed of its server until
+// then, and how old that belief was.
 void
 EntryNode::RecordEnded(const Attempt& aAttempt,
                        const AttemptEnd& aEnd,
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_node.h"
 
 #include <algorithm>
+#include <numbers>
 #include <utility>
 
 #include "base/digest.h"
@@ -18,7 +19,8 @@
 // callers gets less than one a second, from whoever looks after the hosts; from
 // two a second on it pays to hear what others see of the servers.
 static constexpr Duration kRecent = std::chrono::seconds(3);
-static constexpr double kEnoughToHear = 2.0 * 3.0 / 0.69;
+static constexpr double kEnoughToHear =
+  2.0 * ToSeconds(kRecent) / std::numbers::ln2;
 // One of so many requests that were served in time is logged.
 static constexpr std::uint64_t kServedSample = 64;
 static constexpr std::size_t kAddressesPerAnswer = 8;
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -34,17 +34,18 @@
   Duration idleTimeout = std::chrono::seconds(60);
 };
 
+// Hears of a request that is malformed or beyond a limit: its peer, and the
+// status and text of the answer that it gets.
+using HttpRejectHook = std::function<void(const std::string& aPeer,
+                                          std::uint32_t aStatus,
+                                          const std::string& aText)>;
+
 struct HttpServerOptions
 {
   std::string address; // IP:port
   HttpLimits limits;
   std::uint64_t connections = 4096;
-  // Called for each request that is malformed or beyond a limit, with its peer
-  // and the answer that it gets.
-  std::function<void(const std::string& aPeer,
-                     std::uint32_t aStatus,
-                     const std::string& aText)>
-    onRejected;
+  HttpRejectHook onRejected;
 };
 
 struct HttpAnswer
--- a/packages/net/service_parts.cc
+++ b/packages/net/service_parts.cc
@@ -52,7 +52,7 @@
   counter("refused_keys_total", &TransportCounters::refusedKeys);
 }
 
-std::function<void(const std::string&, std::uint32_t, const std::string&)>
+HttpRejectHook
 RejectedHook(EventLog& aLog)
 {
   return [&aLog](const std::string& aPeer,
--- a/packages/net/service_parts.h
+++ b/packages/net/service_parts.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -31,9 +30,8 @@
 void
 AddProcessMetrics(Metrics& aMetrics, const MessageTransport& aTransport);
 
-// Logs each request that is malformed or beyond a limit. The log must outlive
-// the server.
-std::function<void(const std::string&, std::uint32_t, const std::string&)>
+// Logs what a server rejects. The log must outlive the server.
+HttpRejectHook
 RejectedHook(EventLog& aLog);
 
 HttpAnswer
--- a/packages/observe/line_budget.h
+++ b/packages/observe/line_budget.h
@@ -18,10 +18,10 @@
 
 struct LineBudgetOptions
 {
-  // Lines a second of one kind. A line costs some 20 microseconds, so that all
-  // of one kind take about 0.1 % of a core.
+  // Lines a second of one kind: a fault that strikes every request of a busy
+  // host must not fill the log.
   double rate = 50.0;
-  // Lines that may come at once.
+  // Lines that may come at once: the start of a host tells of all its peers.
   double burst = 200.0;
 };
 
