Divide hosts and servers of a failure domain into cells

With all hosts named instead (trial) each of them told 20 others of every change of its load. Change: HostCells divides the hosts and the servers of a failure domain into cells of five hosts or more. Load and outcomes are told within the cell. Other cells are used within a limit when the cell has no room. The subset of servers is selected lazily, peer loads are applied incrementally.

--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -84,17 +84,16 @@
     *envelope.mutable_evidence() = aMessage;
     m_hooks.send(relay, envelope);
   };
-  planeHooks.domainPeers = [this] {
+  planeHooks.domainHosts = [this] {
     const Settings& own = m_options.settings;
-    std::vector<HostId> peers;
+    std::vector<HostId> hosts;
     for (const wire::HostRecord* host :
          AdvertisedHosts(own.region, own.failureDomain)) {
-      if (host->host() != own.host.Value() &&
-          host->failure_domain() == own.failureDomain.Value()) {
-        peers.emplace_back(host->host());
+      if (host->failure_domain() == own.failureDomain.Value()) {
+        hosts.emplace_back(host->host());
       }
     }
-    return peers;
+    return hosts;
   };
   planeHooks.aliveHosts = aliveHosts;
   planeHooks.regionOf = [this](const HostId& aHost) {
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -104,6 +104,7 @@
 ServicePlane::UpdateServer(const BackendServer& aServer, TimePoint aNow)
 {
   Service& service = FindOrCreate(aServer.service);
+  m_cellsAreStale = true;
   if (aServer.state == ServerState::kGone) {
     service.router->RemoveServer(aServer.id);
   } else {
@@ -143,6 +144,7 @@
 ServicePlane::HostsChanged()
 {
   m_hostsChanged = true;
+  m_cellsAreStale = true;
 }
 
 // The new detector starts from the restrictions that this host applies, so that
@@ -174,8 +176,8 @@
 {
   m_quarantine.Tick(aNow);
   if (m_options.routing.sharesOutcomes) {
-    ShareOutcomes();
-    ShareLoad(aNow);
+    UpdateCells();
+    ShareWithCells(aNow);
     return;
   }
   const bool hostsChanged = std::exchange(m_hostsChanged, false);
@@ -251,61 +253,87 @@
   }
 }
 
-// Sends the outcomes of all services since the last tick in one message.
 void
-ServicePlane::ShareOutcomes()
+ServicePlane::UpdateCells()
 {
-  wire::Evidence evidence;
+  if (!std::exchange(m_cellsAreStale, false)) {
+    return;
+  }
+  const std::vector<HostId> hosts = m_hooks.domainHosts();
   for (auto& [name, service] : m_services) {
-    if (!service.router->HasSharedOutcomes()) {
-      continue;
-    }
-    wire::EvidenceReport* report = evidence.add_reports();
-    report->set_service(name.Value());
-    for (const ReportedCounts& item : service.router->TakeSharedOutcomes()) {
-      wire::ServerCounts* out = report->add_counts();
-      out->set_server(item.server.Value());
-      out->set_incarnation(item.incarnation);
-      out->set_failures(static_cast<std::uint32_t>(item.counts.failures));
-      out->set_successes(
-        static_cast<std::uint32_t>(item.counts.total - item.counts.failures));
-    }
+    service.router->SetCell(SelectCell(
+      m_options.self, hosts, service.router->ServersInDomain(), CellOptions()));
   }
-  if (evidence.reports_size() > 0) {
-    m_hooks.broadcast(evidence);
+}
+
+static void
+AddOutcomes(const ServiceName& aName,
+            ServiceRouter& aRouter,
+            wire::Evidence& aEvidence)
+{
+  wire::EvidenceReport* report = aEvidence.add_reports();
+  report->set_service(aName.Value());
+  for (const ReportedCounts& item : aRouter.TakeSharedOutcomes()) {
+    wire::ServerCounts* out = report->add_counts();
+    out->set_server(item.server.Value());
+    out->set_incarnation(item.incarnation);
+    out->set_failures(static_cast<std::uint32_t>(item.counts.failures));
+    out->set_successes(
+      static_cast<std::uint32_t>(item.counts.total - item.counts.failures));
   }
 }
 
-// Hosts of a failure domain send each other their load on its servers, on
-// change and periodically, so that together they do not overload one of them.
+// Hosts of a cell send each other their load on its servers and the outcomes
+// of their requests. Where the failure domain is a single cell, the fleet is
+// small: outcomes then go to all hosts, which use all servers.
 void
-ServicePlane::ShareLoad(TimePoint aNow)
+ServicePlane::ShareWithCells(TimePoint aNow)
 {
-  wire::Evidence evidence;
+  wire::Evidence forAllHosts;
+  CellMessages messages;
   for (auto& [name, service] : m_services) {
     service.router->ExpirePeerLoads(aNow);
-    wire::ServiceLoad* load = evidence.add_loads();
-    load->set_service(name.Value());
-    for (const auto& [server, outstanding] : service.router->OwnLoad()) {
-      wire::ServerLoad* item = load->add_servers();
-      item->set_server(server.Value());
-      item->set_outstanding(outstanding);
+    const Cell& cell = service.router->CurrentCell();
+    AddLoad(name, service, messages, aNow);
+    if (service.router->HasSharedOutcomes()) {
+      AddOutcomes(name,
+                  *service.router,
+                  cell.cells == 1 ? forAllHosts : messages[cell.peers]);
     }
   }
-  const std::string text = evidence.SerializeAsString();
-  const bool idle = std::all_of(
-    evidence.loads().begin(),
-    evidence.loads().end(),
-    [](const wire::ServiceLoad& aLoad) { return aLoad.servers().empty(); });
-  const bool changed = text != m_sentLoad;
-  if (!changed && (idle || !IsDue(m_nextLoadAt, aNow))) {
-    return;
+  if (forAllHosts.reports_size() > 0) {
+    m_hooks.broadcast(forAllHosts);
+  }
+  for (const auto& [peers, evidence] : messages) {
+    for (const HostId& peer : peers) {
+      m_hooks.send(peer, evidence);
+    }
   }
-  m_sentLoad = text;
-  m_nextLoadAt = aNow + kLoadRefresh;
-  for (const HostId& peer : m_hooks.domainPeers()) {
-    m_hooks.send(peer, evidence);
+}
+
+// Loads are sent on change, and repeatedly while they are not zero.
+void
+ServicePlane::AddLoad(const ServiceName& aName,
+                      Service& aService,
+                      CellMessages& aMessages,
+                      TimePoint aNow)
+{
+  wire::ServiceLoad load;
+  load.set_service(aName.Value());
+  for (const auto& [server, outstanding] : aService.router->OwnLoad()) {
+    wire::ServerLoad* item = load.add_servers();
+    item->set_server(server.Value());
+    item->set_outstanding(outstanding);
+  }
+  std::string text = load.SerializeAsString();
+  const bool idle = load.servers().empty();
+  const bool changed = text != aService.sentLoad;
+  if (!changed && (idle || !IsDue(aService.nextLoadAt, aNow))) {
+    return;
   }
+  aService.sentLoad = std::move(text);
+  aService.nextLoadAt = aNow + kLoadRefresh;
+  *aMessages[aService.router->CurrentCell().peers].add_loads() = load;
 }
 
 void
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -41,9 +41,9 @@
 struct ServicePlaneHooks
 {
   std::function<void(const HostId&, const wire::Evidence&)> send;
-  // Advertised entry hosts of the same failure domain, which prefer the same
-  // servers; used if hosts share outcomes.
-  std::function<std::vector<HostId>()> domainPeers;
+  // Advertised entry hosts of the same failure domain, which are divided into
+  // cells; used if hosts share outcomes.
+  std::function<std::vector<HostId>()> domainHosts;
   // Sends to all entry hosts, through control; used if hosts share outcomes.
   std::function<void(const wire::Evidence&)> broadcast;
   std::function<std::vector<HostId>()> aliveHosts;
@@ -67,7 +67,7 @@
   void Tick(TimePoint aNow);
   // The number of hosts that share the retry budgets of all services.
   void SetRetryBudgetHosts(std::size_t aHosts);
-  // The set of live hosts changed.
+  // The set of live hosts changed, or the state of one of them.
   void HostsChanged();
 
   // A connection broke during this request; returns whether the request is
@@ -95,7 +95,11 @@
     TimePoint nextRefreshAt;
     TimePoint verdictDueBy; // kNever if no verdict is awaited
     bool fallback = false;
+    std::string sentLoad; // last sent to the cell, serialised
+    TimePoint nextLoadAt;
   };
+  // Messages by receivers. Services with the same cell share a message.
+  using CellMessages = std::map<std::vector<HostId>, wire::Evidence>;
 
   double MaxRetryTokens() const;
   Service& FindOrCreate(const ServiceName& aName);
@@ -122,8 +126,12 @@
   void SendQuarantineNotice(const ServiceName& aService,
                             Fingerprint aFingerprint,
                             TimePoint aNow);
-  void ShareLoad(TimePoint aNow);
-  void ShareOutcomes();
+  void UpdateCells();
+  void ShareWithCells(TimePoint aNow);
+  void AddLoad(const ServiceName& aName,
+               Service& aService,
+               CellMessages& aMessages,
+               TimePoint aNow);
   void OnSharedOutcomes(const wire::EvidenceReport& aReport, TimePoint aNow);
   void ApplyOwnDecisions(Service& aService, TimePoint aNow);
 
@@ -133,9 +141,8 @@
   std::unordered_map<ServiceName, Service> m_services;
   Quarantine m_quarantine;
   bool m_hostsChanged = true;
+  bool m_cellsAreStale = true;
   std::size_t m_retryBudgetHosts = 1;
-  std::string m_sentLoad; // last sent, serialised
-  TimePoint m_nextLoadAt;
 };
 
 } // namespace fuchsiaramp
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -24,6 +24,8 @@
 // at least this load.
 static constexpr double kRemoteLoadThreshold = 0.95;
 static constexpr double kOtherDomainPenalty = 1.1;
+// Servers in use besides those of the cell.
+static constexpr std::size_t kMinServersOutsideCell = 16;
 
 const char*
 ToText(AttemptOutcome aOutcome)
@@ -84,46 +86,117 @@
     // Measured from the time at which the server was first seen.
     view.server.warmUpRemaining = warmUpRemaining;
   }
-  UpdateSubset();
+  if (!same) {
+    // In use at once; the next choice selects the subset again.
+    view.inCell = IsInDomain(view);
+    if (std::find(m_subset.begin(), m_subset.end(), &view) == m_subset.end()) {
+      m_subset.push_back(&view);
+    }
+    m_subsetIsStale = true;
+  }
 }
 
 void
 ServiceRouter::RemoveServer(const BackendServerId& aServer)
 {
-  m_servers.erase(aServer);
-  UpdateSubset();
+  const auto it = m_servers.find(aServer);
+  if (it == m_servers.end()) {
+    return;
+  }
+  std::erase(m_subset, &it->second);
+  m_servers.erase(it);
+  m_subsetIsStale = true;
+}
+
+void
+ServiceRouter::SetCell(Cell aCell)
+{
+  m_cell = std::move(aCell);
+  m_hasCell = true;
+  m_subsetIsStale = true;
+}
+
+bool
+ServiceRouter::IsInDomain(const ServerView& aView) const
+{
+  return aView.server.failureDomain == m_options.failureDomain;
+}
+
+std::vector<BackendServerId>
+ServiceRouter::ServersInDomain() const
+{
+  std::vector<BackendServerId> servers;
+  for (const auto& [id, view] : m_servers) {
+    if (IsInDomain(view) && view.server.state == ServerState::kUp) {
+      servers.push_back(id);
+    }
+  }
+  return servers;
 }
 
 // Each host uses a fixed subset of the servers of a large service, so that the
 // connections to a server stay within its limit even with thousands of hosts.
-// Rendezvous hashing with the host's id distributes the hosts evenly.
 void
 ServiceRouter::UpdateSubset()
 {
-  if (m_servers.size() <= m_options.subsetSize) {
-    for (auto& [id, view] : m_servers) {
-      view.inSubset = true;
-    }
+  if (!m_subsetIsStale) {
     return;
   }
-  std::vector<BackendServerId> ids;
+  m_subsetIsStale = false;
+  m_subset.clear();
   for (auto& [id, view] : m_servers) {
-    view.inSubset = false;
-    ids.push_back(id);
+    view.inCell = IsInDomain(view) && (!m_hasCell || m_cell.cells == 1 ||
+                                       m_cell.servers.count(id) != 0);
+    view.inSubset = true;
   }
-  std::sort(ids.begin(), ids.end());
-  for (const BackendServerId& id :
-       RendezvousTop(m_options.self.Value(), ids, m_options.subsetSize)) {
-    m_servers[id].inSubset = true;
+  if (m_servers.size() > m_options.subsetSize) {
+    SelectSubset();
+  }
+  for (auto& [id, view] : m_servers) {
+    if (view.inSubset) {
+      m_subset.push_back(&view);
+    }
   }
 }
 
+// The servers of the cell are always in the subset. The rest are servers for
+// requests that the cell has no room for, half of them in the failure domain.
+// Rendezvous hashing with the host's id distributes the hosts evenly.
+void
+ServiceRouter::SelectSubset()
+{
+  std::vector<BackendServerId> inDomain;
+  std::vector<BackendServerId> elsewhere;
+  std::size_t selected = 0;
+  for (auto& [id, view] : m_servers) {
+    view.inSubset = m_hasCell && view.inCell;
+    selected += view.inSubset ? 1 : 0;
+    if (!view.inSubset) {
+      (m_hasCell && IsInDomain(view) ? inDomain : elsewhere).push_back(id);
+    }
+  }
+  const std::size_t remaining =
+    std::max(m_options.subsetSize, selected + kMinServersOutsideCell) -
+    selected;
+  const auto select = [this](std::vector<BackendServerId>& aIds,
+                             std::size_t aCount) {
+    std::sort(aIds.begin(), aIds.end());
+    for (const BackendServerId& id :
+         RendezvousTop(m_options.self.Value(), aIds, aCount)) {
+      m_servers[id].inSubset = true;
+    }
+  };
+  const std::size_t fromDomain = std::min(inDomain.size(), remaining / 2);
+  select(inDomain, fromDomain);
+  select(elsewhere, remaining - fromDomain);
+}
+
 bool
 ServiceRouter::IsEligible(ServerView& aView,
                           const ChoiceRequest& aRequest,
                           TimePoint aNow)
 {
-  if (!aView.inSubset || aView.server.state != ServerState::kUp ||
+  if (aView.server.state != ServerState::kUp ||
       !IsDue(aView.avoidUntil, aNow) ||
       aView.outstanding + aView.peerOutstanding >= aView.server.slots ||
       aRequest.excluded.count(aView.server.id) != 0) {
@@ -150,8 +223,9 @@
   if (!aRequest.repeatable || !aRequest.excluded.empty()) {
     return std::nullopt;
   }
-  for (auto& [id, view] : m_servers) {
-    const bool trial = view.inSubset && view.restriction &&
+  for (ServerView* candidate : m_subset) {
+    ServerView& view = *candidate;
+    const bool trial = view.restriction &&
                        view.restriction->state == HealthState::kTrial &&
                        view.server.state == ServerState::kUp;
     if (!trial || view.outstanding > 0) {
@@ -167,7 +241,7 @@
       continue;
     }
     view.trialAt = aNow + FromSeconds(interval * (0.5 + m_random.Unit()));
-    return id;
+    return view.server.id;
   }
   return std::nullopt;
 }
@@ -175,6 +249,7 @@
 std::optional<BackendServerId>
 ServiceRouter::Choose(const ChoiceRequest& aRequest, TimePoint aNow)
 {
+  UpdateSubset();
   if (m_options.usesHealthEstimates) {
     return ChooseByHealth(aRequest, aNow);
   }
@@ -183,10 +258,10 @@
   }
   std::vector<ServerView*> sameRegionServers;
   std::vector<ServerView*> otherRegionServers;
-  for (auto& [id, view] : m_servers) {
-    if (IsEligible(view, aRequest, aNow)) {
-      const bool sameRegion = view.server.region == m_options.region;
-      (sameRegion ? sameRegionServers : otherRegionServers).push_back(&view);
+  for (ServerView* view : m_subset) {
+    if (IsEligible(*view, aRequest, aNow)) {
+      const bool sameRegion = view->server.region == m_options.region;
+      (sameRegion ? sameRegionServers : otherRegionServers).push_back(view);
     }
   }
   ServerView* best = BestOfTwo(sameRegionServers, aNow);
@@ -433,9 +508,9 @@
 ServiceRouter::TotalSlots() const
 {
   std::uint64_t slots = 0;
-  for (const auto& [id, view] : m_servers) {
-    const bool used = view.server.state == ServerState::kUp && view.inSubset;
-    slots += used ? view.server.slots : 0;
+  for (const ServerView* view : m_subset) {
+    const bool used = view->server.state == ServerState::kUp;
+    slots += used ? view->server.slots : 0;
   }
   return slots;
 }
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -23,6 +23,7 @@
 #include "base/time.h"
 #include "membership/directory.h"
 #include "routing/health_estimate.h"
+#include "routing/host_cells.h"
 #include "routing/latency_tracker.h"
 #include "routing/outlier_detector.h"
 #include "routing/retry_budget.h"
@@ -55,7 +56,9 @@
   Region region;
   FailureDomain failureDomain;
   RetryBudgetOptions retryBudget;
-  std::size_t subsetSize = 32; // maximum number of servers per entry host
+  // Maximum number of servers per entry host, besides those of a cell that is
+  // larger.
+  std::size_t subsetSize = 32;
   // Selects servers by health estimates that hosts share, instead of the
   // ejection decisions of an arbiter.
   bool usesHealthEstimates = false;
@@ -128,8 +131,14 @@
                    const std::map<BackendServerId, std::uint32_t>& aLoad,
                    TimePoint aNow);
   void ExpirePeerLoads(TimePoint aNow);
-  // Outstanding requests of this host per server of its failure domain.
+  // Outstanding requests of this host per server of its cell.
   std::map<BackendServerId, std::uint32_t> OwnLoad() const;
+  // The servers in this host's failure domain that are up.
+  std::vector<BackendServerId> ServersInDomain() const;
+  // Sets the cell of this host in its failure domain. Until then, all servers
+  // of the domain are in it.
+  void SetCell(Cell aCell);
+  const Cell& CurrentCell() const { return m_cell; }
   // Returns and resets the counts since the last call.
   std::vector<ReportedCounts> TakeEvidence();
   // Returns and resets the outcomes that are to be shared with other hosts.
@@ -166,6 +175,7 @@
     BackendServer server;
     TimePoint firstSeen;
     bool inSubset = true;
+    bool inCell = true;
     std::uint32_t outstanding = 0;
     std::uint32_t peerOutstanding = 0; // of hosts that report their load
     TimePoint lastSuccessStart;        // start of the newest successful attempt
@@ -190,9 +200,14 @@
                   TimePoint aNow);
   std::optional<BackendServerId> ChooseByHealth(const ChoiceRequest& aRequest,
                                                 TimePoint aNow);
-  void RecomputePeerLoads();
+  void AddPeerLoad(const std::map<BackendServerId, std::uint32_t>& aLoad,
+                   bool aAdd);
+  bool IsInDomain(const ServerView& aView) const;
+  // Whether the limit of requests to other cells of the domain is reached.
+  bool IsOverflowLimitReached(TimePoint aNow) const;
   bool HasHealthyServerInDomain(const ChoiceRequest& aRequest,
                                 TimePoint aNow) const;
+  static double UnhealthyProbability(const ServerView& aView, TimePoint aNow);
   double ExpectedCost(const ServerView& aView, TimePoint aNow) const;
   void RecordOutcome(ServerView& aView,
                      const AttemptReport& aReport,
@@ -208,11 +223,16 @@
   double Score(const ServerView& aView, TimePoint aNow) const;
   void RecordFailure(ServerView& aView);
   void UpdateSubset();
+  void SelectSubset();
 
   RouterOptions m_options;
   Random m_random;
   EventHook m_record;
   std::unordered_map<BackendServerId, ServerView> m_servers;
+  std::vector<ServerView*> m_subset; // the servers of m_servers in use
+  bool m_subsetIsStale = false;
+  Cell m_cell;
+  bool m_hasCell = false;
   LatencyTracker m_latency; // all servers
   // Latency is tracked per region, since responses from other regions take
   // longer although their servers are not slow.
--- a/packages/routing/service_router_health.cc
+++ b/packages/routing/service_router_health.cc
@@ -16,6 +16,8 @@
 static constexpr double kLoadCost = 0.1;
 // Peers send their load repeatedly while it is not zero.
 static constexpr Duration kPeerLoadLifetime = std::chrono::milliseconds(600);
+// Cost of a server of another cell, whose load is unknown.
+static constexpr double kOtherCellCost = 0.1;
 static constexpr double kTieNoise = 0.02;
 // The start of a fault episode should be detected by a request that can be
 // retried rather than by one that cannot. Repeatable requests therefore prefer
@@ -25,6 +27,14 @@
 static constexpr double kProbeValue = 2.0;
 static constexpr double kNonRepeatableRisk = 1.0;
 
+// The probability that a request fails at the server or on the way to it.
+double
+ServiceRouter::UnhealthyProbability(const ServerView& aView, TimePoint aNow)
+{
+  return std::max(aView.health.UnhealthyProbability(aNow),
+                  aView.path.UnhealthyProbability(aNow));
+}
+
 // Expected loss from sending a request to the server, as a share of its value.
 double
 ServiceRouter::ExpectedCost(const ServerView& aView, TimePoint aNow) const
@@ -34,8 +44,10 @@
   double cost = 1.0 - healthy;
   if (aView.server.region != m_options.region) {
     cost += m_options.regionCost;
-  } else if (aView.server.failureDomain != m_options.failureDomain) {
+  } else if (!IsInDomain(aView)) {
     cost += m_options.domainCost;
+  } else if (!aView.inCell) {
+    cost += kOtherCellCost;
   }
   return cost + kLoadCost * Load(aView, aNow);
 }
@@ -45,15 +57,12 @@
                                         TimePoint aNow) const
 {
   return std::any_of(
-    m_servers.begin(), m_servers.end(), [&](const auto& aItem) {
-      const ServerView& view = aItem.second;
-      return view.server.failureDomain == m_options.failureDomain &&
-             view.server.state == ServerState::kUp &&
+    m_subset.begin(), m_subset.end(), [&](const ServerView* aView) {
+      const ServerView& view = *aView;
+      return IsInDomain(view) && view.server.state == ServerState::kUp &&
              IsDue(view.avoidUntil, aNow) &&
              aRequest.excluded.count(view.server.id) == 0 &&
-             std::max(view.health.UnhealthyProbability(aNow),
-                      view.path.UnhealthyProbability(aNow)) <=
-               kSuspectThreshold;
+             UnhealthyProbability(view, aNow) <= kSuspectThreshold;
     });
 }
 
@@ -63,31 +72,39 @@
   const std::map<BackendServerId, std::uint32_t>& aLoad,
   TimePoint aNow)
 {
-  m_peers[aPeer] = { aNow, aLoad };
-  RecomputePeerLoads();
+  PeerLoad& peer = m_peers[aPeer];
+  AddPeerLoad(peer.outstanding, false);
+  peer = { aNow, aLoad };
+  AddPeerLoad(aLoad, true);
 }
 
 void
 ServiceRouter::ExpirePeerLoads(TimePoint aNow)
 {
-  const auto expired = std::erase_if(m_peers, [&](const auto& aItem) {
-    return IsDue(aItem.second.receivedAt + kPeerLoadLifetime, aNow);
+  std::erase_if(m_peers, [&](const auto& aItem) {
+    const bool expired =
+      IsDue(aItem.second.receivedAt + kPeerLoadLifetime, aNow);
+    if (expired) {
+      AddPeerLoad(aItem.second.outstanding, false);
+    }
+    return expired;
   });
-  if (expired > 0) {
-    RecomputePeerLoads();
-  }
 }
 
+// Adds a peer's outstanding requests to the views of their servers, or removes
+// them. A view that was created after the load was added does not contain it.
 void
-ServiceRouter::RecomputePeerLoads()
+ServiceRouter::AddPeerLoad(
+  const std::map<BackendServerId, std::uint32_t>& aLoad,
+  bool aAdd)
 {
-  for (auto& [id, view] : m_servers) {
-    view.peerOutstanding = 0;
-    for (const auto& [peer, load] : m_peers) {
-      const auto server = load.outstanding.find(id);
-      view.peerOutstanding +=
-        server == load.outstanding.end() ? 0 : server->second;
+  for (const auto& [id, outstanding] : aLoad) {
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end()) {
+      continue;
     }
+    std::uint32_t& total = it->second.peerOutstanding;
+    total = aAdd ? total + outstanding : total - std::min(total, outstanding);
   }
 }
 
@@ -95,15 +112,37 @@
 ServiceRouter::OwnLoad() const
 {
   std::map<BackendServerId, std::uint32_t> load;
-  for (const auto& [id, view] : m_servers) {
-    const bool inDomain = view.server.failureDomain == m_options.failureDomain;
-    if (inDomain && view.outstanding > 0) {
-      load[id] = view.outstanding;
+  for (const ServerView* view : m_subset) {
+    if (view->inCell && view->outstanding > 0) {
+      load[view->server.id] = view->outstanding;
     }
   }
   return load;
 }
 
+bool
+ServiceRouter::IsOverflowLimitReached(TimePoint aNow) const
+{
+  if (m_cell.cells <= 1) {
+    return false;
+  }
+  std::size_t slots = 0;
+  std::size_t usableSlots = 0;
+  std::size_t overflow = 0;
+  for (const ServerView* view : m_subset) {
+    if (!view->inCell) {
+      overflow += IsInDomain(*view) ? view->outstanding : 0;
+      continue;
+    }
+    const bool usable =
+      view->server.state == ServerState::kUp && IsDue(view->avoidUntil, aNow) &&
+      UnhealthyProbability(*view, aNow) <= kUnhealthyThreshold;
+    slots += view->server.slots;
+    usableSlots += usable ? view->server.slots : 0;
+  }
+  return overflow >= OverflowLimit(slots, usableSlots, m_cell.peers.size() + 1);
+}
+
 // Selects the server with the lowest expected cost. A repeatable request may
 // instead go to a suspected server as a trial, since it can be retried.
 std::optional<BackendServerId>
@@ -116,18 +155,18 @@
     aRequest.staysInDomain && HasHealthyServerInDomain(aRequest, aNow);
   const bool mayProbe =
     aRequest.repeatable && aRequest.excluded.empty() && m_retries.MayRetry();
-  for (auto& [id, view] : m_servers) {
-    if (staysInDomain && view.server.failureDomain != m_options.failureDomain) {
-      continue;
-    }
-    if (!IsEligible(view, aRequest, aNow)) {
+  const bool staysInCell = IsOverflowLimitReached(aNow);
+  for (ServerView* candidate : m_subset) {
+    ServerView& view = *candidate;
+    const bool inDomain = IsInDomain(view);
+    if ((staysInDomain && !inDomain) ||
+        (staysInCell && inDomain && !view.inCell) ||
+        !IsEligible(view, aRequest, aNow)) {
       continue;
     }
-    const double unhealthy = std::max(view.health.UnhealthyProbability(aNow),
-                                      view.path.UnhealthyProbability(aNow));
+    const double unhealthy = UnhealthyProbability(view, aNow);
     const TimePoint lastOutcomeAt =
       std::max(view.health.UpdatedAt(), view.path.UpdatedAt());
-    const bool inDomain = view.server.failureDomain == m_options.failureDomain;
     const bool recentlyTried =
       !IsDue(lastOutcomeAt + kMinTrialInterval, aNow) ||
       !IsDue(view.trialAt.value_or(aNow), aNow) || view.outstanding > 0;
@@ -166,13 +205,9 @@
                              const AttemptReport& aReport,
                              TimePoint aNow)
 {
-  const auto unhealthy = [&] {
-    return std::max(aView.health.UnhealthyProbability(aNow),
-                    aView.path.UnhealthyProbability(aNow));
-  };
-  const double before = unhealthy();
+  const double before = UnhealthyProbability(aView, aNow);
   ApplyOutcome(aView, aReport, aNow);
-  const double after = unhealthy();
+  const double after = UnhealthyProbability(aView, aNow);
   if ((before > kUnhealthyThreshold) == (after > kUnhealthyThreshold)) {
     return;
   }
