Serve in an overload what can be served in time, and refuse the rest at once

Requests of other cells and domains were placed blindly until the queues of the servers were full, and hosts kept a queue of two seconds in the order of arrival, so that all who were served were served late. Change: requests outside the cell are limited on all ways, by what the cell cannot carry. AdmissionQueue starts requests that can still be in time first; those that will not be started at the rates of arrival and start are refused at once.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -323,7 +323,7 @@
       continue;
     }
     Request& request = it->second;
-    const bool late = IsDue(request.queueDeadline, aNow);
+    const bool late = IsDue(request.startBy, aNow);
     if (late || !Requeue(request, aNow)) {
       FailRequest(request,
                   nullptr,
@@ -334,15 +334,15 @@
   }
 }
 
-// Returns whether the request was queued. It keeps the queueing deadline that
-// was set when it was first queued.
+// Returns whether the request was queued. It keeps the times that were set
+// when it was first queued.
 bool
 EntryNode::Requeue(Request& aRequest, TimePoint aNow)
 {
   aRequest.excludedServers.clear();
   aRequest.stage = Stage::kQueued;
-  const auto dropped = m_admissions[aRequest.head.service].queue.Push(
-    aRequest.head.id, aRequest.priority, aRequest.queueDeadline);
+  const auto dropped =
+    m_admissions[aRequest.head.service].queue.Push(QueuedFrom(aRequest));
   if (dropped && *dropped == aRequest.head.id) {
     return false;
   }
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 #include <utility>
 
 #include "base/digest.h"
@@ -14,6 +15,8 @@
 // How long this host tries to record the outcome of a request in the ledger.
 static constexpr Duration kReportTimeout = std::chrono::minutes(10);
 static constexpr std::size_t kMaxKeyLength = 200; // bytes
+// Of the latencies of a service; the one for which a queued request allows.
+static constexpr double kTypicalLatencyQuantile = 0.6;
 
 void
 EntryNode::OnRequest(const RequestHead& aHead, TimePoint aNow)
@@ -249,36 +252,31 @@
 void
 EntryNode::Enqueue(Request& aRequest, TimePoint aNow)
 {
-  const RequestId id = aRequest.head.id;
   const ServiceName service = aRequest.head.service;
   Admission& admission = m_admissions[service];
-  m_services->Find(service)->Retries().OnRequest();
+  ServiceRouter* router = m_services->Find(service);
+  router->Retries().OnRequest();
+  admission.arrivals.Add({ 1.0, 0.0, 0.0 }, aNow);
   aRequest.stage = Stage::kQueued;
-  const Duration timeout = m_options.settings.routing.queueTimeout;
-  aRequest.queueDeadline = std::min(aRequest.head.deadline, aNow + timeout);
-  aRequest.localOnlyUntil = aNow + m_options.settings.routing.maxLocalWait;
-  // A request that would still be queued at its deadline is refused
-  // immediately.
-  const Duration wait = EstimateWait(service);
-  if (!admission.queue.empty() && aNow + wait > aRequest.queueDeadline) {
-    ++m_counters.shed;
-    Refuse(aRequest,
-           CallerOutcome::kNotRun,
-           503,
-           "the service is at capacity",
-           RetryAfterWait(wait),
-           aNow);
-    return;
+  const Duration latency = router->LatencyQuantile(kTypicalLatencyQuantile);
+  aRequest.startBy =
+    std::max(aNow,
+             std::min(aRequest.head.deadline - latency,
+                      aNow + m_options.settings.routing.queueTimeout));
+  aRequest.inTimeUntil = aRequest.startBy;
+  if (aRequest.latencyObjective > Duration::zero()) {
+    aRequest.inTimeUntil =
+      std::min(aRequest.startBy, aNow + aRequest.latencyObjective - latency);
   }
-  const auto dropped =
-    admission.queue.Push(id, aRequest.priority, aRequest.queueDeadline);
+  aRequest.localOnlyUntil = aNow + m_options.settings.routing.maxLocalWait;
+  const auto dropped = admission.queue.Push(QueuedFrom(aRequest));
   if (dropped) {
     ++m_counters.shed;
     Refuse(m_requests.at(*dropped),
            CallerOutcome::kNotRun,
            503,
            "the service is at capacity",
-           RetryAfterWait(wait),
+           RetryAfterWait(EstimateWait(service, aNow)),
            aNow);
   }
   StartQueuedRequests(service, aNow);
@@ -297,18 +295,45 @@
   return Jitter(std::max(kRetryAfterShed, aWait));
 }
 
-// Estimates the queueing delay from the queue length, the median latency and
-// the number of running attempts, bounded by the concurrency limit.
-Duration
-EntryNode::EstimateWait(const ServiceName& aService)
+// By Little's law, the running attempts start at the rate of their number over
+// their latency.
+QueueRates
+EntryNode::RatesOf(const ServiceName& aService, TimePoint aNow)
 {
   const Admission& admission = m_admissions[aService];
   const ServiceRouter* router = m_services->Find(aService);
   const double running = std::clamp(
     static_cast<double>(router->Outstanding()), 1.0, admission.limit.Limit());
-  const double medianLatency = ToSeconds(router->LatencyQuantile(0.5));
-  return FromSeconds(static_cast<double>(admission.queue.size()) *
-                     medianLatency / running);
+  QueueRates rates;
+  rates.arriving = admission.arrivals.At(aNow).total * std::numbers::ln2 /
+                   ToSeconds(kArrivalHalfLife);
+  rates.starting =
+    running / ToSeconds(router->LatencyQuantile(kTypicalLatencyQuantile));
+  return rates;
+}
+
+Duration
+EntryNode::EstimateWait(const ServiceName& aService, TimePoint aNow)
+{
+  return FromSeconds(static_cast<double>(m_admissions[aService].queue.size()) /
+                     RatesOf(aService, aNow).starting);
+}
+
+// Refuses the queued requests that will not be served, so that their callers
+// need not wait for it.
+void
+EntryNode::RefuseHopeless(const ServiceName& aService, TimePoint aNow)
+{
+  const auto hopeless =
+    m_admissions[aService].queue.TakeHopeless(RatesOf(aService, aNow), aNow);
+  for (RequestId id : hopeless) {
+    ++m_counters.shed;
+    FailRequest(m_requests.at(id),
+                nullptr,
+                "the service has no room before the request would be too late",
+                RetryAfterWait(EstimateWait(aService, aNow)),
+                aNow);
+  }
 }
 
 void
@@ -319,29 +344,21 @@
     return;
   }
   Admission& admission = it->second;
-  for (RequestId late : admission.queue.TakeExpired(aNow)) {
-    ++m_counters.shed;
-    FailRequest(
-      m_requests.at(late),
-      nullptr,
-      "no slot of the service became free before the queueing deadline",
-      RetryAfterWait(EstimateWait(aService)),
-      aNow);
-  }
   ServiceRouter* router = m_services->Find(aService);
   while (!admission.queue.empty() &&
          static_cast<double>(router->Outstanding()) < admission.limit.Limit()) {
-    const RequestId id = *admission.queue.Pop();
+    const RequestId id = admission.queue.Pop(aNow)->request;
     Request& request = m_requests.at(id);
     const bool localOnly = !IsDue(request.localOnlyUntil, aNow);
     const auto server = router->Choose(
       { request.repeatable, request.excludedServers, localOnly }, aNow);
     if (!server) {
-      admission.queue.Push(id, request.priority, request.queueDeadline);
-      return;
+      admission.queue.Push(QueuedFrom(request));
+      break;
     }
     ClaimOrStart(request, *server, aNow);
   }
+  RefuseHopeless(aService, aNow);
 }
 
 // A slot is reserved before the claim, so that a key is claimed only when its
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -142,7 +142,8 @@
     int maxServers = kDefaultMaxServers;
     std::set<BackendServerId> reachedServers; // that may have received it
     Stage stage = Stage::kQueued;
-    TimePoint queueDeadline;
+    TimePoint inTimeUntil; // an attempt that starts later ends late
+    TimePoint startBy;     // an attempt that starts later ends too late
     TimePoint localOnlyUntil;
     std::set<BackendServerId> excludedServers;
     std::vector<AttemptId> runningAttempts;
@@ -188,11 +189,24 @@
     bool countedAsSlow = false;
   };
 
+  // Half-life of the count of arrivals by which late requests are judged. Long
+  // enough for a rate of a few requests per second, shorter than a burst.
+  static constexpr Duration kArrivalHalfLife = std::chrono::seconds(1);
+
+  static QueuedRequest QueuedFrom(const Request& aRequest)
+  {
+    return { aRequest.head.id,
+             aRequest.priority,
+             aRequest.inTimeUntil,
+             aRequest.startBy };
+  }
+
   // Queue and concurrency limit of one service.
   struct Admission
   {
     AdmissionQueue queue{ 1000 };
     ConcurrencyLimit limit;
+    DecayedCounts arrivals{ kArrivalHalfLife };
   };
 
   enum class FilterResult
@@ -216,10 +230,12 @@
   // Admission.
   void Enqueue(Request& aRequest, TimePoint aNow);
   void StartQueuedRequests(const ServiceName& aService, TimePoint aNow);
+  void RefuseHopeless(const ServiceName& aService, TimePoint aNow);
+  QueueRates RatesOf(const ServiceName& aService, TimePoint aNow);
   // Retry delays for refused callers.
   Duration Jitter(Duration aSpan);
   Duration RetryAfterWait(Duration aWait);
-  Duration EstimateWait(const ServiceName& aService);
+  Duration EstimateWait(const ServiceName& aService, TimePoint aNow);
   void ClaimOrStart(Request& aRequest,
                     const BackendServerId& aServer,
                     TimePoint aNow);
--- /dev/null
+++ b/packages/limits/admission_queue.cc
@@ -0,0 +1,109 @@
+#include "limits/admission_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace fuchsiaramp {
+
+bool
+AdmissionQueue::Key::operator<(const Key& aOther) const
+{
+  if (late != aOther.late) {
+    return aOther.late;
+  }
+  const QueuedRequest& other = aOther.queued;
+  if (queued.priority != other.priority) {
+    return queued.priority > other.priority;
+  }
+  const TimePoint until = late ? queued.startBy : queued.inTimeUntil;
+  const TimePoint otherUntil = aOther.late ? other.startBy : other.inTimeUntil;
+  if (until != otherUntil) {
+    return until < otherUntil;
+  }
+  return queued.request < other.request;
+}
+
+std::optional<RequestId>
+AdmissionQueue::Push(const QueuedRequest& aRequest)
+{
+  const Key key{ false, aRequest };
+  m_order.insert(key);
+  m_keys.emplace(aRequest.request, key);
+  if (m_order.size() <= m_capacity) {
+    return std::nullopt;
+  }
+  const RequestId dropped = std::prev(m_order.end())->queued.request;
+  Remove(dropped);
+  return dropped;
+}
+
+std::optional<QueuedRequest>
+AdmissionQueue::Pop(TimePoint aNow)
+{
+  MarkLate(aNow);
+  if (m_order.empty()) {
+    return std::nullopt;
+  }
+  const QueuedRequest first = m_order.begin()->queued;
+  Remove(first.request);
+  return first;
+}
+
+bool
+AdmissionQueue::Remove(RequestId aRequest)
+{
+  const auto it = m_keys.find(aRequest);
+  if (it == m_keys.end()) {
+    return false;
+  }
+  m_order.erase(it->second);
+  m_keys.erase(it);
+  return true;
+}
+
+void
+AdmissionQueue::MarkLate(TimePoint aNow)
+{
+  for (auto& [request, key] : m_keys) {
+    if (!key.late && IsDue(key.queued.inTimeUntil, aNow)) {
+      m_order.erase(key);
+      key.late = true;
+      m_order.insert(key);
+    }
+  }
+}
+
+// A request that is in time, or will be, is started after those before it in
+// the queue. A late one also waits for the requests that arrive meanwhile,
+// since they are started first: only the difference of the rates is left for
+// it.
+std::vector<RequestId>
+AdmissionQueue::TakeHopeless(const QueueRates& aRates, TimePoint aNow)
+{
+  static constexpr double kMinRate = 1e-3; // requests per second
+  MarkLate(aNow);
+  std::vector<RequestId> hopeless;
+  std::size_t before = 0; // kept requests that are started earlier
+  for (const Key& key : m_order) {
+    const auto waitAt = [&](double aRate) {
+      return aNow + FromSeconds(static_cast<double>(before) /
+                                std::max(aRate, kMinRate));
+    };
+    const bool inTime =
+      !key.late && waitAt(aRates.starting) <= key.queued.inTimeUntil;
+    const bool served = inTime || (waitAt(aRates.starting - aRates.arriving) <=
+                                     key.queued.startBy &&
+                                   !IsDue(key.queued.startBy, aNow));
+    if (served) {
+      ++before;
+    } else {
+      hopeless.push_back(key.queued.request);
+    }
+  }
+  for (RequestId request : hopeless) {
+    Remove(request);
+  }
+  return hopeless;
+}
+
+} // namespace fuchsiaramp
--- a/packages/limits/admission_queue.h
+++ b/packages/limits/admission_queue.h
@@ -1,16 +1,21 @@
 // A bounded queue of requests that wait for a free slot of a service.
 //
-// Requests are ordered by descending priority, then by deadline. A request that
-// is not served by its deadline is removed at the deadline. When the queue is
-// full, the last request in this order is dropped immediately.
+// Requests that can still be answered within their latency objective are
+// started first, by descending priority, then by the time until which they have
+// to be started. Those that are already late follow in the same order. So, in
+// a lasting overload, the requests that are served are served in time, and
+// after a short burst late ones are still served with the capacity that is
+// left.
+//
+// A request that will not be started in time to be answered at all is not kept:
+// TakeHopeless() returns it as soon as this can be foreseen.
 //
 //   AdmissionQueue queue(100);
-//   std::optional<RequestId> dropped = queue.Push(id, priority, deadline);
-//   std::optional<RequestId> next = queue.Pop();
-//   for (RequestId late : queue.TakeExpired(now)) { ... }
+//   std::optional<RequestId> dropped = queue.Push({ id, priority, ... });
+//   for (RequestId id : queue.TakeHopeless(rates, now)) { ... refuse ... }
+//   std::optional<QueuedRequest> next = queue.Pop(now);
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -22,6 +27,21 @@
 
 namespace fuchsiaramp {
 
+struct QueuedRequest
+{
+  RequestId request;
+  std::uint32_t priority = 0;
+  TimePoint inTimeUntil; // start after this time is late
+  TimePoint startBy;     // start after this time is of no use
+};
+
+// Requests per second.
+struct QueueRates
+{
+  double arriving = 0.0;
+  double starting = 0.0; // as many as the service has room for
+};
+
 class AdmissionQueue
 {
 public:
@@ -32,55 +52,12 @@
 
   // Returns the request that was dropped because the queue is full, if any. It
   // may be the new one.
-  std::optional<RequestId> Push(RequestId aRequest,
-                                std::uint32_t aPriority,
-                                TimePoint aDeadline)
-  {
-    const Key key{ aPriority, aDeadline, aRequest };
-    m_order.insert(key);
-    m_keys.emplace(aRequest, key);
-    if (m_order.size() <= m_capacity) {
-      return std::nullopt;
-    }
-    const RequestId dropped = std::prev(m_order.end())->request;
-    Remove(dropped);
-    return dropped;
-  }
-
-  std::optional<RequestId> Pop()
-  {
-    if (m_order.empty()) {
-      return std::nullopt;
-    }
-    const RequestId first = m_order.begin()->request;
-    Remove(first);
-    return first;
-  }
-
-  bool Remove(RequestId aRequest)
-  {
-    const auto it = m_keys.find(aRequest);
-    if (it == m_keys.end()) {
-      return false;
-    }
-    m_order.erase(it->second);
-    m_keys.erase(it);
-    return true;
-  }
-
-  std::vector<RequestId> TakeExpired(TimePoint aNow)
-  {
-    std::vector<RequestId> expired;
-    for (const Key& key : m_order) {
-      if (IsDue(key.deadline, aNow)) {
-        expired.push_back(key.request);
-      }
-    }
-    for (RequestId request : expired) {
-      Remove(request);
-    }
-    return expired;
-  }
+  std::optional<RequestId> Push(const QueuedRequest& aRequest);
+  std::optional<QueuedRequest> Pop(TimePoint aNow);
+  bool Remove(RequestId aRequest);
+  // Removes and returns the requests that will not be started by their startBy
+  // at these rates.
+  std::vector<RequestId> TakeHopeless(const QueueRates& aRates, TimePoint aNow);
 
   std::size_t size() const { return m_order.size(); }
   bool empty() const { return m_order.empty(); }
@@ -88,22 +65,14 @@
 private:
   struct Key
   {
-    std::uint32_t priority = 0;
-    TimePoint deadline;
-    RequestId request;
+    bool late = false;
+    QueuedRequest queued;
 
-    friend bool operator<(const Key& aLeft, const Key& aRight)
-    {
-      if (aLeft.priority != aRight.priority) {
-        return aLeft.priority > aRight.priority;
-      }
-      if (aLeft.deadline != aRight.deadline) {
-        return aLeft.deadline < aRight.deadline;
-      }
-      return aLeft.request < aRight.request;
-    }
+    bool operator<(const Key& aOther) const;
   };
 
+  void MarkLate(TimePoint aNow);
+
   std::size_t m_capacity;
   std::set<Key> m_order;
   std::unordered_map<RequestId, Key> m_keys;
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -203,7 +203,8 @@
   void AddPeerLoad(const std::map<BackendServerId, std::uint32_t>& aLoad,
                    bool aAdd);
   bool IsInDomain(const ServerView& aView) const;
-  // Whether the limit of requests to other cells of the domain is reached.
+  // Whether this host has as many requests outstanding outside its cell as it
+  // may have.
   bool IsOverflowLimitReached(TimePoint aNow) const;
   bool HasHealthyServerInDomain(const ChoiceRequest& aRequest,
                                 TimePoint aNow) const;
--- a/packages/routing/service_router_health.cc
+++ b/packages/routing/service_router_health.cc
@@ -123,15 +123,12 @@
 bool
 ServiceRouter::IsOverflowLimitReached(TimePoint aNow) const
 {
-  if (m_cell.cells <= 1) {
-    return false;
-  }
   std::size_t slots = 0;
   std::size_t usableSlots = 0;
-  std::size_t overflow = 0;
+  std::size_t outside = 0;
   for (const ServerView* view : m_subset) {
     if (!view->inCell) {
-      overflow += IsInDomain(*view) ? view->outstanding : 0;
+      outside += view->outstanding;
       continue;
     }
     const bool usable =
@@ -140,7 +137,7 @@
     slots += view->server.slots;
     usableSlots += usable ? view->server.slots : 0;
   }
-  return overflow >= OverflowLimit(slots, usableSlots, m_cell.peers.size() + 1);
+  return outside >= OverflowLimit(slots, usableSlots, m_cell.peers.size() + 1);
 }
 
 // Selects the server with the lowest expected cost. A repeatable request may
@@ -159,8 +156,7 @@
   for (ServerView* candidate : m_subset) {
     ServerView& view = *candidate;
     const bool inDomain = IsInDomain(view);
-    if ((staysInDomain && !inDomain) ||
-        (staysInCell && inDomain && !view.inCell) ||
+    if ((staysInDomain && !inDomain) || (staysInCell && !view.inCell) ||
         !IsEligible(view, aRequest, aNow)) {
       continue;
     }
--- a/packages/testing/fake_server.cc
+++ b/packages/testing/fake_server.cc
@@ -24,7 +24,7 @@
 
 // Draws a log-normal service time, which is longer during warm-up.
 double
-FakeServer::ServiceSeconds()
+FakeServer::DrawServiceSeconds()
 {
   constexpr double kTwoPi = 6.283185307179586;
   const double normal = std::sqrt(-2.0 * std::log1p(-m_random.Unit())) *
@@ -49,7 +49,8 @@
     aResponse(FakeResponse::kRefused, 0);
     return;
   }
-  if (m_running.size() >= m_options.slots) {
+  const bool full = m_running.size() >= m_options.slots;
+  if (full && m_queued.size() >= m_options.queue) {
     aResponse(FakeResponse::kShed, RunningCount());
     return;
   }
@@ -57,34 +58,62 @@
   if (!aKey.empty()) {
     ++m_executions[aKey];
   }
-  m_running[aRequest] = std::move(aResponse);
+  if (full) {
+    m_queued.push_back({ aRequest, std::move(aResponse) });
+    return;
+  }
   if (aPoison) {
+    m_running[aRequest] = std::move(aResponse);
     m_queue.At(m_queue.Now() + kCrashDelay, [this] {
       Crash();
       m_queue.At(m_queue.Now() + kRestartTime, [this] { Restart(); });
     });
     return;
   }
+  Start(aRequest, std::move(aResponse));
+}
+
+void
+FakeServer::Start(std::uint64_t aRequest, ResponseHook aResponse)
+{
+  m_running[aRequest] = std::move(aResponse);
   if (m_random.Chance(m_faults.hangRate)) {
     return;
   }
   const bool error = m_random.Chance(m_faults.failureRate);
-  m_queue.At(
-    m_queue.Now() + FromSeconds(ServiceSeconds()), [this, aRequest, error] {
-      const auto it = m_running.find(aRequest);
-      if (it == m_running.end()) {
-        return;
-      }
-      const ResponseHook respond = std::move(it->second);
-      m_running.erase(it);
-      respond(error ? FakeResponse::kError : FakeResponse::kOk, RunningCount());
-    });
+  const Duration span = error && m_faults.failsAtOnce
+                          ? Duration()
+                          : FromSeconds(DrawServiceSeconds());
+  m_queue.At(m_queue.Now() + span, [this, aRequest, error] {
+    const auto it = m_running.find(aRequest);
+    if (it == m_running.end()) {
+      return;
+    }
+    const ResponseHook respond = std::move(it->second);
+    m_running.erase(it);
+    respond(error ? FakeResponse::kError : FakeResponse::kOk, RunningCount());
+    StartQueued();
+  });
+}
+
+void
+FakeServer::StartQueued()
+{
+  while (!m_queued.empty() && m_running.size() < m_options.slots) {
+    QueuedRequest next = std::move(m_queued.front());
+    m_queued.pop_front();
+    Start(next.request, std::move(next.respond));
+  }
 }
 
 void
 FakeServer::Cancel(std::uint64_t aRequest)
 {
+  std::erase_if(m_queued, [aRequest](const QueuedRequest& aQueued) {
+    return aQueued.request == aRequest;
+  });
   m_running.erase(aRequest);
+  StartQueued();
 }
 
 void
@@ -93,6 +122,9 @@
   m_faults.down = true;
   std::map<std::uint64_t, ResponseHook> running;
   running.swap(m_running);
+  for (QueuedRequest& queued : std::exchange(m_queued, {})) {
+    running[queued.request] = std::move(queued.respond);
+  }
   for (const auto& [request, respond] : running) {
     respond(FakeResponse::kBroken, 0);
   }
--- a/packages/testing/fake_server.h
+++ b/packages/testing/fake_server.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -20,8 +21,9 @@
 {
   double failureRate = 0.0; // share of requests that get a server error
   double latencyFactor = 1.0;
-  double hangRate = 0.0; // share of requests that get no response
-  bool down = false;     // refuses connections
+  double hangRate = 0.0;    // share of requests that get no response
+  bool down = false;        // refuses connections
+  bool failsAtOnce = false; // server errors take no service time
 };
 
 struct FakeServerOptions
@@ -30,6 +32,7 @@
   Region region;
   FailureDomain failureDomain;
   std::uint32_t slots = 2;
+  std::uint32_t queue = 0; // requests that may wait for a slot
   double meanServiceSeconds = 0.025;
 };
 
@@ -77,8 +80,17 @@
     return static_cast<std::uint32_t>(m_running.size());
   }
 
+  double DrawServiceSeconds();
+
 private:
-  double ServiceSeconds();
+  struct QueuedRequest
+  {
+    std::uint64_t request = 0;
+    ResponseHook respond;
+  };
+
+  void Start(std::uint64_t aRequest, ResponseHook aResponse);
+  void StartQueued();
 
   FakeServerOptions m_options;
   EventQueue& m_queue;
@@ -87,6 +99,7 @@
   std::uint64_t m_incarnation = 1;
   TimePoint m_startedAt;
   std::map<std::uint64_t, ResponseHook> m_running;
+  std::deque<QueuedRequest> m_queued;
   std::map<std::string, int> m_executions;
   std::uint64_t m_accepted = 0;
 };
--- /dev/null
+++ b/packages/testing/load_model.cc
@@ -0,0 +1,430 @@
+#include "testing/load_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <queue>
+#include <utility>
+
+namespace fuchsiaramp {
+
+static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+static constexpr Duration kDomainDelay = std::chrono::milliseconds(1);
+static constexpr Duration kRegionDelay = std::chrono::milliseconds(20);
+static constexpr Duration kStartTime = std::chrono::seconds(3);
+static constexpr Duration kWarmUp = std::chrono::seconds(3);
+static constexpr double kMeanEpisodeSeconds = 5.0;
+static constexpr double kFaultyFailureRate = 0.9;
+static constexpr int kViewsOfHosts = 3; // pushed to each host
+static constexpr char kControlHost[] = "control-1";
+static constexpr char kService[] = "service";
+static constexpr char kCallerHost[] = "service.example";
+
+RoutingSettings
+SharedOutcomesRouting()
+{
+  RoutingSettings routing;
+  routing.sharesOutcomes = true;
+  routing.retryBudget = 0.2;
+  routing.retrySlack = 220.0;
+  routing.requestTimeout = std::chrono::seconds(60);
+  routing.attemptTimeout = std::chrono::seconds(60);
+  routing.queueTimeout = std::chrono::seconds(2);
+  return routing;
+}
+
+LoadModel::LoadModel(LoadOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_random(m_options.seed)
+  , m_queue(FromMicros(1'000'000'000))
+{
+  AddServers();
+  AddHosts();
+}
+
+FailureDomain
+LoadModel::DomainOf(std::size_t aDomain) const
+{
+  return FailureDomain("domain-" + std::to_string(aDomain));
+}
+
+Region
+LoadModel::RegionOf(std::size_t aDomain) const
+{
+  return Region("region-" + std::to_string(aDomain % m_options.regions));
+}
+
+void
+LoadModel::AddServers()
+{
+  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  for (std::size_t i = 0; i < m_options.servers; ++i) {
+    FakeServerOptions options;
+    options.id = BackendServerId("server-" + std::to_string(i));
+    options.region = RegionOf(i % domains);
+    options.failureDomain = DomainOf(i % domains);
+    options.slots = m_options.slots;
+    options.queue = m_options.serverQueue;
+    options.meanServiceSeconds = m_options.meanServiceSeconds;
+    m_serverIndex[options.id] = i;
+    m_servers.push_back(
+      std::make_unique<FakeServer>(options, m_queue, Random(m_random.Bits())));
+  }
+}
+
+void
+LoadModel::AddHosts()
+{
+  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  m_hosts.resize(m_options.hosts);
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    Host& host = m_hosts[i];
+    host.id = HostId("entry-" + std::to_string(i));
+    host.domain = i % domains;
+    m_hostIndex[host.id] = i;
+    EntryOptions options;
+    options.settings.host = host.id;
+    options.settings.region = RegionOf(host.domain);
+    options.settings.failureDomain = DomainOf(host.domain);
+    options.settings.callerAddress = host.id.Value();
+    options.settings.messageAddress = host.id.Value();
+    options.settings.routing = m_options.routing;
+    options.settings.membershipByControl = true;
+    options.settings.sameDomainShare = 1.0;
+    options.settings.controlHosts.push_back({ HostId(kControlHost), "", "" });
+    host.node = std::make_unique<EntryNode>(
+      options, HooksOf(i), Random(m_random.Bits()), m_queue.Now());
+  }
+}
+
+EntryHooks
+LoadModel::HooksOf(std::size_t aHost)
+{
+  EntryHooks hooks;
+  hooks.send = [this, aHost](const HostId& aTo,
+                             const wire::Envelope& aMessage) {
+    const auto to = m_hostIndex.find(aTo);
+    if (to == m_hostIndex.end()) {
+      OnControlMessage(aHost, aMessage);
+      return;
+    }
+    m_result.messages += m_counting ? 1.0 : 0.0;
+    Deliver(to->second,
+            m_hosts[aHost].id,
+            aMessage,
+            Delay(m_hosts[aHost].domain, m_hosts[to->second].domain));
+  };
+  hooks.startAttempt = [this, aHost](const AttemptStart& aStart) {
+    return StartAttempt(aHost, aStart);
+  };
+  hooks.cancelAttempt = [this, aHost](AttemptId aAttempt) {
+    const auto it = m_attempts.find({ aHost, aAttempt });
+    if (it != m_attempts.end()) {
+      m_servers[it->second.server]->Cancel(it->second.serverRequest);
+      m_attempts.erase(it);
+    }
+  };
+  hooks.answer = [this](const FinalResponse& aResponse) {
+    OnResponse(aResponse);
+  };
+  hooks.hostChanged = [](const wire::HostRecord&) {};
+  hooks.record = [](const Event&) {};
+  return hooks;
+}
+
+Duration
+LoadModel::Delay(std::size_t aFromDomain, std::size_t aToDomain) const
+{
+  return RegionOf(aFromDomain) == RegionOf(aToDomain) ? kDomainDelay
+                                                      : kRegionDelay;
+}
+
+void
+LoadModel::Deliver(std::size_t aHost,
+                   const HostId& aFrom,
+                   wire::Envelope aMessage,
+                   Duration aDelay)
+{
+  m_queue.At(m_queue.Now() + aDelay,
+             [this, aHost, aFrom, message = std::move(aMessage)] {
+               m_hosts[aHost].node->OnMessage(aFrom, message, m_queue.Now());
+             });
+}
+
+// One control host confirms the lists and relays evidence to all hosts.
+void
+LoadModel::OnControlMessage(std::size_t aHost, const wire::Envelope& aMessage)
+{
+  if (aMessage.has_lists_pull()) {
+    wire::Envelope reply;
+    *reply.mutable_lists_push() = MakePush(aHost, aMessage.lists_pull());
+    Deliver(aHost, HostId(kControlHost), std::move(reply), kDomainDelay);
+  } else if (aMessage.has_evidence()) {
+    for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+      if (to != aHost) {
+        Deliver(to, HostId(kControlHost), aMessage, kRegionDelay);
+      }
+    }
+  }
+}
+
+wire::ListsPush
+LoadModel::MakePush(std::size_t aHost, const wire::ListsPull& aPull)
+{
+  wire::ListsPush push;
+  push.set_pull_id(aPull.pull_id());
+  push.set_confirmed(true);
+  push.set_current_version(1);
+  push.set_leader(kControlHost);
+  if (aPull.have_version() == 0) {
+    wire::ListsDelta* delta = push.add_deltas();
+    delta->set_to_version(1);
+    for (const bool repeatable : { true, false }) {
+      wire::Route* route = delta->add_open_routes();
+      route->set_name(repeatable ? "read" : "once");
+      route->set_host(kCallerHost);
+      route->set_path_prefix(repeatable ? "/read/" : "/once/");
+      route->set_service(kService);
+      route->set_repeatable(repeatable);
+      route->set_once_per_attempt(!repeatable);
+      route->set_max_servers(2);
+      route->set_timeout_us(m_options.timeout.count());
+      route->set_latency_objective_us(m_options.objective.count());
+    }
+  }
+  if (aPull.have_servers_version() == 0) {
+    push.mutable_servers()->set_full(true);
+    push.mutable_servers()->set_to_version(1);
+    for (const auto& server : m_servers) {
+      const FakeServerOptions& options = server->Options();
+      wire::BackendServerRecord* record = push.mutable_servers()->add_servers();
+      record->set_id(options.id.Value());
+      record->set_service(kService);
+      record->set_address(options.id.Value());
+      record->set_region(options.region.Value());
+      record->set_failure_domain(options.failureDomain.Value());
+      record->set_slots(options.slots);
+      record->set_incarnation(1);
+      record->set_cold_us(0);
+    }
+  }
+  Host& puller = m_hosts[aHost];
+  if (aPull.has_self() && puller.viewsSent < kViewsOfHosts) {
+    ++puller.viewsSent;
+    push.set_has_hosts(true);
+    std::map<std::size_t, std::uint32_t> sizes;
+    for (const Host& host : m_hosts) {
+      ++sizes[host.domain];
+      if (RegionOf(host.domain) == RegionOf(puller.domain)) {
+        *push.add_hosts() = host.node->Members().Self();
+      }
+    }
+    for (const auto& [domain, size] : sizes) {
+      push.add_domain_sizes(size);
+    }
+  }
+  return push;
+}
+
+LoadResult
+LoadModel::Run(Duration aSpan)
+{
+  ScheduleTick();
+  m_queue.RunUntil(m_queue.Now() + kStartTime);
+  if (m_options.faultyShare > 0.0) {
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+      SetFaulty(i, m_random.Chance(m_options.faultyShare));
+      ScheduleFault(i);
+    }
+  }
+  ScheduleArrival();
+  m_queue.RunUntil(m_queue.Now() + kWarmUp);
+  m_counting = true;
+  m_queue.RunUntil(m_queue.Now() + aSpan);
+  m_counting = false;
+  // Lets the last counted requests end.
+  m_queue.RunUntil(m_queue.Now() + m_options.callerTimeout);
+  return m_result;
+}
+
+void
+LoadModel::ScheduleTick()
+{
+  for (Host& host : m_hosts) {
+    host.node->Tick(m_queue.Now());
+  }
+  m_queue.At(m_queue.Now() + kTickInterval, [this] { ScheduleTick(); });
+}
+
+void
+LoadModel::SetFaulty(std::size_t aServer, bool aFaulty)
+{
+  ServerFaults faults;
+  faults.failureRate = aFaulty ? kFaultyFailureRate : 0.0;
+  faults.failsAtOnce = true;
+  m_servers[aServer]->SetFaults(faults);
+}
+
+// Draws the times between episodes so that faultyShare of the servers is faulty
+// on average.
+void
+LoadModel::ScheduleFault(std::size_t aServer)
+{
+  const bool faulty = m_servers[aServer]->Faults().failureRate > 0.0;
+  const double meanHealthySeconds =
+    kMeanEpisodeSeconds * (1.0 - m_options.faultyShare) / m_options.faultyShare;
+  const double mean = faulty ? kMeanEpisodeSeconds : meanHealthySeconds;
+  m_queue.At(m_queue.Now() + FromSeconds(m_random.Exponential(mean)),
+             [this, aServer, faulty] {
+               SetFaulty(aServer, !faulty);
+               ScheduleFault(aServer);
+             });
+}
+
+static double
+ArrivalRate(const LoadOptions& aOptions)
+{
+  return aOptions.load * static_cast<double>(aOptions.servers) *
+         aOptions.slots / aOptions.meanServiceSeconds;
+}
+
+void
+LoadModel::ScheduleArrival()
+{
+  const double mean = 1.0 / ArrivalRate(m_options);
+  m_queue.At(m_queue.Now() + FromSeconds(m_random.Exponential(mean)), [this] {
+    SendRequest();
+    ScheduleArrival();
+  });
+}
+
+void
+LoadModel::SendRequest()
+{
+  RequestHead head;
+  head.id = RequestId(m_nextRequest++);
+  head.host = kCallerHost;
+  head.tokenless = true;
+  head.path =
+    m_random.Chance(m_options.repeatableShare) ? "/read/x" : "/once/x";
+  head.callerRequestId = std::to_string(head.id.Value());
+  head.fingerprint = Fingerprint(head.id.Value());
+  head.deadline = m_queue.Now() + m_options.callerTimeout;
+  m_pending[head.id] = { m_queue.Now(), m_counting };
+  m_result.requests += m_counting ? 1.0 : 0.0;
+  m_hosts[m_random.Below(m_hosts.size())].node->OnRequest(head, m_queue.Now());
+}
+
+ConnectionKind
+LoadModel::StartAttempt(std::size_t aHost, const AttemptStart& aStart)
+{
+  const std::size_t server = m_serverIndex.at(aStart.server);
+  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  Duration delay = Delay(m_hosts[aHost].domain, server % domains);
+  if (aStart.requiresNewConnection) {
+    delay *= 3; // one round trip to connect
+  }
+  m_result.attempts += m_counting ? 1.0 : 0.0;
+  m_attempts[{ aHost, aStart.id }] = { server, m_nextServerRequest++ };
+  m_queue.At(m_queue.Now() + delay, [this, aHost, id = aStart.id] {
+    const auto it = m_attempts.find({ aHost, id });
+    if (it == m_attempts.end()) {
+      return;
+    }
+    m_servers[it->second.server]->HandleRequest(
+      it->second.serverRequest,
+      "",
+      false,
+      [this, aHost, id](FakeResponse aResponse, std::uint32_t) {
+        OnServerResponse(aHost, id, aResponse);
+      });
+  });
+  return aStart.requiresNewConnection ? ConnectionKind::kNew
+                                      : ConnectionKind::kReused;
+}
+
+void
+LoadModel::OnServerResponse(std::size_t aHost,
+                            AttemptId aAttempt,
+                            FakeResponse aResponse)
+{
+  const auto it = m_attempts.find({ aHost, aAttempt });
+  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  const Duration delay =
+    Delay(m_hosts[aHost].domain, it->second.server % domains);
+  AttemptEnd end;
+  end.id = aAttempt;
+  end.outcome = AttemptOutcome::kSuccess;
+  end.status = 200;
+  if (aResponse == FakeResponse::kShed) {
+    end.outcome = AttemptOutcome::kShed;
+    end.status = 503;
+    m_result.shed += m_counting ? 1.0 : 0.0;
+  } else if (aResponse != FakeResponse::kOk) {
+    end.outcome = AttemptOutcome::kServerError;
+    end.status = 500;
+  }
+  m_queue.At(m_queue.Now() + delay, [this, aHost, end] {
+    if (m_attempts.erase({ aHost, end.id }) > 0) {
+      m_hosts[aHost].node->OnAttemptEnd(end, m_queue.Now());
+    }
+  });
+}
+
+void
+LoadModel::OnResponse(const FinalResponse& aResponse)
+{
+  const auto it = m_pending.find(aResponse.request);
+  const Pending pending = it->second;
+  m_pending.erase(it);
+  if (!pending.counted) {
+    return;
+  }
+  const Duration spent = m_queue.Now() - pending.startedAt;
+  if (aResponse.outcome == CallerOutcome::kNotRun) {
+    m_result.refused += 1.0;
+    m_result.refusedAfterSeconds += ToSeconds(spent);
+  } else if (aResponse.status != 200) {
+    m_result.failed += 1.0;
+  } else if (spent <= m_options.objective) {
+    m_result.inTime += 1.0;
+  } else {
+    m_result.late += 1.0;
+  }
+}
+
+double
+IdealInTimeShare(const LoadOptions& aOptions, Duration aSpan)
+{
+  Random random(aOptions.seed);
+  EventQueue queue(FromMicros(0));
+  FakeServerOptions serverOptions;
+  serverOptions.meanServiceSeconds = aOptions.meanServiceSeconds;
+  FakeServer server(serverOptions, queue, Random(random.Bits()));
+  const auto healthySlots = static_cast<std::size_t>(
+    static_cast<double>(aOptions.servers * aOptions.slots) *
+    (1.0 - aOptions.faultyShare));
+  // Times in seconds at which the slots become free, the earliest first.
+  std::priority_queue<double, std::vector<double>, std::greater<>> free;
+  for (std::size_t i = 0; i < healthySlots; ++i) {
+    free.push(0.0);
+  }
+  double now = 0.0;
+  double requests = 0.0;
+  double inTime = 0.0;
+  while (now < ToSeconds(aSpan)) {
+    now += random.Exponential(1.0 / ArrivalRate(aOptions));
+    requests += 1.0;
+    const double start = std::max(now, free.top());
+    const double allowed =
+      ToSeconds(aOptions.objective) - 2.0 * aOptions.meanServiceSeconds;
+    if (start - now <= allowed) {
+      const double end = start + server.DrawServiceSeconds();
+      inTime += end - now <= ToSeconds(aOptions.objective) ? 1.0 : 0.0;
+      free.pop();
+      free.push(end);
+    }
+  }
+  return inTime / requests;
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/testing/load_model.h
@@ -0,0 +1,138 @@
+// Plays a load on many entry hosts before many backend servers, with the
+// production decision logic of the entry hosts and in simulated time, and
+// counts what callers get.
+//
+// Servers have a few slots and a short queue. A share of them is faulty at any
+// time: a faulty server fails most of its requests at once. Callers pick a host
+// at random. Host and server views are complete from the start, so that the
+// result shows placement, queueing and refusing alone.
+//
+//   LoadModel model(options);
+//   LoadResult result = model.Run(std::chrono::seconds(10));
+//   double inTime = result.inTime / result.requests;
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "entry/entry_node.h"
+#include "testing/event_queue.h"
+#include "testing/fake_network.h"
+#include "testing/fake_server.h"
+
+namespace fuchsiaramp {
+
+// Settings of entry hosts that share outcomes and load.
+RoutingSettings
+SharedOutcomesRouting();
+
+struct LoadOptions
+{
+  std::uint64_t seed = 1;
+  std::size_t regions = 3;
+  std::size_t domainsPerRegion = 2;
+  std::size_t hosts = 130;
+  std::size_t servers = 246;
+  std::uint32_t slots = 2;
+  std::uint32_t serverQueue = 8;
+  double load = 0.5; // share of the capacity of all slots
+  double meanServiceSeconds = 0.15;
+  double repeatableShare = 0.3;
+  double faultyShare = 0.0; // of the servers at any time
+  Duration objective = std::chrono::milliseconds(800);
+  Duration timeout = std::chrono::milliseconds(2500);
+  Duration callerTimeout = std::chrono::seconds(4);
+  RoutingSettings routing = SharedOutcomesRouting();
+};
+
+struct LoadResult
+{
+  double requests = 0.0;
+  double inTime = 0.0;
+  double late = 0.0;
+  double refused = 0.0;             // not run
+  double failed = 0.0;              // outcome unknown, or an error of a server
+  double refusedAfterSeconds = 0.0; // sum over refused requests
+  double attempts = 0.0;
+  double shed = 0.0;     // attempts that a server rejected
+  double messages = 0.0; // between entry hosts
+};
+
+// What one shared queue before all servers would serve in time, if it knew the
+// service time of each request in advance and rejected those that would be
+// late.
+double
+IdealInTimeShare(const LoadOptions& aOptions, Duration aSpan);
+
+class LoadModel
+{
+public:
+  explicit LoadModel(LoadOptions aOptions);
+
+  // Plays aSpan after a warm-up, of which nothing is counted.
+  LoadResult Run(Duration aSpan);
+
+private:
+  struct Host
+  {
+    HostId id;
+    std::size_t domain = 0;
+    std::unique_ptr<EntryNode> node;
+    int viewsSent = 0; // of the entry hosts
+  };
+  struct Pending
+  {
+    TimePoint startedAt;
+    bool counted = false;
+  };
+  struct Attempt
+  {
+    std::size_t server = 0;
+    std::uint64_t serverRequest = 0;
+  };
+
+  Region RegionOf(std::size_t aDomain) const;
+  FailureDomain DomainOf(std::size_t aDomain) const;
+  void AddServers();
+  void AddHosts();
+  EntryHooks HooksOf(std::size_t aHost);
+  void ScheduleArrival();
+  void ScheduleTick();
+  void ScheduleFault(std::size_t aServer);
+  void SetFaulty(std::size_t aServer, bool aFaulty);
+  void SendRequest();
+  ConnectionKind StartAttempt(std::size_t aHost, const AttemptStart& aStart);
+  void OnServerResponse(std::size_t aHost,
+                        AttemptId aAttempt,
+                        FakeResponse aResponse);
+  void OnResponse(const FinalResponse& aResponse);
+  void OnControlMessage(std::size_t aHost, const wire::Envelope& aMessage);
+  wire::ListsPush MakePush(std::size_t aHost, const wire::ListsPull& aPull);
+  void Deliver(std::size_t aHost,
+               const HostId& aFrom,
+               wire::Envelope aMessage,
+               Duration aDelay);
+  Duration Delay(std::size_t aFromDomain, std::size_t aToDomain) const;
+
+  LoadOptions m_options;
+  Random m_random;
+  EventQueue m_queue;
+  std::vector<std::unique_ptr<FakeServer>> m_servers;
+  std::unordered_map<BackendServerId, std::size_t> m_serverIndex;
+  std::vector<Host> m_hosts;
+  std::unordered_map<HostId, std::size_t> m_hostIndex;
+  std::unordered_map<RequestId, Pending> m_pending;
+  std::map<std::pair<std::size_t, AttemptId>, Attempt> m_attempts;
+  std::uint64_t m_nextRequest = 1;
+  std::uint64_t m_nextServerRequest = 1;
+  bool m_counting = false;
+  LoadResult m_result;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/tests/randomised/load_run_test.cc
@@ -0,0 +1,75 @@
+// Bounds what callers of a large fleet lose to placement, queueing and refusing,
+// against one ideal shared queue before all servers.
+#define BOOST_TEST_MODULE load_run
+#include <boost/test/unit_test.hpp>
+
+#include "testing/load_model.h"
+#include "testing/run_options.h"
+
+namespace fuchsiaramp {
+
+static constexpr Duration kSpan = std::chrono::seconds(4);
+
+// Share of the requests that the ideal serves in time which the fleet serves in
+// time as well.
+static double
+ShareOfIdeal(const LoadOptions& aOptions, const LoadResult& aResult)
+{
+  return aResult.inTime / aResult.requests / IdealInTimeShare(aOptions, kSpan);
+}
+
+static LoadOptions
+FleetOf(std::size_t aHosts, std::size_t aServers, double aLoad)
+{
+  LoadOptions options;
+  options.seed = SeedRangeFromEnvironment(1).first;
+  options.hosts = aHosts;
+  options.servers = aServers;
+  options.load = aLoad;
+  options.faultyShare = 0.1;
+  return options;
+}
+
+BOOST_AUTO_TEST_CASE(BelowCapacityNearlyAllRequestsAreServedInTime)
+{
+  for (const double load : { 0.5, 0.8 }) {
+    const LoadOptions options = FleetOf(130, 246, load);
+    const LoadResult result = LoadModel(options).Run(kSpan);
+    BOOST_TEST_CONTEXT("load " << load)
+    {
+      BOOST_TEST(ShareOfIdeal(options, result) > 0.9);
+      BOOST_TEST(result.refused < 0.01 * result.requests);
+      BOOST_TEST(result.shed < 0.01 * result.requests);
+    }
+  }
+}
+
+// What is served in an overload is served in time, and what is not served is
+// refused at once.
+BOOST_AUTO_TEST_CASE(InAnOverloadCapacityGoesToRequestsThatEndInTime)
+{
+  for (const double load : { 1.2, 2.0 }) {
+    const LoadOptions options = FleetOf(130, 246, load);
+    const LoadResult result = LoadModel(options).Run(kSpan);
+    BOOST_TEST_CONTEXT("load " << load)
+    {
+      BOOST_TEST(ShareOfIdeal(options, result) > 0.8);
+      BOOST_TEST(result.late < 0.1 * result.requests);
+      BOOST_TEST(result.refusedAfterSeconds < 0.1 * result.refused);
+      BOOST_TEST(result.shed < 0.01 * result.requests);
+    }
+  }
+}
+
+// What a host tells others does not grow with the fleet.
+BOOST_AUTO_TEST_CASE(MessagesOfAHostDoNotGrowWithTheFleet)
+{
+  const auto messages = [](std::size_t aHosts, std::size_t aServers) {
+    const LoadOptions options = FleetOf(aHosts, aServers, 0.5);
+    const LoadResult result = LoadModel(options).Run(std::chrono::seconds(2));
+    return result.messages / static_cast<double>(aHosts);
+  };
+  BOOST_TEST(messages(260, 492) < 1.2 * messages(130, 246));
+}
+
+} // namespace fuchsiaramp
