Bound what a backend server can send that is no response

Cause: bytes without end were bounded in the status line, the header fields and the body, but not in the extension of a chunk size, in trailers, in responses to other requests and in interim responses: buffers grew and the event loop parsed them again and again, past the deadline of the attempt. Ruled out: the deadline as a bound; it is up to 60 s and the parser kept the loop from it. Change: the receive buffer is limited, so are the bytes of a response with its framing and the number of responses to other requests that are skipped. Idle connections that a server closed are released once a second; they kept a descriptor until the next request to that server.

--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -26,6 +26,14 @@
 // timeout, since the request could cross the server's close.
 static constexpr Duration kIdleMargin = std::chrono::seconds(1);
 
+// Bytes that are received but not parsed yet; more than a header or the header
+// of a chunk may have.
+static constexpr std::size_t kMaxBufferedBytes = 64 << 10;
+// A chunked response may be this many times as long as its body.
+static constexpr std::uint64_t kFramingFactor = 2;
+// Late responses to earlier requests that one attempt skips.
+static constexpr int kMaxOtherResponses = 8;
+
 // One connection to a backend server, which carries one attempt at a time.
 class BackendClient::Connection
   : public std::enable_shared_from_this<BackendClient::Connection>
@@ -63,7 +71,7 @@
     m_kind = aKind;
     m_wrote = false;
     m_received = false;
-    m_sawOtherResponse = false;
+    m_otherResponses = 0;
     ResetParser();
     if (aKind == ConnectionKind::kReused) {
       Write();
@@ -90,6 +98,7 @@
 private:
   void ResetParser()
   {
+    m_receivedBytes = 0;
     m_parser.emplace();
     m_parser->body_limit(m_owner.m_options.maxResponseBytes);
     if (m_request.method() == http::verb::head) {
@@ -161,20 +170,42 @@
       End(AttemptOutcome::kBroken, false);
       return;
     }
-    http::async_read(m_stream,
-                     m_buffer,
-                     *m_parser,
-                     [self = shared_from_this()](
-                       const beast::error_code& aError, std::size_t) {
-                       if (self->m_closed) {
-                         return;
-                       }
-                       if (aError) {
-                         self->OnError(aError);
-                       } else {
-                         self->OnComplete();
-                       }
-                     });
+    ReadBodyPart();
+  }
+
+  // The parser limits the body, but not its chunk headers and trailers.
+  void ReadBodyPart()
+  {
+    if (m_parser->is_done()) {
+      OnComplete();
+      return;
+    }
+    if (m_receivedBytes > MaxReceivedBytes()) {
+      End(AttemptOutcome::kBroken, false);
+      return;
+    }
+    http::async_read_some(
+      m_stream,
+      m_buffer,
+      *m_parser,
+      [self = shared_from_this()](const beast::error_code& aError,
+                                  std::size_t aBytes) {
+        if (self->m_closed) {
+          return;
+        }
+        self->m_receivedBytes += aBytes;
+        if (aError) {
+          self->OnError(aError);
+        } else {
+          self->ReadBodyPart();
+        }
+      });
+  }
+
+  std::uint64_t MaxReceivedBytes() const
+  {
+    return kFramingFactor * m_owner.m_options.maxResponseBytes +
+           kMaxBufferedBytes;
   }
 
   void OnError(const beast::error_code& aError)
@@ -196,13 +227,16 @@
     m_classified = m_owner.m_classifyResponse(response, m_request);
     if (m_classified.isForOtherRequest) {
       // A late response to an earlier request on this connection.
-      m_sawOtherResponse = true;
+      if (++m_otherResponses > kMaxOtherResponses) {
+        End(AttemptOutcome::kBroken, false);
+        return;
+      }
       ResetParser();
       ReadHeader();
       return;
     }
     const bool reusable = response.keep_alive() && !m_parser->need_eof() &&
-                          m_buffer.size() == 0 && !m_sawOtherResponse;
+                          m_buffer.size() == 0 && m_otherResponses == 0;
     SetIdleLifetime(response);
     End(m_classified.outcome, reusable);
   }
@@ -256,7 +290,7 @@
   BackendClient& m_owner;
   beast::tcp_stream m_stream;
   std::string m_address;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{ kMaxBufferedBytes };
   BackendRequest m_request;
   std::optional<http::response_parser<http::string_body>> m_parser;
   AttemptId m_attempt;
@@ -264,7 +298,8 @@
   TimePoint m_lastUsed;
   Duration m_idleLifetime{};
   ClassifiedResponse m_classified;
-  bool m_sawOtherResponse = false;
+  int m_otherResponses = 0;          // to other requests, skipped
+  std::uint64_t m_receivedBytes = 0; // of the body of this response
   ConnectionKind m_kind = ConnectionKind::kNew;
   bool m_wrote = false;
   bool m_received = false;
@@ -328,6 +363,33 @@
   return kind;
 }
 
+void
+BackendClient::CloseUnusableConnections()
+{
+  const TimePoint now = MonotonicNow();
+  for (auto it = m_idleConnections.begin(); it != m_idleConnections.end();) {
+    std::erase_if(it->second, [now](const ConnectionPtr& aConnection) {
+      const bool usable =
+        now < aConnection->UsableUntil() && aConnection->IsIdleAndOpen();
+      if (!usable) {
+        aConnection->Close();
+      }
+      return !usable;
+    });
+    it = it->second.empty() ? m_idleConnections.erase(it) : ++it;
+  }
+}
+
+std::size_t
+BackendClient::IdleCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [address, connections] : m_idleConnections) {
+    count += connections.size();
+  }
+  return count;
+}
+
 void
 BackendClient::Cancel(AttemptId aAttempt)
 {
--- a/packages/net/backend_client.h
+++ b/packages/net/backend_client.h
@@ -82,6 +82,10 @@
   // Closes the attempt's connection; the end hook is not called.
   void Cancel(AttemptId aAttempt);
   std::size_t Running() const { return m_running.size(); }
+  // Closes idle connections that are too old, that the server closed, or on
+  // which bytes arrived that belong to no request. Call it once a second.
+  void CloseUnusableConnections();
+  std::size_t IdleCount() const;
 
 private:
   class Connection;
--- /dev/null
+++ b/packages/net/backend_client_test.cc
@@ -0,0 +1,387 @@
+#define BOOST_TEST_MODULE backend_client
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "net/backend_client.h"
+#include "net/monotonic.h"
+
+namespace fuchsiaramp {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+static constexpr std::size_t kMaxResponseBytes = 100'000;
+
+// What a scripted server does after it received a request.
+struct Script
+{
+  std::string bytes;         // sent at once
+  std::string endless;       // sent again and again after that, if not empty
+  std::string afterResponse; // sent 30 ms later
+  bool closes = false;       // in order
+  bool resets = false;
+};
+
+// A server on loopback that plays one script for each request, on as many
+// connections as the client opens.
+class ScriptedServer
+{
+public:
+  explicit ScriptedServer(asio::io_context& aIo)
+    : m_io(aIo)
+    , m_acceptor(aIo, { asio::ip::address_v4::loopback(), 0 })
+  {
+    Accept();
+  }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+  }
+
+  std::vector<Script> m_scripts; // by request
+  std::size_t m_requests = 0;
+  std::size_t m_connections = 0;
+  std::size_t m_endlessBytes = 0; // taken by the client's side
+
+private:
+  using SocketPtr = std::shared_ptr<tcp::socket>;
+
+  void Accept()
+  {
+    auto socket = std::make_shared<tcp::socket>(m_io);
+    m_acceptor.async_accept(
+      *socket, [this, socket](const boost::system::error_code& aError) {
+        if (!aError) {
+          ++m_connections;
+          Read(socket);
+          Accept();
+        }
+      });
+  }
+
+  void Read(const SocketPtr& aSocket)
+  {
+    auto buffer = std::make_shared<std::vector<char>>(4096);
+    aSocket->async_read_some(
+      asio::buffer(*buffer),
+      [this, aSocket, buffer](const boost::system::error_code& aError,
+                              std::size_t) {
+        if (aError || m_requests >= m_scripts.size()) {
+          return;
+        }
+        Play(aSocket, m_scripts[m_requests++]);
+        Read(aSocket);
+      });
+  }
+
+  void Play(const SocketPtr& aSocket, const Script& aScript)
+  {
+    boost::system::error_code error;
+    asio::write(*aSocket, asio::buffer(aScript.bytes), error);
+    if (!aScript.endless.empty()) {
+      SendEndless(aSocket, std::make_shared<std::string>(aScript.endless));
+    }
+    if (!aScript.afterResponse.empty()) {
+      auto timer = std::make_shared<asio::steady_timer>(
+        m_io, std::chrono::milliseconds(30));
+      timer->async_wait([aSocket, timer, bytes = aScript.afterResponse](
+                          const boost::system::error_code&) {
+        boost::system::error_code ignored;
+        asio::write(*aSocket, asio::buffer(bytes), ignored);
+      });
+    }
+    if (aScript.resets) {
+      aSocket->set_option(asio::socket_base::linger(true, 0), error);
+    }
+    if (aScript.resets || aScript.closes) {
+      aSocket->close(error);
+    }
+  }
+
+  void SendEndless(const SocketPtr& aSocket,
+                   const std::shared_ptr<std::string>& aBytes)
+  {
+    asio::async_write(
+      *aSocket,
+      asio::buffer(*aBytes),
+      [this, aSocket, aBytes](const boost::system::error_code& aError,
+                              std::size_t aCount) {
+        m_endlessBytes += aCount;
+        if (!aError) {
+          SendEndless(aSocket, aBytes);
+        }
+      });
+  }
+
+  asio::io_context& m_io;
+  tcp::acceptor m_acceptor;
+};
+
+static std::string
+Response(const std::string& aId, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nX-Id: " + aId +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+class ClientFixture
+{
+public:
+  struct Ended
+  {
+    AttemptOutcome outcome = AttemptOutcome::kCancelled;
+    std::string body;
+    Duration after{};
+  };
+
+  ClientFixture()
+    : m_server(m_io)
+  {
+    BackendClientOptions options;
+    options.maxResponseBytes = kMaxResponseBytes;
+    options.acceptsUnframedResponses = true;
+    m_client = std::make_unique<BackendClient>(
+      m_io,
+      options,
+      [](const BackendResponse& aResponse, const BackendRequest& aRequest) {
+        ClassifiedResponse classified;
+        classified.isForOtherRequest = aResponse["X-Id"] != aRequest["X-Id"];
+        return classified;
+      },
+      [this](const AttemptEnd& aEnd, BackendResponse* aResponse) {
+        m_ended = Ended{ aEnd.outcome,
+                         aResponse == nullptr ? "" : aResponse->body(),
+                         MonotonicNow() - m_startedAt };
+      });
+  }
+
+  // Sends a request with this id and returns how it ended.
+  Ended Send(const std::string& aId, bool aNewConnection = false)
+  {
+    AttemptStart start;
+    start.id = AttemptId(++m_lastAttempt);
+    start.address = m_server.Address();
+    m_startedAt = MonotonicNow();
+    start.deadline = m_startedAt + std::chrono::seconds(2);
+    start.requiresNewConnection = aNewConnection;
+    BackendRequest request{ http::verb::get, "/x", 11 };
+    request.set(http::field::host, "service");
+    request.set("X-Id", aId);
+    m_ended.reset();
+    m_client->Start(start, request);
+    for (int i = 0; i < 300 && !m_ended; ++i) {
+      m_io.run_for(std::chrono::milliseconds(10));
+    }
+    BOOST_REQUIRE(m_ended);
+    return *m_ended;
+  }
+
+  void Wait(int aMilliseconds)
+  {
+    m_io.run_for(std::chrono::milliseconds(aMilliseconds));
+  }
+
+  asio::io_context m_io;
+  ScriptedServer m_server;
+  std::unique_ptr<BackendClient> m_client;
+  std::optional<Ended> m_ended;
+  TimePoint m_startedAt;
+  std::uint64_t m_lastAttempt = 0;
+};
+
+// A response without end ends the attempt as broken once it exceeds the limit,
+// well before the deadline.
+static void
+ExpectBounded(const Script& aScript)
+{
+  ClientFixture fixture;
+  fixture.m_server.m_scripts = { aScript };
+  const auto ended = fixture.Send("1");
+  BOOST_TEST((ended.outcome == AttemptOutcome::kBroken));
+  BOOST_TEST(ToSeconds(ended.after) < 1.0);
+  fixture.Wait(20);
+  // The sockets of both sides may hold some megabytes.
+  BOOST_TEST(fixture.m_server.m_endlessBytes < 16'000'000U);
+}
+
+BOOST_AUTO_TEST_CASE(BytesWithoutEndInTheStatusLine)
+{
+  ExpectBounded({ "HTTP/1.1 200 ", std::string(1000, 'x'), "", false, false });
+}
+
+BOOST_AUTO_TEST_CASE(BytesWithoutEndThatAreNoResponse)
+{
+  ExpectBounded({ "", std::string(1000, 'x'), "", false, false });
+}
+
+BOOST_AUTO_TEST_CASE(HeaderFieldsWithoutEnd)
+{
+  ExpectBounded({ "HTTP/1.1 200 OK\r\n", "X-More: yes\r\n", "", false, false });
+}
+
+BOOST_AUTO_TEST_CASE(AHeaderFieldWithoutEnd)
+{
+  ExpectBounded({ "HTTP/1.1 200 OK\r\nX-More: ",
+                  std::string(1000, 'y'),
+                  "",
+                  false,
+                  false });
+}
+
+BOOST_AUTO_TEST_CASE(ChunksWithoutEnd)
+{
+  ExpectBounded(
+    { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "64\r\n" + std::string(100, 'x') + "\r\n",
+      "",
+      false,
+      false });
+}
+
+BOOST_AUTO_TEST_CASE(AChunkSizeWithoutEnd)
+{
+  ExpectBounded(
+    { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;ext=",
+      std::string(1000, 'x'),
+      "",
+      false,
+      false });
+}
+
+BOOST_AUTO_TEST_CASE(TrailersWithoutEnd)
+{
+  ExpectBounded(
+    { "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "X-More: yes\r\n",
+      "",
+      false,
+      false });
+}
+
+BOOST_AUTO_TEST_CASE(ABodyWithoutLengthThatDoesNotEnd)
+{
+  ExpectBounded({ "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+                  std::string(1000, 'x'),
+                  "",
+                  false,
+                  false });
+}
+
+BOOST_AUTO_TEST_CASE(ResponsesToOtherRequestsWithoutEnd)
+{
+  ExpectBounded({ "", Response("other", "x"), "", false, false });
+}
+
+BOOST_AUTO_TEST_CASE(InterimResponsesWithoutEnd)
+{
+  ExpectBounded(
+    { "", "HTTP/1.1 100 Continue\r\nX-Id: other\r\n\r\n", "", false, false });
+}
+
+// Bytes after a complete response belong to no request. The response is good,
+// but the connection is not used again.
+BOOST_AUTO_TEST_CASE(BytesWithoutEndAfterACompleteResponse)
+{
+  ClientFixture fixture;
+  fixture.m_server.m_scripts = {
+    { Response("1", "one"), std::string(1000, 'x'), "", false, false },
+    { Response("2", "two"), "", "", false, false }
+  };
+  BOOST_TEST(fixture.Send("1").body == "one");
+  fixture.Wait(20);
+  BOOST_TEST(fixture.Send("2").body == "two");
+  BOOST_TEST(fixture.m_server.m_connections == 2U);
+  BOOST_TEST(fixture.m_server.m_endlessBytes < 16'000'000U);
+}
+
+// A second copy of a response that comes while the connection is idle, or just
+// after the next request, does not reach the next caller.
+BOOST_AUTO_TEST_CASE(ALateSecondCopyOnAnIdleConnection)
+{
+  ClientFixture fixture;
+  const std::string copy = Response("1", "one");
+  fixture.m_server.m_scripts = {
+    { copy, "", copy, false, false },
+    { Response("2", "two"), "", "", false, false }
+  };
+  BOOST_TEST(fixture.Send("1").body == "one");
+  fixture.Wait(60);
+  BOOST_TEST(fixture.Send("2").body == "two");
+}
+
+BOOST_AUTO_TEST_CASE(ALateSecondCopyAfterTheNextRequest)
+{
+  ClientFixture fixture;
+  const std::string copy = Response("1", "one");
+  fixture.m_server.m_scripts = {
+    { copy, "", "", false, false },
+    { copy, "", Response("2", "two"), false, false },
+    { Response("3", "three"), "", "", false, false }
+  };
+  BOOST_TEST(fixture.Send("1").body == "one");
+  BOOST_TEST(fixture.Send("2").body == "two");
+  // A connection on which copies appear is not used again.
+  BOOST_TEST(fixture.Send("3").body == "three");
+  BOOST_TEST(fixture.m_server.m_connections == 2U);
+}
+
+// A response that ends early is never complete.
+BOOST_AUTO_TEST_CASE(ResponsesThatBreakOff)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n";
+  const std::vector<std::string> parts = {
+    "HTTP/1.1 200 OK\r\nX-Id",
+    head + "Content-Length: 10\r\n\r\nhalf",
+    head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    head + "Transfer-Encoding: chunked\r\n\r\n8\r\nhalf",
+  };
+  for (const std::string& part : parts) {
+    for (const bool resets : { false, true }) {
+      ClientFixture fixture;
+      fixture.m_server.m_scripts = { { part, "", "", !resets, resets } };
+      const auto ended = fixture.Send("1", true);
+      BOOST_TEST_CONTEXT(part << (resets ? " reset" : " closed"))
+      BOOST_TEST((ended.outcome == AttemptOutcome::kBroken));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AResponseWithoutLengthThatIsReset)
+{
+  ClientFixture fixture;
+  fixture.m_server.m_scripts = {
+    { "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nhalf", "", "", false, true }
+  };
+  BOOST_TEST((fixture.Send("1", true).outcome == AttemptOutcome::kBroken));
+}
+
+// Idle connections that their server closed do not keep a descriptor.
+BOOST_AUTO_TEST_CASE(ConnectionsThatTheServerClosedAreReleased)
+{
+  ClientFixture fixture;
+  fixture.m_server.m_scripts = {
+    { Response("1", "one"), "", "", true, false }
+  };
+  BOOST_TEST(fixture.Send("1").body == "one");
+  fixture.Wait(20);
+  BOOST_TEST(fixture.m_client->IdleCount() == 1U);
+  fixture.m_client->CloseUnusableConnections();
+  BOOST_TEST(fixture.m_client->IdleCount() == 0U);
+}
+
+} // namespace fuchsiaramp
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -32,6 +32,7 @@
 
 static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 static constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
+static constexpr Duration kConnectionCheckInterval = std::chrono::seconds(1);
 
 class EntryService::Impl
 {
@@ -183,6 +184,10 @@
         return;
       }
       m_transport.Poll();
+      if (IsDue(m_nextConnectionCheckAt, MonotonicNow())) {
+        m_nextConnectionCheckAt = MonotonicNow() + kConnectionCheckInterval;
+        m_backends.CloseUnusableConnections();
+      }
       if (IsDue(m_nextTrafficLogAt, MonotonicNow())) {
         m_nextTrafficLogAt = MonotonicNow() + kTrafficLogInterval;
         m_log.Write(TrafficEvent(m_transport.Counters()));
@@ -491,6 +496,7 @@
   BackendClient m_backends;
   asio::steady_timer m_timer;
   TimePoint m_nextTrafficLogAt;
+  TimePoint m_nextConnectionCheckAt;
   std::unique_ptr<EntryNode> m_node;
   // The first one serves callers.
   std::vector<std::unique_ptr<HttpServer>> m_servers;
