Advertise all entry hosts where their links are narrow

Change: link_mbps in the settings, filled in by the platform; ShareForLink decides. Test: advertised_hosts_test.

--- a/packages/entry/advertised_hosts.cc
+++ b/packages/entry/advertised_hosts.cc
@@ -9,6 +9,16 @@
 
 namespace fuchsiaramp {
 
+// Links of at least this bandwidth carry the callers of several hosts.
+static constexpr double kWideLinkMbps = 200.0;
+
+double
+ShareForLink(double aPreferredShare, double aLinkMbps)
+{
+  const bool narrow = aLinkMbps > 0.0 && aLinkMbps < kWideLinkMbps;
+  return narrow ? 1.0 : aPreferredShare;
+}
+
 // Number of hosts advertised to callers of a failure domain with aHosts hosts.
 static std::size_t
 CountInDomain(std::size_t aHosts, const AdvertisingOptions& aOptions)
--- a/packages/entry/advertised_hosts.h
+++ b/packages/entry/advertised_hosts.h
@@ -1,7 +1,7 @@
 // Selects the entry hosts that are advertised to callers of a failure domain.
 //
-// With fewer advertised hosts, each knows the load of the servers of its
-// failure domain better; with more, there is capacity for more callers. Callers
+// With fewer advertised hosts, each sees more outcomes of the servers of its
+// failure domain; with more, there is capacity for more callers. Callers
 // therefore get a share of the hosts of their failure domain, and hosts of the
 // region if it has too few.
 //
@@ -27,6 +27,13 @@
   std::size_t minHosts = 2;
 };
 
+// The share of the hosts of a failure domain to advertise, given the share that
+// is preferred and the link of a host in Mbit/s (0 if unknown). Hosts with
+// narrow links are all advertised, since a few of them could not carry the
+// callers.
+double
+ShareForLink(double aPreferredShare, double aLinkMbps);
+
 // Best first. Every host with the same host table gets the same result.
 std::vector<const wire::HostRecord*>
 SelectAdvertisedHosts(
--- a/packages/entry/advertised_hosts_test.cc
+++ b/packages/entry/advertised_hosts_test.cc
@@ -77,4 +77,12 @@
   BOOST_TEST(CountAdvertisedHosts({}, kOneThird) == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(AllHostsWithNarrowLinksAreAdvertised)
+{
+  BOOST_TEST(ShareForLink(0.25, 1000.0) == 0.25);
+  BOOST_TEST(ShareForLink(0.25, 100.0) == 1.0);
+  BOOST_TEST(ShareForLink(0.25, 2.0) == 1.0);
+  BOOST_TEST(ShareForLink(0.25, 0.0) == 0.25); // unknown
+}
+
 } // namespace fuchsiaramp
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -31,7 +31,8 @@
 static AdvertisingOptions
 GetAdvertisingOptions(const Settings& aSettings)
 {
-  return { aSettings.sameDomainShare, aSettings.minSameDomainAddresses };
+  return { ShareForLink(aSettings.sameDomainShare, aSettings.linkMbps),
+           aSettings.minSameDomainAddresses };
 }
 
 EntryNode::EntryNode(EntryOptions aOptions,
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -6,6 +6,8 @@
 #include "settings/yaml_reader.h"
 
 namespace fuchsiaramp {
+
+static constexpr double kMaxLinkMbps = 1e6;
 namespace internal {
 
 static constexpr std::size_t kPublicKeyChars = 40; // Z85 text of 32 bytes
@@ -389,6 +391,8 @@
     map.Number("nearby_addresses", settings.minSameDomainAddresses, 1, 64);
   settings.sameDomainShare =
     map.Real("nearby_share", settings.sameDomainShare, 0.0, 1.0);
+  settings.linkMbps =
+    map.Real("link_mbps", settings.linkMbps, 0.0, kMaxLinkMbps);
   settings.addressLifetime =
     map.Span("address_lifetime", settings.addressLifetime);
   settings.announcementLifetime =
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -141,6 +141,7 @@
   // addresses of this share of them, but at least of this number.
   std::size_t minSameDomainAddresses = 2;
   double sameDomainShare = 0.0;
+  double linkMbps = 0.0; // of the host's link, in Mbit/s; 0 if unknown
   // Interval at which an entry host pulls updates from a control host.
   Duration pullInterval = std::chrono::seconds(1);
   Duration addressLifetime = std::chrono::seconds(30);
