Let the use of other cells follow how fast they respond

Ruled out: the concurrency limit (55 or more throughout). Change: OverflowLimit grows while responses from outside the cell take no longer than usual and shrinks when they are slow or shed; the rates of the queue count the host's share of its cell and what it may use outside. A queued request keeps the 85 % quantile of the latency in reserve.

--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -15,8 +15,11 @@
 // How long this host tries to record the outcome of a request in the ledger.
 static constexpr Duration kReportTimeout = std::chrono::minutes(10);
 static constexpr std::size_t kMaxKeyLength = 200; // bytes
-// Of the latencies of a service; the one for which a queued request allows.
+// About the mean latency of a service, with which its rate is estimated.
 static constexpr double kTypicalLatencyQuantile = 0.6;
+// The latency that a queued request must still have left. In an overload all
+// requests start at the last moment, so a request that takes longer ends late.
+static constexpr double kReservedLatencyQuantile = 0.85;
 
 void
 EntryNode::OnRequest(const RequestHead& aHead, TimePoint aNow)
@@ -258,7 +261,7 @@
   router->Retries().OnRequest();
   admission.arrivals.Add({ 1.0, 0.0, 0.0 }, aNow);
   aRequest.stage = Stage::kQueued;
-  const Duration latency = router->LatencyQuantile(kTypicalLatencyQuantile);
+  const Duration latency = router->LatencyQuantile(kReservedLatencyQuantile);
   aRequest.startBy =
     std::max(aNow,
              std::min(aRequest.head.deadline - latency,
@@ -295,15 +298,15 @@
   return Jitter(std::max(kRetryAfterShed, aWait));
 }
 
-// By Little's law, the running attempts start at the rate of their number over
-// their latency.
+// By Little's law, requests start at the rate of those that can run over their
+// latency.
 QueueRates
 EntryNode::RatesOf(const ServiceName& aService, TimePoint aNow)
 {
   const Admission& admission = m_admissions[aService];
   const ServiceRouter* router = m_services->Find(aService);
-  const double running = std::clamp(
-    static_cast<double>(router->Outstanding()), 1.0, admission.limit.Limit());
+  const double running =
+    std::clamp(router->Concurrency(aNow), 1.0, admission.limit.Limit());
   QueueRates rates;
   rates.arriving = admission.arrivals.At(aNow).total * std::numbers::ln2 /
                    ToSeconds(kArrivalHalfLife);
--- a/packages/routing/host_cells.cc
+++ b/packages/routing/host_cells.cc
@@ -8,8 +8,6 @@
 
 namespace fuchsiaramp {
 
-static constexpr double kOverflowShare = 0.5; // of the host's share of slots
-
 // Orders members by hash, so that cells do not follow the order of names, which
 // often follows the placement on racks.
 template<class Id>
@@ -76,15 +74,4 @@
   return cell;
 }
 
-std::size_t
-OverflowLimit(std::size_t aSlots, std::size_t aUsableSlots, std::size_t aHosts)
-{
-  const std::size_t hosts = std::max<std::size_t>(aHosts, 1);
-  const std::size_t unusable = aSlots - std::min(aUsableSlots, aSlots);
-  const double share = (kOverflowShare * static_cast<double>(aSlots) +
-                        static_cast<double>(unusable)) /
-                       static_cast<double>(hosts);
-  return std::max<std::size_t>(static_cast<std::size_t>(share + 0.5), 1);
-}
-
 } // namespace fuchsiaramp
--- a/packages/routing/host_cells.h
+++ b/packages/routing/host_cells.h
@@ -41,13 +41,4 @@
            const std::vector<BackendServerId>& aServers,
            const CellOptions& aOptions);
 
-// The number of requests that a host may have outstanding at the servers of
-// other cells of its failure domain, whose load it does not know. It may
-// replace its share of the slots of its own cell that it cannot use, and exceed
-// that share by half to level out differences between the cells; at least 1.
-//
-// aSlots: of the cell's servers. aUsableSlots: of those that are healthy.
-std::size_t
-OverflowLimit(std::size_t aSlots, std::size_t aUsableSlots, std::size_t aHosts);
-
 } // namespace fuchsiaramp
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -26,6 +26,7 @@
 #include "routing/host_cells.h"
 #include "routing/latency_tracker.h"
 #include "routing/outlier_detector.h"
+#include "routing/overflow_limit.h"
 #include "routing/retry_budget.h"
 #include "wire/messages.h"
 
@@ -164,6 +165,9 @@
   RetryBudget& Retries() { return m_retries; }
   bool HasServers() const { return !m_servers.empty(); }
   std::uint64_t TotalSlots() const;
+  // How many requests this host can have running now: its share of the cell, or
+  // what it uses if that is more, and what it may use outside.
+  double Concurrency(TimePoint aNow) const;
   std::uint64_t Outstanding() const { return m_outstanding; }
   const BackendServer* Find(const BackendServerId& aServer) const;
   // The restriction on a server; null if it is in full use.
@@ -203,9 +207,17 @@
   void AddPeerLoad(const std::map<BackendServerId, std::uint32_t>& aLoad,
                    bool aAdd);
   bool IsInDomain(const ServerView& aView) const;
-  // Whether this host has as many requests outstanding outside its cell as it
-  // may have.
-  bool IsOverflowLimitReached(TimePoint aNow) const;
+  // The slots of this host's cell, and what it has outstanding there and
+  // outside.
+  struct CellUsage
+  {
+    std::size_t slots = 0;
+    std::size_t usableSlots = 0; // of servers that are healthy
+    std::size_t inside = 0;
+    std::size_t outside = 0;
+  };
+  CellUsage UsageOfCell(TimePoint aNow) const;
+  std::size_t LimitOutsideCell(const CellUsage& aUsage) const;
   bool HasHealthyServerInDomain(const ChoiceRequest& aRequest,
                                 TimePoint aNow) const;
   static double UnhealthyProbability(const ServerView& aView, TimePoint aNow);
@@ -213,6 +225,9 @@
   void RecordOutcome(ServerView& aView,
                      const AttemptReport& aReport,
                      TimePoint aNow);
+  void UpdateOverflowLimit(const ServerView& aView,
+                           const AttemptReport& aReport,
+                           TimePoint aNow);
   void ApplyOutcome(ServerView& aView,
                     const AttemptReport& aReport,
                     TimePoint aNow);
@@ -234,6 +249,7 @@
   bool m_subsetIsStale = false;
   Cell m_cell;
   bool m_hasCell = false;
+  OverflowLimit m_overflowLimit;
   LatencyTracker m_latency; // all servers
   // Latency is tracked per region, since responses from other regions take
   // longer although their servers are not slow.
--- a/packages/routing/service_router_health.cc
+++ b/packages/routing/service_router_health.cc
@@ -19,6 +19,7 @@
 // Cost of a server of another cell, whose load is unknown.
 static constexpr double kOtherCellCost = 0.1;
 static constexpr double kTieNoise = 0.02;
+static constexpr int kSlowOutsideFactor = 2;
 // The start of a fault episode should be detected by a request that can be
 // retried rather than by one that cannot. Repeatable requests therefore prefer
 // the server in the failure domain that has had no outcome for longest, and
@@ -120,24 +121,60 @@
   return load;
 }
 
-bool
-ServiceRouter::IsOverflowLimitReached(TimePoint aNow) const
+ServiceRouter::CellUsage
+ServiceRouter::UsageOfCell(TimePoint aNow) const
 {
-  std::size_t slots = 0;
-  std::size_t usableSlots = 0;
-  std::size_t outside = 0;
+  CellUsage usage;
   for (const ServerView* view : m_subset) {
     if (!view->inCell) {
-      outside += view->outstanding;
+      usage.outside += view->outstanding;
       continue;
     }
     const bool usable =
       view->server.state == ServerState::kUp && IsDue(view->avoidUntil, aNow) &&
       UnhealthyProbability(*view, aNow) <= kUnhealthyThreshold;
-    slots += view->server.slots;
-    usableSlots += usable ? view->server.slots : 0;
+    usage.slots += view->server.slots;
+    usage.usableSlots += usable ? view->server.slots : 0;
+    usage.inside += view->outstanding;
+  }
+  return usage;
+}
+
+std::size_t
+ServiceRouter::LimitOutsideCell(const CellUsage& aUsage) const
+{
+  return m_overflowLimit.Limit(
+    OverflowFloor(aUsage.slots, aUsage.usableSlots, m_cell.peers.size() + 1));
+}
+
+double
+ServiceRouter::Concurrency(TimePoint aNow) const
+{
+  if (!m_options.usesHealthEstimates) {
+    return static_cast<double>(m_outstanding);
+  }
+  const CellUsage usage = UsageOfCell(aNow);
+  const double share = static_cast<double>(usage.usableSlots) /
+                       static_cast<double>(m_cell.peers.size() + 1);
+  return std::max(share, static_cast<double>(usage.inside)) +
+         static_cast<double>(std::max(usage.outside, LimitOutsideCell(usage)));
+}
+
+// A response from outside the cell is slow if it takes twice as long as is
+// typical for its region.
+void
+ServiceRouter::UpdateOverflowLimit(const ServerView& aView,
+                                   const AttemptReport& aReport,
+                                   TimePoint aNow)
+{
+  const bool answered = aReport.outcome == AttemptOutcome::kSuccess;
+  if (aView.inCell || (!answered && aReport.outcome != AttemptOutcome::kShed)) {
+    return;
   }
-  return outside >= OverflowLimit(slots, usableSlots, m_cell.peers.size() + 1);
+  const Duration typical =
+    m_latencyByRegion[aView.server.region].TypicalLatency();
+  const bool slow = !answered || aReport.latency > kSlowOutsideFactor * typical;
+  m_overflowLimit.OnResponse(UsageOfCell(aNow).outside + 1, slow);
 }
 
 // Selects the server with the lowest expected cost. A repeatable request may
@@ -152,7 +189,8 @@
     aRequest.staysInDomain && HasHealthyServerInDomain(aRequest, aNow);
   const bool mayProbe =
     aRequest.repeatable && aRequest.excluded.empty() && m_retries.MayRetry();
-  const bool staysInCell = IsOverflowLimitReached(aNow);
+  const CellUsage usage = UsageOfCell(aNow);
+  const bool staysInCell = usage.outside >= LimitOutsideCell(usage);
   for (ServerView* candidate : m_subset) {
     ServerView& view = *candidate;
     const bool inDomain = IsInDomain(view);
@@ -201,6 +239,7 @@
                              const AttemptReport& aReport,
                              TimePoint aNow)
 {
+  UpdateOverflowLimit(aView, aReport, aNow);
   const double before = UnhealthyProbability(aView, aNow);
   ApplyOutcome(aView, aReport, aNow);
   const double after = UnhealthyProbability(aView, aNow);
