Keep the start of a large fleet from drowning its control hosts

Two control hosts sent 43 and 56 MB in the first 10 s, the leader lost its quorum at 80 % of its processor share. Each entry host got the hosts of its region, 147 records, with every change of any host of the fleet, and a push with every commit. Hosts confirmed the empty lists and answered 404. Ruled out: replication (3.4 MB) and fleet views (0.5 MB). Change: in failure domains of 32 hosts or more an entry host hears of the hosts of its domain, and only when these change; pushes are at least 50 ms apart and carry all changes since; hosts do not serve before the first lists. Tests: fleet_table_test, lists_follower_test (DoesNotServeBeforeTheFirstLists failed before).

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -9,6 +9,8 @@
 
 // A follower confirms that its state is current while the last confirmation
 // from a leader with a lease is at most this old.
+// Shortest interval between pushes of changes to entry hosts.
+static constexpr Duration kPushInterval = std::chrono::milliseconds(50);
 static constexpr Duration kMaxFollowerStaleness = std::chrono::seconds(1);
 // Changes are pushed only to entry hosts that pulled within this time.
 static constexpr Duration kSubscriptionTimeout = std::chrono::seconds(3);
@@ -305,12 +307,14 @@
   const bool subscribes = direct && aPull.subscribes();
   if (subscribes && !entryHost.subscribed) {
     // Another control host may have sent it a different set of hosts meanwhile.
-    entryHost.sentFleet = 0;
+    entryHost.sentHosts = 0;
+    entryHost.sentDomainSizes = 0;
   }
   entryHost.subscribed = subscribes;
   entryHost.receivesOutcomes = aPull.hears_outcomes();
   if (aPull.has_self()) {
     entryHost.region = Region(aPull.self().region());
+    entryHost.failureDomain = FailureDomain(aPull.self().failure_domain());
     m_fleet.UpdateHost(aPull.self(), aNow);
   }
   wire::Envelope envelope;
@@ -347,22 +351,37 @@
     }
     host->set_host(member.host());
   }
-  if (aEntryHost.subscribed && aEntryHost.sentFleet != m_fleet.Version()) {
-    aEntryHost.sentFleet = m_fleet.Version();
-    push.set_has_hosts(true);
-    for (const std::size_t size : m_fleet.DomainSizes()) {
-      push.add_domain_sizes(static_cast<std::uint32_t>(size));
-    }
-    for (const wire::HostRecord& host :
-         m_fleet.HostsInRegion(aEntryHost.region)) {
-      *push.add_hosts() = host;
-    }
+  if (aEntryHost.subscribed) {
+    AddEntryHosts(aEntryHost, push);
   }
   aEntryHost.sentLists = lists.Current().Version().Value();
   aEntryHost.sentServers = servers.Version();
   return push;
 }
 
+void
+ControlNode::AddEntryHosts(EntryHostStatus& aEntryHost,
+                           wire::ListsPush& aPush) const
+{
+  if (aEntryHost.sentDomainSizes != m_fleet.Version()) {
+    aEntryHost.sentDomainSizes = m_fleet.Version();
+    for (const std::size_t size : m_fleet.DomainSizes()) {
+      aPush.add_domain_sizes(static_cast<std::uint32_t>(size));
+    }
+  }
+  const std::uint64_t version =
+    m_fleet.NearVersion(aEntryHost.region, aEntryHost.failureDomain);
+  if (aEntryHost.sentHosts == version) {
+    return;
+  }
+  aEntryHost.sentHosts = version;
+  aPush.set_has_hosts(true);
+  for (const wire::HostRecord& host :
+       m_fleet.HostsNear(aEntryHost.region, aEntryHost.failureDomain)) {
+    *aPush.add_hosts() = host;
+  }
+}
+
 // A lost push is repaired by the next pull, which reports the versions of the
 // lists and of the table of backend servers that the entry host has. Entry
 // hosts that join or fail cause no push: when all of them start at once, each
@@ -371,6 +390,12 @@
 void
 ControlNode::PushChanges(TimePoint aNow)
 {
+  // Many changes come together when servers or hosts start. One push then
+  // carries all of them.
+  if (!IsDue(m_nextPushAt, aNow)) {
+    return;
+  }
+  m_nextPushAt = aNow + kPushInterval;
   const GroupState& state = m_groups[kListsGroup]->state;
   const auto lists = state.ListsPart().Current().Version().Value();
   const std::uint64_t servers = state.ServersPart().Version();
@@ -380,9 +405,10 @@
       it = m_entryHosts.erase(it);
       continue;
     }
-    const bool behind = entryHost.sentLists < lists ||
-                        entryHost.sentServers < servers ||
-                        entryHost.sentFleet < m_fleet.LeavingVersion();
+    const bool behind =
+      entryHost.sentLists < lists || entryHost.sentServers < servers ||
+      entryHost.sentHosts <
+        m_fleet.NearLeavingVersion(entryHost.region, entryHost.failureDomain);
     const bool recent =
       !IsDue(entryHost.reportedAt + kSubscriptionTimeout, aNow);
     if (behind && recent && entryHost.subscribed) {
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -98,11 +98,13 @@
   // The versions last sent to the entry host.
   std::uint64_t sentLists = 0;
   std::uint64_t sentServers = 0;
-  std::uint64_t sentFleet = 0;
+  std::uint64_t sentHosts = 0;       // of the entry hosts near it
+  std::uint64_t sentDomainSizes = 0; // version of the fleet
   // Whether the entry host pulls from this host directly and subscribes, so
   // that changes are pushed to it.
   bool subscribed = false;
-  Region region; // the entry hosts of this region are sent to it
+  Region region;
+  FailureDomain failureDomain;
   bool receivesOutcomes = false;
 };
 
@@ -169,6 +171,7 @@
                    const wire::ListsPull& aPull,
                    TimePoint aNow);
   wire::ListsPush MakePush(EntryHostStatus& aEntryHost, TimePoint aNow) const;
+  void AddEntryHosts(EntryHostStatus& aEntryHost, wire::ListsPush& aPush) const;
   void PushChanges(TimePoint aNow);
   void RelayEvidence(const HostId& aFrom,
                      const wire::Envelope& aMessage,
@@ -191,6 +194,7 @@
   CommandClient m_commands; // used while another host is the leader
   ServerWatch m_serverWatch;
   FleetTable m_fleet;
+  TimePoint m_nextPushAt;
   std::vector<HostId> m_joinTargets;
   std::map<HostId, wire::HostRecord> m_controlHostLocations;
   std::set<HostId> m_discoveredHosts; // passed to hostDiscovered
--- a/packages/control/fleet_table.cc
+++ b/packages/control/fleet_table.cc
@@ -14,6 +14,10 @@
 // entry hosts pull from other control hosts.
 static constexpr Duration kViewLifetime = std::chrono::seconds(12);
 
+// With as many hosts as this, a failure domain provides the peers that its
+// hosts need, and lists of the region would cost more than they are worth.
+static constexpr std::size_t kMinHostsOfDomainView = 32;
+
 static std::uint64_t
 DigestOf(const wire::FleetView& aView)
 {
@@ -122,23 +126,89 @@
   for (const auto& [id, host] : m_ownHosts) {
     add(host.record);
   }
-  std::map<std::string, std::size_t> sizes;
-  std::set<std::string> leaving;
+  m_hostsByDomain.clear();
   for (const auto& [host, record] : m_allHosts) {
-    ++sizes[record.failure_domain()];
-    if (record.state() == wire::HostRecord::LEAVING) {
-      leaving.insert(host);
-    }
+    ++m_hostsByDomain[record.failure_domain()];
   }
   m_domainSizes.clear();
-  for (const auto& [domain, size] : sizes) {
+  for (const auto& [domain, size] : m_hostsByDomain) {
     m_domainSizes.push_back(size);
   }
   ++m_version;
-  if (leaving != m_leaving) {
-    m_leaving = std::move(leaving);
-    m_leavingVersion = m_version;
+  UpdateScopes(m_domains, [](const wire::HostRecord& aRecord) {
+    return aRecord.failure_domain();
+  });
+  UpdateScopes(m_regions, [](const wire::HostRecord& aRecord) {
+    return aRecord.region();
+  });
+}
+
+void
+FleetTable::UpdateScopes(
+  Scopes& aScopes,
+  const std::function<std::string(const wire::HostRecord&)>& aNameOf)
+{
+  Scopes current;
+  for (const auto& [host, record] : m_allHosts) {
+    Scope& scope = current[aNameOf(record)];
+    scope.digest = Hash64(record.SerializeAsString(), scope.digest);
+    if (record.state() == wire::HostRecord::LEAVING) {
+      scope.leaving.insert(host);
+    }
+  }
+  for (auto& [name, before] : aScopes) {
+    current.try_emplace(name);
   }
+  for (auto& [name, scope] : current) {
+    const Scope& before = aScopes[name];
+    scope.version = scope.digest == before.digest ? before.version : m_version;
+    scope.leavingVersion =
+      scope.leaving == before.leaving ? before.leavingVersion : m_version;
+  }
+  aScopes = std::move(current);
+}
+
+bool
+FleetTable::IsDomainView(const FailureDomain& aDomain) const
+{
+  const auto it = m_hostsByDomain.find(aDomain.Value());
+  return it != m_hostsByDomain.end() && it->second >= kMinHostsOfDomainView;
+}
+
+const FleetTable::Scope&
+FleetTable::ScopeNear(const Region& aRegion, const FailureDomain& aDomain) const
+{
+  static const Scope kNone;
+  const bool domainView = IsDomainView(aDomain);
+  const Scopes& scopes = domainView ? m_domains : m_regions;
+  const auto it = scopes.find(domainView ? aDomain.Value() : aRegion.Value());
+  return it == scopes.end() ? kNone : it->second;
+}
+
+std::vector<wire::HostRecord>
+FleetTable::HostsNear(const Region& aRegion, const FailureDomain& aDomain) const
+{
+  std::vector<wire::HostRecord> hosts = HostsInRegion(aRegion);
+  if (IsDomainView(aDomain)) {
+    std::erase_if(hosts, [&](const wire::HostRecord& aHost) {
+      return aHost.failure_domain() != aDomain.Value();
+    });
+  }
+  return hosts;
+}
+
+std::uint64_t
+FleetTable::NearVersion(const Region& aRegion,
+                        const FailureDomain& aDomain) const
+{
+  return ScopeNear(aRegion, aDomain).version;
+}
+
+std::uint64_t
+FleetTable::NearLeavingVersion(const Region& aRegion,
+                               const FailureDomain& aDomain) const
+{
+  return ScopeNear(aRegion, aDomain).leavingVersion;
 }
 
 std::vector<wire::HostRecord>
--- a/packages/control/fleet_table.h
+++ b/packages/control/fleet_table.h
@@ -8,10 +8,11 @@
 //   FleetTable table;
 //   table.UpdateHost(record, now);
 //   if (auto view = table.TakeUpdate(now)) { ... send to control hosts ... }
-//   for (const auto& host : table.HostsInRegion(region)) { ... }
+//   for (const auto& host : table.HostsNear(region, domain)) { ... }
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -44,10 +45,18 @@
 
   // All entry hosts of a region, sorted by name.
   std::vector<wire::HostRecord> HostsInRegion(const Region& aRegion) const;
-  // Increases with each change of HostsInRegion() or DomainSizes().
+  // The entry hosts that an entry host of the failure domain needs to know:
+  // those of the domain if they are many, otherwise those of the region.
+  std::vector<wire::HostRecord> HostsNear(const Region& aRegion,
+                                          const FailureDomain& aDomain) const;
+  // The version in which HostsNear() last changed.
+  std::uint64_t NearVersion(const Region& aRegion,
+                            const FailureDomain& aDomain) const;
+  // The version in which a host of HostsNear() last began or ended to leave.
+  std::uint64_t NearLeavingVersion(const Region& aRegion,
+                                   const FailureDomain& aDomain) const;
+  // Increases with each change of the table.
   std::uint64_t Version() const { return m_version; }
-  // The version in which the set of leaving hosts last changed.
-  std::uint64_t LeavingVersion() const { return m_leavingVersion; }
   // The number of entry hosts in each failure domain of the fleet.
   const std::vector<std::size_t>& DomainSizes() const { return m_domainSizes; }
 
@@ -63,15 +72,32 @@
     TimePoint receivedAt;
   };
 
+  // The hosts of a failure domain or region.
+  struct Scope
+  {
+    std::uint64_t digest = 0;
+    std::uint64_t version = 0;
+    std::set<std::string> leaving;
+    std::uint64_t leavingVersion = 0;
+  };
+  using Scopes = std::map<std::string, Scope>;
+
   void Merge();
+  void UpdateScopes(
+    Scopes& aScopes,
+    const std::function<std::string(const wire::HostRecord&)>& aNameOf);
+  bool IsDomainView(const FailureDomain& aDomain) const;
+  const Scope& ScopeNear(const Region& aRegion,
+                         const FailureDomain& aDomain) const;
 
   std::map<HostId, OwnHost> m_ownHosts;
   std::map<HostId, PeerView> m_peerViews; // of other control hosts
   std::map<std::string, wire::HostRecord> m_allHosts;
   std::vector<std::size_t> m_domainSizes;
   std::uint64_t m_version = 1;
-  std::set<std::string> m_leaving;
-  std::uint64_t m_leavingVersion = 0;
+  Scopes m_domains;
+  Scopes m_regions;
+  std::map<std::string, std::size_t> m_hostsByDomain;
   bool m_ownHostsChanged = false;
   TimePoint m_nextRefreshAt;
 };
--- a/packages/control/fleet_table_test.cc
+++ b/packages/control/fleet_table_test.cc
@@ -92,10 +92,44 @@
   BOOST_REQUIRE(table.HostsInRegion(kNorth).size() == 1u);
   BOOST_TEST(table.HostsInRegion(kNorth)[0].state() ==
              wire::HostRecord::LEAVING);
-  // Only the change to leaving is urgent and raises LeavingVersion().
-  BOOST_TEST(table.LeavingVersion() == table.Version());
+  // Only the change to leaving is urgent and raises NearLeavingVersion().
+  const FailureDomain domain("north-a");
+  BOOST_TEST(table.NearLeavingVersion(kNorth, domain) == table.Version());
   table.UpdateHost(Host("b", "north"), kStart);
-  BOOST_TEST(table.LeavingVersion() < table.Version());
+  BOOST_TEST(table.NearLeavingVersion(kNorth, domain) < table.Version());
+  BOOST_TEST(table.NearVersion(kNorth, domain) == table.Version());
+}
+
+static wire::HostRecord
+HostIn(const std::string& aDomain, int aIndex)
+{
+  wire::HostRecord record =
+    Host(aDomain + "-" + std::to_string(aIndex), "north");
+  record.set_failure_domain(aDomain);
+  return record;
+}
+
+// In a large failure domain, hosts know those of the domain alone, and changes
+// elsewhere are none to them.
+BOOST_AUTO_TEST_CASE(HostsOfLargeDomainsKnowTheirDomain)
+{
+  FleetTable table;
+  const FailureDomain large("large");
+  const FailureDomain small("small");
+  for (int i = 0; i < 40; ++i) {
+    table.UpdateHost(HostIn("large", i), kStart);
+  }
+  table.UpdateHost(HostIn("small", 0), kStart);
+  BOOST_TEST(table.HostsNear(kNorth, large).size() == 40u);
+  BOOST_TEST(table.HostsNear(kNorth, small).size() == 41u);
+  const std::uint64_t before = table.NearVersion(kNorth, large);
+  wire::HostRecord leaving = HostIn("small", 1);
+  leaving.set_state(wire::HostRecord::LEAVING);
+  table.UpdateHost(leaving, kStart);
+  BOOST_TEST(table.NearVersion(kNorth, large) == before);
+  BOOST_TEST(table.NearLeavingVersion(kNorth, large) == 0u);
+  BOOST_TEST(table.NearVersion(kNorth, small) == table.Version());
+  BOOST_TEST(table.NearLeavingVersion(kNorth, small) == table.Version());
 }
 
 } // namespace fuchsiaramp
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -152,13 +152,16 @@
     return m_recentRequests.At(m_now).total >= kMinRequestsToReceiveOutcomes;
   };
   listsHooks.entryHostsChanged =
-    [this,
-     membershipFromControl](const std::vector<wire::HostRecord>& aHosts,
-                            const std::vector<std::size_t>& aDomainSizes) {
+    [this, membershipFromControl](const std::vector<wire::HostRecord>& aHosts) {
       if (membershipFromControl) {
         m_membership->SetHosts(aHosts, m_now);
+      }
+    };
+  listsHooks.domainSizesChanged =
+    [this, membershipFromControl](const std::vector<std::size_t>& aSizes) {
+      if (membershipFromControl) {
         m_services->SetRetryBudgetHosts(CountAdvertisedHosts(
-          aDomainSizes, GetAdvertisingOptions(m_options.settings)));
+          aSizes, GetAdvertisingOptions(m_options.settings)));
       }
     };
   listsHooks.record = m_hooks.record;
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -255,9 +255,12 @@
     UpdateControlHosts(aPush);
     // Only the view of the current control host is used: another one may know
     // fewer entry hosts, and the two views would alternate.
-    if (aPush.has_hosts() && aFrom == m_currentControlHost) {
-      m_hooks.entryHostsChanged(
-        { aPush.hosts().begin(), aPush.hosts().end() },
+    const bool current = aFrom == m_currentControlHost;
+    if (current && aPush.has_hosts()) {
+      m_hooks.entryHostsChanged({ aPush.hosts().begin(), aPush.hosts().end() });
+    }
+    if (current && aPush.domain_sizes_size() > 0) {
+      m_hooks.domainSizesChanged(
         { aPush.domain_sizes().begin(), aPush.domain_sizes().end() });
     }
     m_lastControlResponseAt = aNow;
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -52,11 +52,10 @@
   std::function<void(const std::vector<std::string>&)> groupLeadersChanged;
   // All control hosts known now.
   std::function<void(const std::vector<HostId>&)> controlHostsChanged;
-  // The entry hosts that control reports: the records of those of the region,
-  // and the number of hosts in each failure domain.
-  std::function<void(const std::vector<wire::HostRecord>&,
-                     const std::vector<std::size_t>&)>
-    entryHostsChanged;
+  // The entry hosts near this one that control reports.
+  std::function<void(const std::vector<wire::HostRecord>&)> entryHostsChanged;
+  // The number of entry hosts in each failure domain of the fleet.
+  std::function<void(const std::vector<std::size_t>&)> domainSizesChanged;
   // This host's own record to send to control; empty where gossip sends it.
   std::function<std::optional<wire::HostRecord>()> ownRecord;
   // Whether this host needs the server outcomes that other hosts observe.
@@ -85,7 +84,7 @@
   // Gossip reported that a peer has this version.
   void OnPeerVersion(const HostId& aPeer, std::uint64_t aVersion);
 
-  bool IsServing() const { return m_serving; }
+  bool IsServing() const { return m_serving && m_lists.Version().Value() > 0; }
   const Lists& Current() const { return m_lists; }
   // Pulls on the next tick, to send a change of this host's record to control.
   void PullNow() { m_pullAt = TimePoint(); }
--- a/packages/entry/lists_follower_test.cc
+++ b/packages/entry/lists_follower_test.cc
@@ -79,10 +79,10 @@
     hooks.aliveHosts = [] { return std::vector<HostId>{ HostId("entry") }; };
     hooks.groupLeadersChanged = [](const std::vector<std::string>&) {};
     hooks.controlHostsChanged = [](const std::vector<HostId>&) {};
-    hooks.entryHostsChanged = [this](const std::vector<wire::HostRecord>&,
-                                     const std::vector<std::size_t>&) {
+    hooks.entryHostsChanged = [this](const std::vector<wire::HostRecord>&) {
       ++m_hostUpdates;
     };
+    hooks.domainSizesChanged = [](const std::vector<std::size_t>&) {};
     hooks.receivesOutcomes = [] { return true; };
     hooks.ownRecord = [] { return std::optional<wire::HostRecord>(); };
     hooks.serverChanged = [](const wire::BackendServerRecord&) {};
@@ -167,4 +167,17 @@
   BOOST_TEST(test.m_hostUpdates == 1);
 }
 
+// Control confirms empty lists until the operators' first change. No request
+// can be judged by them.
+BOOST_AUTO_TEST_CASE(DoesNotServeBeforeTheFirstLists)
+{
+  FollowerTest test;
+  test.m_version = 0;
+  test.RunFor(std::chrono::seconds(2));
+  BOOST_TEST(!test.m_follower.IsServing());
+  test.m_version = 1;
+  test.RunFor(std::chrono::seconds(2));
+  BOOST_TEST(test.m_follower.IsServing());
+}
+
 } // namespace fuchsiaramp
