--- a/bench/load_bench.cc
+++ b/bench/load_bench.cc
@@ -14,7 +14,7 @@
 namespace fuchsiaramp {
 
 static void
-PrintLoad(LoadOptions aOptions, Duration aSpan)
+PrintLoad(const LoadOptions& aOptions, Duration aSpan)
 {
   const LoadResult result = LoadModel(aOptions).Run(aSpan);
   const double refused = result.refused > 0.0 ? result.refused : 1.0;
--- a/packages/routing/host_cells_test.cc
+++ b/packages/routing/host_cells_test.cc
@@ -14,6 +14,7 @@
 MakeIds(const std::string& aPrefix, int aCount)
 {
   std::vector<Id> ids;
+  ids.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     ids.emplace_back(aPrefix + std::to_string(i));
   }
--- a/packages/routing/overflow_limit.cc
+++ b/packages/routing/overflow_limit.cc
@@ -1,5 +1,7 @@
 #include "routing/overflow_limit.h"
 
+#include <cmath>
+
 namespace fuchsiaramp {
 
 static constexpr double kLevellingShare = 0.5; // of the host's share of slots
@@ -12,7 +14,7 @@
   const double share = (kLevellingShare * static_cast<double>(aSlots) +
                         static_cast<double>(unusable)) /
                        static_cast<double>(hosts);
-  return std::max<std::size_t>(static_cast<std::size_t>(share + 0.5), 1);
+  return std::max<std::size_t>(static_cast<std::size_t>(std::lround(share)), 1);
 }
 
 } // namespace fuchsiaramp
--- a/packages/testing/load_model.cc
+++ b/packages/testing/load_model.cc
@@ -32,8 +32,8 @@
   return routing;
 }
 
-LoadModel::LoadModel(LoadOptions aOptions)
-  : m_options(std::move(aOptions))
+LoadModel::LoadModel(const LoadOptions& aOptions)
+  : m_options(aOptions)
   , m_random(m_options.seed)
   , m_queue(FromMicros(1'000'000'000))
 {
--- a/packages/testing/load_model.h
+++ b/packages/testing/load_model.h
@@ -74,7 +74,7 @@
 class LoadModel
 {
 public:
-  explicit LoadModel(LoadOptions aOptions);
+  explicit LoadModel(const LoadOptions& aOptions);
 
   // Plays aSpan after a warm-up, of which nothing is counted.
   LoadResult Run(Duration aSpan);
