Count the age of a lease message from the follower's own reply

Cause: a follower took each message of a leader with a lease as new at its receipt. A message that lay in a backlog for seconds let it confirm old lists and an old table of servers for another second, and entry hosts stayed with it. Class: acting on a permission that ran out on the way. Change: followers put their clock into replies, the leader returns the newest; the follower's state is current as of that reply. The allowed age grows from 1 s to 1.3 s, since the age now includes up to two heartbeat intervals. Before: control_node_test, AFollowerWhoseMessagesArriveLateDoesNotConfirmOldLists failed 8 times (version 1 confirmed 1 to 2.6 s after version 2 was committed). Conclusion: why the fix works: the lease was certainly held when the reply was sent, however long the message took.

--- a/packages/consensus/node.cc
+++ b/packages/consensus/node.cc
@@ -35,6 +35,7 @@
   , m_appliedConfiguration(m_snapshotMeta.configuration())
   , m_bootstrap(Self(), m_options.hosts)
   , m_joinTargets(m_options.hosts)
+  , m_startedAt(aNow)
   , m_probeAt(aNow)
 {
   RecomputeConfiguration();
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -136,6 +136,8 @@
     std::uint64_t match = 0;
     std::uint64_t next = 1;
     TimePoint ackedSendTime; // leader's send time of the newest acked message
+    // The member's own time of the newest reply received from it.
+    std::int64_t repliedAtUs = 0;
     bool replied = false;
     std::optional<std::uint64_t> snapshotOffset;
     TimePoint chunkRetryAt;
@@ -193,6 +195,7 @@
                 TimePoint aNow);
   std::uint64_t ConflictHint(std::uint64_t aIndex) const;
   void MergeEntries(const wire::RaftMessage& aMessage);
+  void RecordLease(const wire::RaftMessage& aMessage);
   Progress* RecordReply(const MemberId& aFrom,
                         const wire::RaftMessage& aMessage,
                         TimePoint aNow);
@@ -286,10 +289,12 @@
   Bootstrap m_bootstrap;
   std::vector<HostId> m_joinTargets;
   TimePoint m_leaderSince; // when this member became leader
-  // Commit index last sent by a leader with a lease, and its arrival time.
+  // Commit index last sent by a leader with a lease, and the time of the reply
+  // of this member that the leader had received by then.
   std::uint64_t m_leasedCommit = 0;
   TimePoint m_leasedAt;
-  TimePoint m_currentAt; // arrival time of the last applied m_leasedCommit
+  TimePoint m_currentAt; // m_leasedAt of the last applied m_leasedCommit
+  TimePoint m_startedAt;
   TimePoint m_probeAt;
   std::map<HostId, JoinRequest> m_joinRequests;
 
--- a/packages/consensus/node_replication.cc
+++ b/packages/consensus/node_replication.cc
@@ -57,6 +57,7 @@
   message.set_commit(m_commit);
   message.set_leased(HasLease(aNow));
   message.set_sent_at_us(ToMicros(aNow));
+  message.set_replied_at_us(aProgress.repliedAtUs);
   std::uint64_t bytes = 0;
   const std::uint64_t last =
     std::min(m_log.LastIndex(), aProgress.match + kMaxInFlightEntries);
@@ -76,6 +77,7 @@
 {
   wire::RaftMessage reply = Message(wire::RaftMessage::APPEND_REPLY);
   reply.set_sent_at_us(aMessage.sent_at_us());
+  reply.set_replied_at_us(ToMicros(aNow));
   if (aMessage.term() < Term()) {
     Send(aFrom, aMessage.from_disk(), reply);
     return;
@@ -97,15 +99,25 @@
   MergeEntries(aMessage);
   const std::uint64_t matched = previous + aMessage.entries_size();
   m_commit = std::max(m_commit, std::min(aMessage.commit(), matched));
-  if (aMessage.leased()) {
-    m_leasedCommit = std::max<std::uint64_t>(aMessage.commit(), 1);
-    m_leasedAt = aNow;
-  }
+  RecordLease(aMessage);
   reply.set_granted(true);
   reply.set_match_index(std::max(matched, m_log.SnapshotIndex()));
   Send(aFrom, aMessage.from_disk(), reply);
 }
 
+// A message may arrive long after the leader sent it. The lease was certainly
+// held when this member sent the reply that the message confirms.
+void
+Node::RecordLease(const wire::RaftMessage& aMessage)
+{
+  const TimePoint repliedAt = FromMicros(aMessage.replied_at_us());
+  if (!aMessage.leased() || repliedAt < m_startedAt || repliedAt < m_leasedAt) {
+    return;
+  }
+  m_leasedCommit = std::max<std::uint64_t>(aMessage.commit(), 1);
+  m_leasedAt = repliedAt;
+}
+
 // The index after which the leader retries when the log does not match. Skips
 // all entries of the conflicting term at once.
 std::uint64_t
@@ -168,6 +180,8 @@
   progress.replied = true;
   progress.ackedSendTime =
     std::max(progress.ackedSendTime, FromMicros(aMessage.sent_at_us()));
+  progress.repliedAtUs =
+    std::max(progress.repliedAtUs, aMessage.replied_at_us());
   return &progress;
 }
 
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -7,11 +7,13 @@
 
 namespace fuchsiaramp {
 
-// A follower confirms that its state is current while the last confirmation
-// from a leader with a lease is at most this old.
 // Shortest interval between pushes of changes to entry hosts.
 static constexpr Duration kPushInterval = std::chrono::milliseconds(50);
-static constexpr Duration kMaxFollowerStaleness = std::chrono::seconds(1);
+// A follower confirms that its state is current while the last confirmation
+// from a leader with a lease is at most this old. That is up to two heartbeat
+// intervals where no message is lost.
+static constexpr Duration kMaxFollowerStaleness =
+  std::chrono::milliseconds(1300);
 // Changes are pushed only to entry hosts that pulled within this time.
 static constexpr Duration kSubscriptionTimeout = std::chrono::seconds(3);
 static constexpr Duration kEntryHostRetention = std::chrono::minutes(10);
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -175,6 +175,33 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AFollowerWhoseMessagesArriveLateDoesNotConfirmOldLists)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  group.Put(kDocument, 0, "change-a");
+  const ControlNode* leader = group.Leader(0);
+  HostId leading;
+  HostId follower;
+  for (const HostId& host : group.m_hosts) {
+    (group.m_nodes[host].get() == leader ? leading : follower) = host;
+  }
+  FakeNetworkOptions options;
+  options.extraDelay = [=](const HostId& aFrom, const HostId& aTo) {
+    const bool late = aFrom == leading && aTo == follower;
+    return late ? Duration(std::chrono::seconds(3)) : Duration();
+  };
+  group.m_network.SetOptions(options);
+  group.Run(std::chrono::milliseconds(3500));
+  group.Put(kOther, 1, "change-b");
+  group.Run(std::chrono::seconds(1));
+  for (int i = 0; i < 8; ++i) {
+    for (const std::uint64_t version : ConfirmedVersions(group)) {
+      BOOST_TEST(version == 2u);
+    }
+  }
+}
+
 // Pulls as entry host aHost of aRegion and returns the entry hosts that the
 // reply names.
 static std::vector<std::string>
