Log when an entry host learns that a backend server leaves

Change: one line per host and leaving server, with the version of the table, the control host that it pulls from and the age of its last confirmation. The volume follows the number of servers that leave, not that of requests.

--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -140,6 +140,15 @@
     }
   };
   listsHooks.serverChanged = [this](const wire::BackendServerRecord& aRecord) {
+    if (aRecord.state() == wire::BackendServerRecord::LEAVING) {
+      m_hooks.record(
+        Event("server_leaving")
+          .With("server", aRecord.id())
+          .With("servers_version", m_lists->ServersVersion())
+          .With("from", m_lists->CurrentControlHost())
+          .With("confirmed_ms_ago",
+                (m_now - m_lists->ConfirmedAt()).count() / 1000));
+    }
     m_directory.UpdateFromControl(aRecord);
   };
   const bool membershipFromControl = settings.membershipByControl;
