Ignore responses to pulls that were given up when choosing a control host

Cause: a response to a pull that was given up after 400 ms cleared the mark by which its host is avoided, so an entry host returned to a control host that responds in 1.2 s with each such response, and went away again at the next pull.

--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -91,6 +91,7 @@
                         IsDue(control.pendingSince + kPullTimeout, aNow);
     if (missed) {
       control.pendingPullId = 0;
+      control.missedPullId = m_nextPull - 1;
       control.avoidUntil = aNow + kAvoidSilentTime;
     }
   }
@@ -152,6 +153,9 @@
     return;
   }
   ControlHost& control = it->second;
+  if (aPush.pull_id() <= control.missedPullId) {
+    return;
+  }
   control.pendingPullId = 0;
   // A control host that lost its leader cannot confirm that its lists are
   // current.
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -120,6 +120,8 @@
     TimePoint avoidUntil;            // set if it gives no confirmation
     std::uint64_t pendingPullId = 0; // unanswered; 0 if none
     TimePoint pendingSince;
+    // Pulls up to this one got no response in time.
+    std::uint64_t missedPullId = 0;
   };
 
   void ApplyServers(const wire::ServersDelta& aDelta);
--- a/packages/entry/lists_follower_test.cc
+++ b/packages/entry/lists_follower_test.cc
@@ -29,6 +29,14 @@
       pulls.swap(m_pulls);
       for (const auto& [host, pull] : pulls) {
         m_pullCounts[host] += 1;
+        const auto delay = m_responseDelays.find(host);
+        const bool delayed = delay != m_responseDelays.end();
+        m_due.emplace(delayed ? m_now + delay->second : m_now,
+                      std::pair(host, pull));
+      }
+      while (!m_due.empty() && IsDue(m_due.begin()->first, m_now)) {
+        const auto [host, pull] = m_due.begin()->second;
+        m_due.erase(m_due.begin());
         Respond(host, pull);
       }
     }
@@ -94,6 +102,8 @@
   std::uint64_t m_version = 1;
   std::set<HostId> m_silent;
   std::set<HostId> m_stale; // cannot confirm their lists
+  std::map<HostId, Duration> m_responseDelays;
+  std::multimap<TimePoint, std::pair<HostId, wire::ListsPull>> m_due;
   std::map<HostId, int> m_pullCounts;
   int m_hostUpdates = 0;
   std::vector<std::pair<HostId, wire::ListsPull>> m_pulls;
@@ -140,6 +150,23 @@
   BOOST_TEST(test.m_follower.Current().Version().Value() == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(DoesNotReturnToAControlHostWhoseResponsesComeLate)
+{
+  FollowerTest test;
+  test.RunFor(std::chrono::seconds(2));
+  test.m_responseDelays[kDomainControl] = std::chrono::milliseconds(1200);
+  test.RunFor(std::chrono::seconds(2));
+  int returns = 0;
+  for (int i = 0; i < 300; ++i) {
+    test.RunFor(std::chrono::milliseconds(20));
+    returns += test.m_follower.CurrentControlHost() == kDomainControl ? 1 : 0;
+  }
+  BOOST_TEST(returns == 0);
+  test.m_responseDelays.clear();
+  test.RunFor(std::chrono::seconds(6));
+  BOOST_TEST(test.m_follower.CurrentControlHost() == kDomainControl);
+}
+
 BOOST_AUTO_TEST_CASE(KeepsItsPullIntervalsIfNoControlHostConfirms)
 {
   FollowerTest test;
