Keep a server that said that it leaves out after a lapse

The mark of such a server was dropped when control reported it as gone, also where it had only stopped reporting for a while; its next report as the same incarnation put it back in use. Ruled out: restarts, which have a new incarnation. Change: the mark is dropped only where the server ended; marks of lapsed servers are bounded. Test: directory_test, ALeavingServerThatLapsedAndReportsAgainStaysOut (needs the change in ForgetLeaving; the erase before it returned the server to use).

--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -352,6 +352,7 @@
   }
   for (auto& [id, record] : missing) {
     record.set_state(wire::BackendServerRecord::GONE);
+    record.set_lapsed(true);
     m_hooks.serverChanged(record);
   }
 }
--- a/packages/membership/directory.cc
+++ b/packages/membership/directory.cc
@@ -7,6 +7,8 @@
 
 // Key of the record from the control hosts; no host has an empty name.
 static const std::string kControlWatcher;
+// Bounds the memory for servers that never report again.
+static constexpr std::size_t kMaxLapsedWhileLeaving = 10'000;
 
 Directory::Directory(WatcherAlive aWatcherAlive, ChangedHook aChanged)
   : m_watcherAlive(std::move(aWatcherAlive))
@@ -41,7 +43,30 @@
   Evaluate(id);
   if (aRecord.state() == wire::BackendServerRecord::GONE) {
     m_watches.erase(id);
+    ForgetLeaving(aRecord);
+  }
+}
+
+// A server that only stopped reporting may report again as the same
+// incarnation, which is still leaving.
+void
+Directory::ForgetLeaving(const wire::BackendServerRecord& aRecord)
+{
+  const BackendServerId id(aRecord.id());
+  if (!aRecord.lapsed()) {
     m_leavingIncarnation.erase(id);
+    return;
+  }
+  if (m_leavingIncarnation.count(id) == 0) {
+    return;
+  }
+  m_lapsedWhileLeaving.push_back(id);
+  if (m_lapsedWhileLeaving.size() > kMaxLapsedWhileLeaving) {
+    const BackendServerId oldest = m_lapsedWhileLeaving.front();
+    m_lapsedWhileLeaving.pop_front();
+    if (m_servers.count(oldest) == 0) {
+      m_leavingIncarnation.erase(oldest);
+    }
   }
 }
 
--- a/packages/membership/directory.h
+++ b/packages/membership/directory.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -73,6 +74,7 @@
 
 private:
   void Evaluate(const BackendServerId& aServer);
+  void ForgetLeaving(const wire::BackendServerRecord& aRecord);
 
   WatcherAlive m_watcherAlive;
   ChangedHook m_changed;
@@ -80,6 +82,7 @@
                      std::map<std::string, wire::BackendServerRecord>>
     m_watches;
   std::unordered_map<BackendServerId, std::uint64_t> m_leavingIncarnation;
+  std::deque<BackendServerId> m_lapsedWhileLeaving; // oldest first
   std::unordered_map<BackendServerId, BackendServer> m_servers;
 };
 
