Obey Server-Leaving and Retry-After in the responses of servers

A server that leaves says so in each response, and one that rejects with 503 may say for how long it wants no requests from this host. Change: a leaving server gets no new requests at once; one with Retry-After gets none before it ends, whatever other outcomes follow (a refused connection shortened the avoidance to 0.5 s, trial requests ignored it), and hedges on the same server respect both.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -99,6 +99,7 @@
   report.latency = aNow - attempt.startedAt;
   report.reportedLoad = aEnd.reportedLoad;
   report.countedAsSlow = attempt.countedAsSlow;
+  report.retryAfter = aEnd.retryAfter;
   const double running = static_cast<double>(router->Outstanding());
   RecordEnded(attempt, aEnd, report.latency, aNow);
   router->OnFinished(attempt.server, report, aNow);
@@ -462,7 +463,7 @@
   ServiceRouter* router = m_services->Find(aRequest.head.service);
   const bool sameServer = aRequest.hedges == 0 &&
                           aLate.connection == ConnectionKind::kReused &&
-                          router->HasFreeSlot(aLate.server);
+                          router->IsAvailable(aLate.server, aNow);
   std::optional<BackendServerId> server = aLate.server;
   if (!sameServer) {
     server = router->Choose({ true, aRequest.excludedServers }, aNow);
--- a/packages/entry/request.h
+++ b/packages/entry/request.h
@@ -70,6 +70,8 @@
   std::uint32_t status = 0;
   std::optional<std::uint32_t> reportedLoad;
   bool serverIsLeaving = false;
+  // For how long the server wants no requests from this host, if it says so.
+  std::optional<Duration> retryAfter;
   std::string contentType;
   // The response body if it is small enough for the ledger.
   std::optional<std::string> body;
--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -278,6 +278,7 @@
       end.status = response->result_int();
       end.contentType = std::string((*response)[http::field::content_type]);
       end.serverIsLeaving = m_classified.serverIsLeaving;
+      end.retryAfter = m_classified.retryAfter;
       end.reportedLoad = m_classified.reportedLoad;
       if (response->body().size() <= m_owner.m_options.maxLedgerResponseBytes) {
         end.body = response->body();
--- a/packages/net/backend_client.h
+++ b/packages/net/backend_client.h
@@ -56,6 +56,8 @@
   AttemptOutcome outcome = AttemptOutcome::kSuccess;
   std::optional<std::uint32_t> reportedLoad;
   bool serverIsLeaving = false;
+  // For how long the server wants no requests from this host, if it says so.
+  std::optional<Duration> retryAfter;
 };
 
 using ResponseClassifier =
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -228,7 +228,7 @@
     const bool trial = view.restriction &&
                        view.restriction->state == HealthState::kTrial &&
                        view.server.state == ServerState::kUp;
-    if (!trial || view.outstanding > 0) {
+    if (!trial || view.outstanding > 0 || !IsDue(view.avoidUntil, aNow)) {
       continue;
     }
     const double interval = static_cast<double>(m_reporters) / kTrialsPerSecond;
@@ -322,10 +322,13 @@
 }
 
 bool
-ServiceRouter::HasFreeSlot(const BackendServerId& aServer) const
+ServiceRouter::IsAvailable(const BackendServerId& aServer,
+                           TimePoint aNow) const
 {
   const auto it = m_servers.find(aServer);
   return it != m_servers.end() &&
+         it->second.server.state == ServerState::kUp &&
+         IsDue(it->second.avoidUntil, aNow) &&
          it->second.outstanding < it->second.server.slots;
 }
 
@@ -349,6 +352,9 @@
   ServerView& view = it->second;
   view.outstanding -= view.outstanding > 0 ? 1 : 0;
   RecordOutcome(view, aReport, aNow);
+  if (aReport.retryAfter) {
+    view.avoidUntil = std::max(view.avoidUntil, aNow + *aReport.retryAfter);
+  }
   if (aReport.reportedLoad) {
     const double own = view.outstanding + 1.0;
     view.otherHostsLoad = std::max(0.0, *aReport.reportedLoad - own);
@@ -379,7 +385,7 @@
       view.avoidUntil = kNever; // until it restarts
       break;
     case AttemptOutcome::kRefused:
-      view.avoidUntil = aNow + kAvoidAfterRefused;
+      view.avoidUntil = std::max(view.avoidUntil, aNow + kAvoidAfterRefused);
       RecordFailure(view);
       break;
     case AttemptOutcome::kShed:
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -85,6 +85,8 @@
   // Number of running requests reported by the server, if it reported one.
   std::optional<std::uint32_t> reportedLoad;
   bool countedAsSlow = false; // OnOverdue was called for the attempt
+  // For how long the server wants no requests from this host, if it says so.
+  std::optional<Duration> retryAfter;
 };
 
 class ServiceRouter
@@ -100,8 +102,9 @@
                                         TimePoint aNow);
   // Whether a request that this host sent to the server after aTime succeeded.
   bool AnsweredSince(const BackendServerId& aServer, TimePoint aTime) const;
-  // Whether the server has a free slot, considering only this host's requests.
-  bool HasFreeSlot(const BackendServerId& aServer) const;
+  // Whether the server takes requests and has a free slot, considering only
+  // this host's requests.
+  bool IsAvailable(const BackendServerId& aServer, TimePoint aNow) const;
   void OnStarted(const BackendServerId& aServer);
   void OnFinished(const BackendServerId& aServer,
                   const AttemptReport& aReport,
--- a/packages/routing/service_router_test.cc
+++ b/packages/routing/service_router_test.cc
@@ -102,6 +102,29 @@
   BOOST_TEST(!test.m_router.HasSharedOutcomes());
 }
 
+BOOST_AUTO_TEST_CASE(AServerGetsNoRequestForTheTimeThatItAskedFor)
+{
+  RouterFixture test;
+  const BackendServerId server("a1");
+  test.m_router.OnStarted(server);
+  AttemptReport report;
+  report.outcome = AttemptOutcome::kShed;
+  report.retryAfter = std::chrono::seconds(2);
+  test.m_router.OnFinished(server, report, test.m_now);
+  // Later outcomes of requests that were already running do not shorten it.
+  test.Finish("a1", AttemptOutcome::kShed);
+  test.Finish("a1", AttemptOutcome::kRefused);
+  test.Finish("a1", AttemptOutcome::kSuccess);
+  const TimePoint end = test.m_now + std::chrono::seconds(2);
+  while (test.m_now < end) {
+    BOOST_TEST(test.Choices()["a1"] == 0);
+    BOOST_TEST(test.Choices(true)["a1"] == 0);
+    BOOST_TEST(!test.m_router.IsAvailable(server, test.m_now));
+    test.m_now += std::chrono::milliseconds(100);
+  }
+  BOOST_TEST(test.m_router.IsAvailable(server, test.m_now));
+}
+
 BOOST_AUTO_TEST_CASE(OutcomesOfOtherHostsCountLikeOwnOnes)
 {
   RouterFixture test;
