Withdraw and forward from entry hosts that reach no backend server

Cause: nothing told a host that it was the one at fault. It kept its callers waiting for servers that it could not reach, and the directory went on naming it. Ruled out: evidence of such a host about servers (only the servers' own responses are shared with other hosts). Change: failed connections to three servers without one that succeeds raise a suspicion, eight connections to servers of all services confirm it (ServerReachability). The host then marks its record (cut_off), which control pushes at once; the directory replaces marked hosts by as many others, unless all are marked. Requests that still arrive, and those that wait, are forwarded to an entry host that still reaches servers, one hop, with the remaining deadline, the caller's id, key and closing; a host that is busy refuses forwarded work first. Idle hosts check themselves when another host of the region is cut off. Conclusion: the directory alone cannot help callers that hold an answer for three times its lifetime; forwarding alone costs bytes between failure domains as long as the cut lasts.

--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -75,6 +75,7 @@
 
 using RequestId = NumberId<struct RequestTag>;
 using AttemptId = NumberId<struct AttemptTag>;
+using ProbeId = NumberId<struct ProbeTag>;
 using ListsVersion = NumberId<struct ListsVersionTag>;
 using Fingerprint = NumberId<struct FingerprintTag>;
 
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -410,7 +410,7 @@
     const bool behind =
       entryHost.sentLists < lists || entryHost.sentServers < servers ||
       entryHost.sentHosts <
-        m_fleet.NearLeavingVersion(entryHost.region, entryHost.failureDomain);
+        m_fleet.NearWithdrawnVersion(entryHost.region, entryHost.failureDomain);
     const bool recent =
       !IsDue(entryHost.reportedAt + kSubscriptionTimeout, aNow);
     if (behind && recent && entryHost.subscribed) {
--- a/packages/control/fleet_table.cc
+++ b/packages/control/fleet_table.cc
@@ -1,5 +1,6 @@
 #include "control/fleet_table.h"
 
+#include <tuple>
 #include <utility>
 
 #include "base/digest.h"
@@ -103,7 +104,7 @@
 
 // An entry host that switches to another control host is in two views for a
 // short time. The record with the newest incarnation wins; within an
-// incarnation, a leaving record wins.
+// incarnation, a leaving record wins, then the newest revision.
 void
 FleetTable::Merge()
 {
@@ -111,8 +112,9 @@
   const auto add = [&](const wire::HostRecord& aRecord) {
     wire::HostRecord& record = m_allHosts[aRecord.host()];
     const auto rank = [](const wire::HostRecord& aHost) {
-      return std::pair(aHost.incarnation(),
-                       aHost.state() == wire::HostRecord::LEAVING);
+      return std::tuple(aHost.incarnation(),
+                        aHost.state() == wire::HostRecord::LEAVING,
+                        aHost.revision());
     };
     if (record.host().empty() || rank(record) < rank(aRecord)) {
       record = aRecord;
@@ -152,8 +154,8 @@
   for (const auto& [host, record] : m_allHosts) {
     Scope& scope = current[aNameOf(record)];
     scope.digest = Hash64(record.SerializeAsString(), scope.digest);
-    if (record.state() == wire::HostRecord::LEAVING) {
-      scope.leaving.insert(host);
+    if (record.state() == wire::HostRecord::LEAVING || record.cut_off()) {
+      scope.withdrawn.insert(host);
     }
   }
   for (auto& [name, before] : aScopes) {
@@ -162,8 +164,8 @@
   for (auto& [name, scope] : current) {
     const Scope& before = aScopes[name];
     scope.version = scope.digest == before.digest ? before.version : m_version;
-    scope.leavingVersion =
-      scope.leaving == before.leaving ? before.leavingVersion : m_version;
+    scope.withdrawnVersion =
+      scope.withdrawn == before.withdrawn ? before.withdrawnVersion : m_version;
   }
   aScopes = std::move(current);
 }
@@ -205,10 +207,10 @@
 }
 
 std::uint64_t
-FleetTable::NearLeavingVersion(const Region& aRegion,
-                               const FailureDomain& aDomain) const
+FleetTable::NearWithdrawnVersion(const Region& aRegion,
+                                 const FailureDomain& aDomain) const
 {
-  return ScopeNear(aRegion, aDomain).leavingVersion;
+  return ScopeNear(aRegion, aDomain).withdrawnVersion;
 }
 
 std::vector<wire::HostRecord>
--- a/packages/control/fleet_table.h
+++ b/packages/control/fleet_table.h
@@ -53,8 +53,8 @@
   std::uint64_t NearVersion(const Region& aRegion,
                             const FailureDomain& aDomain) const;
   // The version in which a host of HostsNear() last began or ended to leave.
-  std::uint64_t NearLeavingVersion(const Region& aRegion,
-                                   const FailureDomain& aDomain) const;
+  std::uint64_t NearWithdrawnVersion(const Region& aRegion,
+                                     const FailureDomain& aDomain) const;
   // Increases with each change of the table.
   std::uint64_t Version() const { return m_version; }
   // The number of entry hosts in each failure domain of the fleet.
@@ -77,8 +77,9 @@
   {
     std::uint64_t digest = 0;
     std::uint64_t version = 0;
-    std::set<std::string> leaving;
-    std::uint64_t leavingVersion = 0;
+    // Hosts that callers must not use: they leave or are cut off.
+    std::set<std::string> withdrawn;
+    std::uint64_t withdrawnVersion = 0;
   };
   using Scopes = std::map<std::string, Scope>;
 
--- a/packages/control/fleet_table_test.cc
+++ b/packages/control/fleet_table_test.cc
@@ -92,11 +92,11 @@
   BOOST_REQUIRE(table.HostsInRegion(kNorth).size() == 1u);
   BOOST_TEST(table.HostsInRegion(kNorth)[0].state() ==
              wire::HostRecord::LEAVING);
-  // Only the change to leaving is urgent and raises NearLeavingVersion().
+  // Only the change to leaving is urgent and raises NearWithdrawnVersion().
   const FailureDomain domain("north-a");
-  BOOST_TEST(table.NearLeavingVersion(kNorth, domain) == table.Version());
+  BOOST_TEST(table.NearWithdrawnVersion(kNorth, domain) == table.Version());
   table.UpdateHost(Host("b", "north"), kStart);
-  BOOST_TEST(table.NearLeavingVersion(kNorth, domain) < table.Version());
+  BOOST_TEST(table.NearWithdrawnVersion(kNorth, domain) < table.Version());
   BOOST_TEST(table.NearVersion(kNorth, domain) == table.Version());
 }
 
@@ -127,9 +127,9 @@
   leaving.set_state(wire::HostRecord::LEAVING);
   table.UpdateHost(leaving, kStart);
   BOOST_TEST(table.NearVersion(kNorth, large) == before);
-  BOOST_TEST(table.NearLeavingVersion(kNorth, large) == 0u);
+  BOOST_TEST(table.NearWithdrawnVersion(kNorth, large) == 0u);
   BOOST_TEST(table.NearVersion(kNorth, small) == table.Version());
-  BOOST_TEST(table.NearLeavingVersion(kNorth, small) == table.Version());
+  BOOST_TEST(table.NearWithdrawnVersion(kNorth, small) == table.Version());
 }
 
 } // namespace fuchsiaramp
--- a/packages/entry/advertised_hosts.cc
+++ b/packages/entry/advertised_hosts.cc
@@ -28,6 +28,15 @@
                   static_cast<std::size_t>(std::lround(share)));
 }
 
+static bool
+AreAllCutOff(const std::unordered_map<std::string, wire::HostRecord>& aHosts)
+{
+  return std::all_of(aHosts.begin(), aHosts.end(), [](const auto& aItem) {
+    const wire::HostRecord& host = aItem.second;
+    return host.state() != wire::HostRecord::ALIVE || host.cut_off();
+  });
+}
+
 std::vector<const wire::HostRecord*>
 SelectAdvertisedHosts(
   const std::unordered_map<std::string, wire::HostRecord>& aHosts,
@@ -39,6 +48,8 @@
   using Rank = std::pair<int, std::uint64_t>;
   std::vector<std::pair<Rank, const wire::HostRecord*>> ranked;
   const std::uint64_t seed = Hash64(aDomain.Value());
+  const bool allCutOff = AreAllCutOff(aHosts);
+  // Includes hosts that are cut off: their callers need as many others.
   std::size_t inDomain = 0;
   for (const auto& [name, record] : aHosts) {
     if (record.state() != wire::HostRecord::ALIVE) {
@@ -48,7 +59,9 @@
     const bool sameRegion = record.region() == aRegion.Value();
     const int distance = sameDomain ? 0 : (sameRegion ? 1 : 2);
     inDomain += sameDomain ? 1 : 0;
-    ranked.push_back({ { distance, Hash64(name, seed) }, &record });
+    if (allCutOff || !record.cut_off()) {
+      ranked.push_back({ { distance, Hash64(name, seed) }, &record });
+    }
   }
   std::sort(ranked.begin(), ranked.end());
   const std::size_t count =
--- a/packages/entry/advertised_hosts.h
+++ b/packages/entry/advertised_hosts.h
@@ -34,7 +34,9 @@
 double
 ShareForLink(double aPreferredShare, double aLinkMbps);
 
-// Best first. Every host with the same host table gets the same result.
+// Best first. Hosts that are cut off from the backend servers are replaced by
+// the next closest ones, unless all hosts are. Every host with the same host
+// table gets the same result.
 std::vector<const wire::HostRecord*>
 SelectAdvertisedHosts(
   const std::unordered_map<std::string, wire::HostRecord>& aHosts,
--- a/packages/entry/advertised_hosts_test.cc
+++ b/packages/entry/advertised_hosts_test.cc
@@ -85,4 +85,32 @@
   BOOST_TEST(ShareForLink(0.25, 0.0) == 0.25); // unknown
 }
 
+// Callers of a failure domain whose hosts all lost the servers need as many
+// hosts as before, not just a few.
+BOOST_AUTO_TEST_CASE(HostsThatAreCutOffAreReplacedByAsManyOthers)
+{
+  HostTable table;
+  AddHosts(table, "r", "r-a", 12);
+  AddHosts(table, "r", "r-b", 12);
+  for (int i = 0; i < 12; ++i) {
+    table["r-a-" + std::to_string(i)].set_cut_off(true);
+  }
+  const auto names = AdvertisedNames(table, kOneThird);
+  BOOST_TEST(names.size() == 4u);
+  for (const std::string& name : names) {
+    BOOST_TEST(!table[name].cut_off());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AllHostsAreAdvertisedIfAllAreCutOff)
+{
+  HostTable table;
+  AddHosts(table, "r", "r-a", 6);
+  const auto before = AdvertisedNames(table, kOneThird);
+  for (auto& [name, record] : table) {
+    record.set_cut_off(true);
+  }
+  BOOST_TEST((AdvertisedNames(table, kOneThird) == before));
+}
+
 } // namespace fuchsiaramp
--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -92,6 +92,14 @@
   }
   const Attempt attempt = it->second;
   m_attempts.erase(it);
+  if (attempt.forwards) {
+    const auto forwarded = m_requests.find(attempt.request);
+    if (forwarded != m_requests.end()) {
+      OnForwardEnd(forwarded->second, aEnd, aNow);
+    }
+    return;
+  }
+  RecordReachability(attempt, aEnd.outcome, aNow);
   ServiceRouter* router = m_services->Find(attempt.service);
   Admission& admission = m_admissions[attempt.service];
   AttemptReport report;
@@ -286,6 +294,9 @@
     return false;
   }
   ++m_counters.retries;
+  if (m_reachability->IsCutOff()) {
+    return Forward(aRequest, aNow);
+  }
   if (aRequest.attemptsShed > 0 &&
       aRequest.attemptsShed % kShedsBeforeRetryDelay == 0) {
     DeferRetry(aRequest, aNow);
@@ -461,6 +472,13 @@
     return;
   }
   ServiceRouter* router = m_services->Find(aRequest.head.service);
+  if (m_reachability->IsCutOff()) {
+    if (router->Retries().TryRetry() && Forward(aRequest, aNow)) {
+      ++aRequest.hedges;
+      ++m_counters.hedges;
+    }
+    return;
+  }
   const bool sameServer = aRequest.hedges == 0 &&
                           aLate.connection == ConnectionKind::kReused &&
                           router->IsAvailable(aLate.server, aNow);
@@ -485,10 +503,12 @@
     if (it == m_attempts.end()) {
       continue;
     }
-    AttemptReport report;
-    report.outcome = AttemptOutcome::kCancelled;
-    m_services->Find(it->second.service)
-      ->OnFinished(it->second.server, report, aNow);
+    if (!it->second.forwards) {
+      AttemptReport report;
+      report.outcome = AttemptOutcome::kCancelled;
+      m_services->Find(it->second.service)
+        ->OnFinished(it->second.server, report, aNow);
+    }
     m_attempts.erase(it);
     m_hooks.cancelAttempt(id);
   }
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -31,10 +31,11 @@
   request.head = aHead;
   request.arrivedAt = aNow;
   static constexpr Filter kFilters[] = {
-    &EntryNode::CheckServing, &EntryNode::FindOpenRoute,
-    &EntryNode::Authenticate, &EntryNode::FindRoute,
-    &EntryNode::CheckKey,     &EntryNode::CheckQuarantine,
-    &EntryNode::CheckService, &EntryNode::CheckLimits,
+    &EntryNode::CheckServing,    &EntryNode::FindOpenRoute,
+    &EntryNode::Authenticate,    &EntryNode::FindRoute,
+    &EntryNode::CheckKey,        &EntryNode::CheckQuarantine,
+    &EntryNode::ForwardIfCutOff, &EntryNode::CheckService,
+    &EntryNode::CheckLimits,
   };
   for (const Filter filter : kFilters) {
     if ((this->*filter)(request, aNow) == FilterResult::kDone) {
@@ -272,6 +273,18 @@
       std::min(aRequest.startBy, aNow + aRequest.latencyObjective - latency);
   }
   aRequest.localOnlyUntil = aNow + m_options.settings.routing.maxLocalWait;
+  // Callers of this host go first: the forwarding host has others to ask.
+  if (aRequest.head.forwarded &&
+      EstimateWait(service, aNow) > (aRequest.inTimeUntil - aNow) / 2) {
+    ++m_counters.shed;
+    Refuse(aRequest,
+           CallerOutcome::kNotRun,
+           503,
+           "the service is at capacity",
+           RetryAfterWait(EstimateWait(service, aNow)),
+           aNow);
+    return;
+  }
   const auto dropped = admission.queue.Push(QueuedFrom(aRequest));
   if (dropped) {
     ++m_counters.shed;
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -141,13 +141,12 @@
   };
   listsHooks.serverChanged = [this](const wire::BackendServerRecord& aRecord) {
     if (aRecord.state() == wire::BackendServerRecord::LEAVING) {
-      m_hooks.record(
-        Event("server_leaving")
-          .With("server", aRecord.id())
-          .With("servers_version", m_lists->ServersVersion())
-          .With("from", m_lists->CurrentControlHost())
-          .With("confirmed_ms_ago",
-                (m_now - m_lists->ConfirmedAt()).count() / 1000));
+      m_hooks.record(Event("server_leaving")
+                       .With("server", aRecord.id())
+                       .With("servers_version", m_lists->ServersVersion())
+                       .With("from", m_lists->CurrentControlHost())
+                       .With("confirmed_ms_ago",
+                             (m_now - m_lists->ConfirmedAt()).count() / 1000));
     }
     m_directory.UpdateFromControl(aRecord);
   };
@@ -185,6 +184,13 @@
 
   m_claims = std::make_unique<CommandClient>(controlHosts, m_hooks.send);
 
+  ServerReachabilityHooks reachabilityHooks;
+  reachabilityHooks.servers = [this] { return ProbeTargets(); };
+  reachabilityHooks.startProbe = m_hooks.startProbe;
+  reachabilityHooks.changed = [this] { OnReachabilityChanged(); };
+  m_reachability = std::make_unique<ServerReachability>(
+    std::move(reachabilityHooks), Random(aRandom.Bits()));
+
   PlanLimiterHooks limiterHooks;
   limiterHooks.send = [this](const HostId& aTo,
                              const wire::LimitReport& aMessage) {
@@ -204,6 +210,9 @@
   };
   memberHooks.hostChanged = [this](const wire::HostRecord& aRecord) {
     m_hooks.hostChanged(aRecord);
+    if (aRecord.cut_off()) {
+      m_reachability->OnPeerCutOff(m_now);
+    }
     m_directory.WatcherChanged(HostId(aRecord.host()));
     m_services->HostsChanged();
   };
@@ -283,12 +292,16 @@
 EntryNode::OnAddressQuery(const ServiceName& aService, TimePoint aNow)
 {
   std::vector<HostId> hosts;
+  std::vector<HostId> cutOff;
   for (const HostId& host : m_membership->AliveHosts()) {
     const wire::HostRecord* record = m_membership->Table().FindHost(host);
     if (record->state() == wire::HostRecord::ALIVE) {
-      hosts.push_back(host);
+      (record->cut_off() ? cutOff : hosts).push_back(host);
     }
   }
+  if (hosts.empty()) {
+    hosts.swap(cutOff);
+  }
   hosts = RendezvousTop(aService.Value(), hosts, kHostsPerService);
   AddressResponse response;
   response.lifetime = m_options.settings.addressLifetime;
@@ -382,6 +395,7 @@
   m_claims->Tick(aNow);
   m_services->Tick(aNow);
   m_limiter->Tick(aNow);
+  m_reachability->Tick(aNow);
   ReleaseDeferredRetries(aNow);
   CheckOverdue(aNow);
   CheckDeadlines(aNow);
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -34,6 +34,7 @@
 #include "membership/directory.h"
 #include "membership/membership.h"
 #include "routing/decayed_counts.h"
+#include "routing/server_reachability.h"
 #include "settings/settings.h"
 #include "wire/messages.h"
 
@@ -50,6 +51,8 @@
   SendHook send;
   std::function<ConnectionKind(const AttemptStart&)> startAttempt;
   std::function<void(AttemptId)> cancelAttempt;
+  // Opens and closes a connection to a server; OnProbeEnd must follow.
+  std::function<void(ProbeId, const std::string& aAddress)> startProbe;
   std::function<void(const FinalResponse&)> answer;
   // A host was discovered or its record changed; the adapter keeps its address.
   std::function<void(const wire::HostRecord&)> hostChanged;
@@ -75,6 +78,7 @@
   std::uint64_t hedges = 0;
   std::uint64_t shed = 0;
   std::uint64_t claims = 0;
+  std::uint64_t forwarded = 0; // to other entry hosts
 };
 
 class EntryNode
@@ -87,6 +91,7 @@
 
   void OnRequest(const RequestHead& aHead, TimePoint aNow);
   void OnAttemptEnd(const AttemptEnd& aEnd, TimePoint aNow);
+  void OnProbeEnd(ProbeId aProbe, bool aConnected, TimePoint aNow);
   // The caller closed its connection before its response was sent.
   void OnCallerDisconnected(RequestId aRequest, TimePoint aNow);
   void OnMessage(const HostId& aFrom,
@@ -110,6 +115,8 @@
   // request or ledger command is in flight.
   bool MayExit(TimePoint aNow) const;
   bool IsLeaving() const { return m_leaving; }
+  // Whether this host reaches no backend server.
+  bool IsCutOff() const { return m_reachability->IsCutOff(); }
 
   const ListsFollower& ListsInForce() const { return *m_lists; }
   const Membership& Members() const { return *m_membership; }
@@ -161,6 +168,7 @@
     std::string claimAttempt; // set while this request holds its key
     std::optional<BackendServerId> reservedServer;
     bool callerDisconnected = false;
+    std::set<HostId> triedPeers; // entry hosts to which it was forwarded
   };
 
   // A server that sheds load has a free slot again after about the duration of
@@ -171,6 +179,8 @@
   // retry.
   static constexpr Duration kRetryWhileStarting =
     std::chrono::milliseconds(400);
+  // Another entry host can serve the caller at once.
+  static constexpr Duration kRetryAtOtherHost = std::chrono::milliseconds(50);
   // Maximum number of servers for one request if its route does not set one.
   static constexpr int kDefaultMaxServers = 4;
 
@@ -179,6 +189,7 @@
     RequestId request;
     ServiceName service;
     BackendServerId server;
+    bool forwards = false; // to an entry host; server is empty
     TimePoint startedAt;
     ConnectionKind connection = ConnectionKind::kNew;
     // When the attempt is next counted as overdue; the interval doubles each
@@ -224,6 +235,7 @@
   ServiceName ChooseService(const wire::Route& aRoute);
   FilterResult CheckKey(Request& aRequest, TimePoint aNow);
   FilterResult CheckQuarantine(Request& aRequest, TimePoint aNow);
+  FilterResult ForwardIfCutOff(Request& aRequest, TimePoint aNow);
   FilterResult CheckService(Request& aRequest, TimePoint aNow);
   FilterResult CheckLimits(Request& aRequest, TimePoint aNow);
 
@@ -284,6 +296,17 @@
   void CancelAttempts(Request& aRequest, TimePoint aNow);
   void CheckDeadlines(TimePoint aNow);
 
+  // Forwarding to other entry hosts while this one reaches no server.
+  void RecordReachability(const Attempt& aAttempt,
+                          AttemptOutcome aOutcome,
+                          TimePoint aNow);
+  void OnReachabilityChanged();
+  std::vector<ProbeTarget> ProbeTargets() const;
+  // Returns whether the request was sent to another entry host.
+  bool Forward(Request& aRequest, TimePoint aNow);
+  void ForwardOrRefuse(Request& aRequest, TimePoint aNow);
+  void OnForwardEnd(Request& aRequest, const AttemptEnd& aEnd, TimePoint aNow);
+
   // Refuses a request that did not run. If it has an idempotency key and the
   // ledger has not confirmed that no earlier request with the key ran, the
   // caller gets the outcome unknown.
@@ -318,6 +341,7 @@
   std::unique_ptr<CommandClient> m_claims;
   std::unique_ptr<ServicePlane> m_services;
   std::unique_ptr<PlanLimiter> m_limiter;
+  std::unique_ptr<ServerReachability> m_reachability;
   std::unordered_map<RequestId, Request> m_requests;
   std::unordered_map<AttemptId, Attempt> m_attempts;
   std::unordered_map<ServiceName, Admission> m_admissions;
--- a/packages/entry/request.h
+++ b/packages/entry/request.h
@@ -40,9 +40,12 @@
   std::string callerRequestId;
   // The caller uses an interface without tokens, which has only open routes.
   bool tokenless = false;
+  // Another entry host forwards the request; it is not forwarded again.
+  bool forwarded = false;
 };
 
-// Asks the adapter to send a request to a backend server.
+// Asks the adapter to send a request to a backend server, or to another entry
+// host on behalf of the caller.
 struct AttemptStart
 {
   AttemptId id;
@@ -53,6 +56,7 @@
   TimePoint deadline;
   // Open a new connection instead of using an idle one.
   bool requiresNewConnection = false;
+  bool forwards = false; // to an entry host; server is empty
 };
 
 // The connection that carries an attempt.
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -146,6 +146,14 @@
   m_cellsAreStale = true;
 }
 
+void
+ServicePlane::ForgetPaths()
+{
+  for (auto& [name, service] : m_services) {
+    service.router->ForgetPaths();
+  }
+}
+
 // The new detector starts from the restrictions that this host applies, so that
 // a change of the arbiter does not readmit an unhealthy server.
 void
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -69,6 +69,8 @@
   void SetRetryBudgetHosts(std::size_t aHosts);
   // The set of live hosts changed, or the state of one of them.
   void HostsChanged();
+  // Forgets what requests showed about the paths from this host to servers.
+  void ForgetPaths();
 
   // A connection broke during this request; returns whether the request is
   // quarantined.
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -245,10 +245,24 @@
 Membership::Leave(TimePoint aNow)
 {
   wire::HostRecord record = m_options.self;
-  record.set_revision(record.revision() + 1);
   record.set_state(wire::HostRecord::LEAVING);
-  m_options.self = record;
-  MergeHost(record, aNow);
+  PublishSelf(std::move(record), aNow);
+}
+
+void
+Membership::SetCutOff(bool aCutOff, TimePoint aNow)
+{
+  wire::HostRecord record = m_options.self;
+  record.set_cut_off(aCutOff);
+  PublishSelf(std::move(record), aNow);
+}
+
+void
+Membership::PublishSelf(wire::HostRecord aRecord, TimePoint aNow)
+{
+  aRecord.set_revision(aRecord.revision() + 1);
+  m_options.self = aRecord;
+  MergeHost(aRecord, aNow);
 }
 
 bool
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -78,6 +78,8 @@
   void SetHosts(const std::vector<wire::HostRecord>& aHosts, TimePoint aNow);
   // Adds seeds: hosts to contact while this host knows no other one.
   void AddSeeds(const std::vector<HostId>& aSeeds);
+  // Announces whether this host has lost its connections to all servers.
+  void SetCutOff(bool aCutOff, TimePoint aNow);
   // Announces that this host leaves the fleet.
   void Leave(TimePoint aNow);
 
@@ -126,6 +128,7 @@
   std::vector<HostId> RandomPeers(std::size_t aCount, const HostId& aExcept);
   int MaxTransmissions() const;
   void Publish(const wire::BackendServerRecord& aRecord);
+  void PublishSelf(wire::HostRecord aRecord, TimePoint aNow);
 
   MembershipOptions m_options;
   MembershipHooks m_hooks;
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -13,6 +13,7 @@
 #include "base/digest.h"
 #include "entry/entry_node.h"
 #include "net/backend_client.h"
+#include "net/connection_probe.h"
 #include "net/forwarding.h"
 #include "net/http_responses.h"
 #include "net/http_server.h"
@@ -33,6 +34,8 @@
 static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 static constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
 static constexpr Duration kConnectionCheckInterval = std::chrono::seconds(1);
+// Marks a request that another entry host forwards.
+static constexpr char kForwardedHeader[] = "Fuchsiaramp-Forwarded";
 
 class EntryService::Impl
 {
@@ -56,12 +59,18 @@
                   [this](const HostId& aFrom, const wire::Envelope& aMessage) {
                     m_node->OnMessage(aFrom, aMessage, MonotonicNow());
                   })
-    , m_backends(aIo,
-                 ClientOptions(),
-                 m_api.classifyResponse,
-                 [this](const AttemptEnd& aEnd, BackendResponse* aResponse) {
-                   OnAttemptEnd(aEnd, aResponse);
-                 })
+    , m_backends(
+        aIo,
+        ClientOptions(),
+        [this](const BackendResponse& aResponse,
+               const BackendRequest& aRequest) {
+          return aRequest.count(kForwardedHeader) != 0
+                   ? m_api.classifyPeerResponse(aResponse, aRequest)
+                   : m_api.classifyResponse(aResponse, aRequest);
+        },
+        [this](const AttemptEnd& aEnd, BackendResponse* aResponse) {
+          OnAttemptEnd(aEnd, aResponse);
+        })
     , m_timer(aIo)
   {
     for (const PeerSettings& peer : m_settings.controlHosts) {
@@ -163,6 +172,14 @@
       return StartAttempt(aStart);
     };
     hooks.cancelAttempt = [this](AttemptId aId) { m_backends.Cancel(aId); };
+    hooks.startProbe = [this](ProbeId aProbe, const std::string& aAddress) {
+      ProbeConnection(m_io,
+                      aAddress,
+                      m_settings.routing.connectTimeout,
+                      [this, aProbe](bool aConnected) {
+                        m_node->OnProbeEnd(aProbe, aConnected, MonotonicNow());
+                      });
+    };
     hooks.answer = [this](const FinalResponse& aFinal) {
       OnFinalResponse(aFinal);
     };
@@ -317,6 +334,7 @@
     head.key = std::move(caller.key);
     head.callerRequestId = std::move(caller.callerRequestId);
     head.tokenless = m_api.tokenless;
+    head.forwarded = message.count(kForwardedHeader) != 0;
     const std::string identity = std::string(message.method_string()) + '\n' +
                                  target + '\n' + message.body();
     head.bodyHash = Sha256Hex(identity);
@@ -328,6 +346,7 @@
     pending.exchange = aExchange;
     pending.startedAt = now;
     pending.request = ForwardedRequest(message, m_api.passesHeader);
+    pending.request.erase(kForwardedHeader);
     aExchange->OnDisconnect([this, id = head.id] {
       m_node->OnCallerDisconnected(id, MonotonicNow());
     });
@@ -345,8 +364,16 @@
   ConnectionKind StartAttempt(const AttemptStart& aStart)
   {
     CallerExchange& pending = m_pending.at(aStart.request);
-    m_api.setAttemptHeaders(
-      pending.request, aStart, aStart.deadline - MonotonicNow());
+    const Duration remaining = aStart.deadline - MonotonicNow();
+    if (aStart.forwards) {
+      // The other host needs all headers of the caller.
+      BackendRequest request = ForwardedRequest(
+        pending.exchange->Message(), [](std::string_view) { return true; });
+      request.set(kForwardedHeader, "1");
+      m_api.setDeadline(request, remaining);
+      return m_backends.Start(aStart, request);
+    }
+    m_api.setAttemptHeaders(pending.request, aStart, remaining);
     return m_backends.Start(aStart, pending.request);
   }
 
@@ -403,6 +430,7 @@
         { "role", "entry" },
         { "serving", m_node->ListsInForce().IsServing() },
         { "leaving", m_node->IsLeaving() },
+        { "cut_off", m_node->IsCutOff() },
         { "lists_version", m_node->ListsInForce().Current().Version().Value() },
         { "in_flight", m_node->InFlight() },
         { "requests", counters.requests },
@@ -475,6 +503,9 @@
     counter("hedges_total", &EntryCounters::hedges);
     counter("shed_total", &EntryCounters::shed);
     counter("claims_total", &EntryCounters::claims);
+    counter("forwarded_total", &EntryCounters::forwarded);
+    m_metrics.Gauge("cut_off",
+                    [this] { return m_node->IsCutOff() ? 1.0 : 0.0; });
     AddProcessMetrics(m_metrics, m_transport);
     m_metrics.Gauge("lists_version", [this] {
       return static_cast<double>(
--- a/packages/net/external_api.h
+++ b/packages/net/external_api.h
@@ -114,7 +114,13 @@
   // Sets the headers of a forwarded request that differ between attempts.
   std::function<void(BackendRequest&, const AttemptStart&, Duration aRemaining)>
     setAttemptHeaders;
+  // Sets for how long this host waits for the response to a request.
+  std::function<void(BackendRequest&, Duration aRemaining)> setDeadline;
   ResponseClassifier classifyResponse;
+  // Classifies the response of another entry host. kNotRun: the request did not
+  // run and never will. Others are relayed as they are; kServerError: it is
+  // unknown whether the request ran.
+  ResponseClassifier classifyPeerResponse;
   bool acceptsUnframedResponses = false;
   // Callers send no token, so that only open routes apply.
   bool tokenless = false;
--- a/packages/net/native_api.cc
+++ b/packages/net/native_api.cc
@@ -18,6 +18,7 @@
 static constexpr char kNotRunHeader[] = "Fuchsiaramp-Not-Run";
 static constexpr char kLoadHeader[] = "Fuchsiaramp-Load";
 static constexpr char kStateHeader[] = "Fuchsiaramp-State";
+static constexpr char kOutcomeHeader[] = "Fuchsiaramp-Outcome";
 static constexpr std::uint32_t kMisdirected = 421;
 static constexpr std::uint32_t kTooManyRequests = 429;
 static constexpr std::uint32_t kFirstServerError = 500;
@@ -130,6 +131,28 @@
   return classified;
 }
 
+static void
+SetDeadline(BackendRequest& aRequest, Duration aRemaining)
+{
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining).count();
+  aRequest.set(kDeadlineHeader,
+               std::to_string(std::max<std::int64_t>(milliseconds, 1)));
+}
+
+static ClassifiedResponse
+ClassifyPeerResponse(const BackendResponse& aResponse, const BackendRequest&)
+{
+  ClassifiedResponse classified;
+  const auto outcome = aResponse[kOutcomeHeader];
+  if (outcome == ToText(CallerOutcome::kNotRun)) {
+    classified.outcome = AttemptOutcome::kNotRun;
+  } else if (outcome != ToText(CallerOutcome::kAnswered)) {
+    classified.outcome = AttemptOutcome::kServerError;
+  }
+  return classified;
+}
+
 static HttpResponse
 WriteAddresses(const AddressResponse& aFound, const AddressRequest& aRequest)
 {
@@ -154,7 +177,7 @@
   if (aFinal.stored) {
     aResponse.headers.emplace_back("Fuchsiaramp-Replayed", "true");
   }
-  aResponse.headers.emplace_back("Fuchsiaramp-Outcome", ToText(aFinal.outcome));
+  aResponse.headers.emplace_back(kOutcomeHeader, ToText(aFinal.outcome));
   aResponse.headers.emplace_back("Fuchsiaramp-Request",
                                  aSettings.host.Value() + '/' +
                                    std::to_string(aFinal.request.Value()));
@@ -298,15 +321,13 @@
   };
   entry.parseCallerHeaders = ParseCallerHeaders;
   entry.passesHeader = PassesHeader;
-  entry.setAttemptHeaders = [](BackendRequest& aRequest,
-                               const AttemptStart&,
-                               Duration aRemaining) {
-    const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining).count();
-    aRequest.set(kDeadlineHeader,
-                 std::to_string(std::max<std::int64_t>(milliseconds, 1)));
-  };
+  entry.setDeadline = SetDeadline;
+  entry.setAttemptHeaders =
+    [](BackendRequest& aRequest, const AttemptStart&, Duration aRemaining) {
+      SetDeadline(aRequest, aRemaining);
+    };
   entry.classifyResponse = ClassifyResponse;
+  entry.classifyPeerResponse = ClassifyPeerResponse;
   entry.writeAddresses = WriteAddresses;
   entry.writeOutcome = [aSettings](const FinalResponse& aFinal,
                                    HttpResponse& aResponse) {
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -135,6 +135,8 @@
                    const std::map<BackendServerId, std::uint32_t>& aLoad,
                    TimePoint aNow);
   void ExpirePeerLoads(TimePoint aNow);
+  // Forgets what requests showed about the paths from this host to servers.
+  void ForgetPaths();
   // Outstanding requests of this host per server of its cell.
   std::map<BackendServerId, std::uint32_t> OwnLoad() const;
   // The servers in this host's failure domain that are up.
--- a/packages/routing/service_router_health.cc
+++ b/packages/routing/service_router_health.cc
@@ -322,6 +322,14 @@
   }
 }
 
+void
+ServiceRouter::ForgetPaths()
+{
+  for (auto& [id, view] : m_servers) {
+    view.path = HealthEstimate(kPathHealthOptions);
+  }
+}
+
 std::optional<TimePoint>
 ServiceRouter::LastOutcomeAt(const BackendServerId& aServer) const
 {
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -10,6 +10,8 @@
 static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 static constexpr Duration kConnectTime = std::chrono::milliseconds(1);
 static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+// One way between two entry hosts.
+static constexpr Duration kForwardTime = std::chrono::milliseconds(1);
 static constexpr Duration kAnnouncementInterval =
   std::chrono::milliseconds(600);
 static constexpr Duration kControlDelay = std::chrono::milliseconds(20);
@@ -63,6 +65,9 @@
                                 TimePoint aTime) {
     raw->OnAnnouncement(aRecord, aTime);
   };
+  driver.onProbeEnd = [raw](ProbeId aProbe, bool aConnected, TimePoint aTime) {
+    raw->OnProbeEnd(aProbe, aConnected, aTime);
+  };
   driver.tick = [raw](TimePoint aTime) { raw->Tick(aTime); };
   driver.isRestricted = [raw](const BackendServerId& aServer) {
     const ServiceRouter* router = raw->Services().Find(ServiceName(kService));
@@ -178,6 +183,9 @@
   hooks.cancelAttempt = [this, aHost](AttemptId aAttempt) {
     CancelAttempt(aHost, aAttempt);
   };
+  hooks.startProbe = [this, aHost](ProbeId aProbe, const std::string& aServer) {
+    StartProbe(aHost, aProbe, aServer);
+  };
   hooks.answer = [this, aHost](const FinalResponse& aResponse) {
     OnResponse(aHost, aResponse);
   };
@@ -209,7 +217,11 @@
   host.driver = EntryDriver();
   // Callers that lose their connection resend through another host.
   for (const auto& [id, pending] : host.pending) {
-    if (!pending.key.empty() && pending.sends < 3) {
+    if (pending.origin) {
+      AttemptEnd broken;
+      broken.outcome = AttemptOutcome::kBroken;
+      EndForward(*pending.origin, broken);
+    } else if (!pending.key.empty() && pending.sends < 3) {
       m_queue.At(m_queue.Now() + std::chrono::seconds(1),
                  [this, resend = pending] {
                    SendRequest(resend.key, resend.poison, resend.sends + 1);
@@ -357,7 +369,8 @@
   head.callerRequestId = "caller-" + std::to_string(head.id.Value());
   // The outcome of an earlier send does not apply to this one.
   m_lastOutcome.erase(aKey);
-  host.pending[head.id] = { m_queue.Now(), aPoison, aKey, aSends };
+  host.pending[head.id] = { m_queue.Now(), aPoison, aKey,
+                            aSends,        head,    std::nullopt };
   host.driver.onRequest(head, m_queue.Now());
 }
 
@@ -378,6 +391,9 @@
 ConnectionKind
 EntryFleet::StartAttempt(std::size_t aHost, const AttemptStart& aStart)
 {
+  if (aStart.forwards) {
+    return ForwardRequest(aHost, aStart);
+  }
   HostState& host = m_hosts[aHost];
   const std::size_t server = IndexOf(aStart.server);
   const TimePoint now = m_queue.Now();
@@ -440,6 +456,70 @@
   return kind;
 }
 
+ConnectionKind
+EntryFleet::ForwardRequest(std::size_t aHost, const AttemptStart& aStart)
+{
+  HostState& host = m_hosts[aHost];
+  RunningAttempt attempt;
+  attempt.forwards = true;
+  host.running[aStart.id] = attempt;
+  const ForwardOrigin origin{ aHost, host.generation, aStart.id };
+  m_queue.At(m_queue.Now() + kForwardTime,
+             [this, origin, sent = host.pending.at(aStart.request), aStart] {
+               for (HostState& peer : m_hosts) {
+                 if (peer.id.Value() != aStart.address) {
+                   continue;
+                 }
+                 if (!peer.up) {
+                   AttemptEnd refused;
+                   refused.outcome = AttemptOutcome::kRefused;
+                   EndForward(origin, refused);
+                   return;
+                 }
+                 PendingRequest pending = sent;
+                 pending.head.id = RequestId(m_nextRequest++);
+                 pending.head.deadline = aStart.deadline;
+                 pending.head.forwarded = true;
+                 pending.origin = origin;
+                 peer.pending[pending.head.id] = pending;
+                 peer.driver.onRequest(pending.head, m_queue.Now());
+                 return;
+               }
+             });
+  return ConnectionKind::kNew;
+}
+
+void
+EntryFleet::EndForward(const ForwardOrigin& aOrigin, AttemptEnd aEnd)
+{
+  aEnd.id = aOrigin.attempt;
+  m_queue.At(m_queue.Now() + kForwardTime, [this, aOrigin, aEnd] {
+    if (m_hosts[aOrigin.host].generation == aOrigin.generation) {
+      EndAttempt(aOrigin.host, aOrigin.attempt, aEnd);
+    }
+  });
+}
+
+void
+EntryFleet::StartProbe(std::size_t aHost,
+                       ProbeId aProbe,
+                       const std::string& aServer)
+{
+  const std::size_t server = IndexOf(BackendServerId(aServer));
+  const bool cut = m_cutPaths.count({ aHost, server }) != 0;
+  const bool connected = !cut && !m_servers[server]->Faults().down;
+  const Duration span =
+    cut ? kConnectTimeout : 2 * DelayTo(m_hosts[aHost], *m_servers[server]);
+  m_queue.At(
+    m_queue.Now() + span,
+    [this, aHost, aProbe, connected, generation = m_hosts[aHost].generation] {
+      HostState& host = m_hosts[aHost];
+      if (host.generation == generation && host.driver.onProbeEnd) {
+        host.driver.onProbeEnd(aProbe, connected, m_queue.Now());
+      }
+    });
+}
+
 void
 EntryFleet::DeliverRequest(std::size_t aHost, AttemptId aAttempt, bool aPoison)
 {
@@ -518,6 +598,10 @@
   RunningAttempt attempt = it->second;
   host.running.erase(it);
   m_attemptKeys.erase({ aHost, aAttempt });
+  if (attempt.forwards) {
+    host.driver.onAttemptEnd(aEnd, m_queue.Now());
+    return;
+  }
   const bool isComplete = aEnd.outcome == AttemptOutcome::kSuccess ||
                           aEnd.outcome == AttemptOutcome::kServerError ||
                           aEnd.outcome == AttemptOutcome::kShed;
@@ -538,7 +622,9 @@
   if (it == host.running.end()) {
     return;
   }
-  m_servers[it->second.server]->Cancel(it->second.serverRequest);
+  if (!it->second.forwards) {
+    m_servers[it->second.server]->Cancel(it->second.serverRequest);
+  }
   m_attemptKeys.erase({ aHost, aAttempt });
   host.running.erase(it);
 }
@@ -553,7 +639,19 @@
   }
   const PendingRequest pending = it->second;
   host.pending.erase(it);
+  if (pending.origin) {
+    AttemptEnd end;
+    end.status = aResponse.status;
+    end.outcome = aResponse.outcome == CallerOutcome::kNotRun
+                    ? AttemptOutcome::kNotRun
+                  : aResponse.outcome == CallerOutcome::kAnswered
+                    ? AttemptOutcome::kSuccess
+                    : AttemptOutcome::kServerError;
+    EndForward(*pending.origin, end);
+    return;
+  }
   RequestResult result;
+  result.host = aHost;
   result.outcome = aResponse.outcome;
   result.status = aResponse.status;
   result.latency = m_queue.Now() - pending.startedAt;
@@ -628,6 +726,14 @@
   m_cutPaths.insert({ aHost, aServer });
 }
 
+void
+EntryFleet::CutOffHost(std::size_t aHost)
+{
+  for (std::size_t server = 0; server < m_servers.size(); ++server) {
+    CutPath(aHost, server);
+  }
+}
+
 void
 EntryFleet::SilenceConnections()
 {
--- a/packages/testing/entry_fleet.h
+++ b/packages/testing/entry_fleet.h
@@ -58,6 +58,7 @@
     onMessage;
   std::function<void(const wire::BackendServerRecord&, TimePoint)>
     onAnnouncement;
+  std::function<void(ProbeId, bool, TimePoint)> onProbeEnd;
   std::function<void(TimePoint)> tick;
   // Returns whether the host sends no regular requests to the server.
   std::function<bool(const BackendServerId&)> isRestricted;
@@ -86,6 +87,7 @@
 // One finished request.
 struct RequestResult
 {
+  std::size_t host = 0; // that the caller used
   CallerOutcome outcome = CallerOutcome::kNotRun;
   std::uint32_t status = 0;
   Duration latency{};
@@ -117,6 +119,8 @@
   void SetPoison(double aRate) { m_options.poisonRate = aRate; }
   // Drops the requests of the host to the server from now on.
   void CutPath(std::size_t aHost, std::size_t aServer);
+  // The same from the host to all servers.
+  void CutOffHost(std::size_t aHost);
   void HealPaths() { m_cutPaths.clear(); }
   // Makes all idle connections silent: requests on them are never delivered.
   // New connections work.
@@ -152,6 +156,15 @@
     TimePoint startedAt;
     Duration serviceTime{};
     std::optional<Connection> connection;
+    bool forwards = false; // to another host; the other fields are unused
+  };
+
+  // The attempt by which another host forwarded a request.
+  struct ForwardOrigin
+  {
+    std::size_t host = 0;
+    std::uint64_t generation = 0;
+    AttemptId attempt;
   };
 
   struct PendingRequest
@@ -160,6 +173,8 @@
     bool poison = false;
     std::string key;
     int sends = 0;
+    RequestHead head;
+    std::optional<ForwardOrigin> origin;
   };
 
   struct HostState
@@ -183,6 +198,11 @@
   void SchedulePoison();
   void SendRequest(const std::string& aKey, bool aPoison, int aSends);
   ConnectionKind StartAttempt(std::size_t aHost, const AttemptStart& aStart);
+  ConnectionKind ForwardRequest(std::size_t aHost, const AttemptStart& aStart);
+  void EndForward(const ForwardOrigin& aOrigin, AttemptEnd aEnd);
+  void StartProbe(std::size_t aHost,
+                  ProbeId aProbe,
+                  const std::string& aServer);
   void DeliverRequest(std::size_t aHost, AttemptId aAttempt, bool aPoison);
   void EndAttempt(std::size_t aHost,
                   AttemptId aAttempt,
--- a/packages/testing/load_model.cc
+++ b/packages/testing/load_model.cc
@@ -123,6 +123,7 @@
       m_attempts.erase(it);
     }
   };
+  hooks.startProbe = [](ProbeId, const std::string&) {};
   hooks.answer = [this](const FinalResponse& aResponse) {
     OnResponse(aResponse);
   };
--- a/tests/randomised/mutation_test.cc
+++ b/tests/randomised/mutation_test.cc
@@ -97,6 +97,7 @@
       return ConnectionKind::kNew;
     };
     hooks.cancelAttempt = [](AttemptId) {};
+    hooks.startProbe = [](ProbeId, const std::string&) {};
     hooks.answer = [](const FinalResponse&) {};
     hooks.hostChanged = [](const wire::HostRecord&) {};
     hooks.record = [](const Event&) {};
