Forget hosts that went off together with their control host after 5 s

Cause: the hosts that a control host reports stay in the views of the others for 12 s after its last refresh, also when its machine and the entry host on it are off. Change: refresh every 2 s instead of 5 s (a digest without hosts), lifetime 5 s. Cost: three times the digests, some hundred bytes a second a pair of control hosts. Before: fleet_table_test AHostThatIsOffTogetherWithItsControlHostIsSoonForgotten failed. After: passes, and a view outlives each second refresh being lost.

--- a/packages/control/fleet_table.cc
+++ b/packages/control/fleet_table.cc
@@ -10,10 +10,10 @@
 // Entry hosts pull twice a second; they expire after three missed pulls in a
 // row.
 static constexpr Duration kEntryHostTimeout = std::chrono::milliseconds(1800);
-static constexpr Duration kRefreshInterval = std::chrono::seconds(5);
+static constexpr Duration kRefreshInterval = std::chrono::seconds(2);
 // The view of a control host expires after two missed refreshes: by then, its
-// entry hosts pull from other control hosts.
-static constexpr Duration kViewLifetime = std::chrono::seconds(12);
+// entry hosts pull from other control hosts, and those that do not are off.
+static constexpr Duration kViewLifetime = std::chrono::seconds(5);
 
 // With as many hosts as this, a failure domain provides the peers that its
 // hosts need, and lists of the region would cost more than they are worth.
--- a/packages/control/fleet_table_test.cc
+++ b/packages/control/fleet_table_test.cc
@@ -63,6 +63,37 @@
   BOOST_TEST(receiver.HostsInRegion(kNorth).size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(AHostThatIsOffTogetherWithItsControlHostIsSoonForgotten)
+{
+  FleetTable table;
+  wire::FleetView view;
+  *view.add_hosts() = Host("b", "north");
+  view.set_digest(7);
+  view.set_whole(true);
+  table.UpdateView(HostId("control-2"), view, kStart);
+  table.Tick(kStart + std::chrono::seconds(6));
+  BOOST_TEST(table.HostsInRegion(kNorth).empty());
+}
+
+BOOST_AUTO_TEST_CASE(AViewOutlivesOneMissedRefresh)
+{
+  FleetTable sender;
+  FleetTable receiver;
+  const HostId from("control-2");
+  sender.UpdateHost(Host("b", "north"), kStart);
+  receiver.UpdateView(from, *sender.TakeUpdate(kStart), kStart);
+  int refreshes = 0;
+  for (int i = 1; i <= 200; ++i) {
+    const TimePoint now = kStart + std::chrono::milliseconds(100) * i;
+    const auto refresh = sender.TakeUpdate(now);
+    if (refresh && refreshes++ % 2 == 1) {
+      receiver.UpdateView(from, *refresh, now);
+    }
+    receiver.Tick(now);
+    BOOST_TEST(receiver.HostsInRegion(kNorth).size() == 1u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HostsAndViewsExpireWithoutUpdates)
 {
   FleetTable table;
