Spare followers the moves of servers between control hosts

A call that fails makes the server report to the next control host; the change of the watcher was a new version of the table, pushed to all 447 entry hosts, up to 20 times a second, which made more calls fail. Entry hosts do not use the watcher. Ruled out: replication (0.08 MB), outcomes (1.5 MB), views of the fleet (1.2 MB). Change: such a move counts as a version for the group, not for followers: it is neither pushed nor part of a delta. Test: servers_state_test AReportToAnotherControlHostIsNoChangeForFollowers.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -400,7 +400,7 @@
   m_nextPushAt = aNow + kPushInterval;
   const GroupState& state = m_groups[kListsGroup]->state;
   const auto lists = state.ListsPart().Current().Version().Value();
-  const std::uint64_t servers = state.ServersPart().Version();
+  const std::uint64_t servers = state.ServersPart().FollowerVersion();
   for (auto it = m_entryHosts.begin(); it != m_entryHosts.end();) {
     auto& [host, entryHost] = *it;
     if (IsDue(entryHost.reportedAt + kEntryHostRetention, aNow)) {
--- a/packages/state/servers_state.cc
+++ b/packages/state/servers_state.cc
@@ -54,18 +54,24 @@
 }
 
 static bool
-HasSameContent(const Record& aExisting, const Record& aRecord)
+IsSameForFollowers(const Record& aExisting, const Record& aRecord)
 {
   return aExisting.incarnation() == aRecord.incarnation() &&
          aExisting.state() == aRecord.state() &&
          aExisting.lapsed() == aRecord.lapsed() &&
-         aExisting.watcher() == aRecord.watcher() &&
          aExisting.service() == aRecord.service() &&
          aExisting.address() == aRecord.address() &&
          aExisting.failure_domain() == aRecord.failure_domain() &&
          aExisting.slots() == aRecord.slots();
 }
 
+static bool
+HasSameContent(const Record& aExisting, const Record& aRecord)
+{
+  return IsSameForFollowers(aExisting, aRecord) &&
+         aExisting.watcher() == aRecord.watcher();
+}
+
 // Merges a report into the existing record. An incarnation that is LEAVING
 // never returns to UP. A report without a service updates only the state, the
 // watcher and whether the server expired.
@@ -123,9 +129,15 @@
   Entry& entry = m_servers[aRecord.id()];
   const bool wasGone =
     entry.changedAt != 0 && entry.record.state() == Record::GONE;
+  const bool sameForFollowers =
+    entry.changedAt != 0 && IsSameForFollowers(entry.record, aRecord);
   m_byVersion.erase(entry.changedAt);
   entry.record = aRecord;
   entry.changedAt = ++m_version;
+  if (!sameForFollowers) {
+    entry.changedForFollowersAt = m_version;
+    m_followerVersion = m_version;
+  }
   m_byVersion[entry.changedAt] = aRecord.id();
   const bool gone = aRecord.state() == Record::GONE;
   m_goneCount += gone ? 1 : 0;
@@ -194,9 +206,11 @@
   for (auto it = m_byVersion.upper_bound(full ? 0 : aVersion);
        it != m_byVersion.end();
        ++it) {
-    const Record& record = m_servers.at(it->second).record;
-    if (!full || record.state() != Record::GONE) {
-      *delta.add_servers() = record;
+    const Entry& entry = m_servers.at(it->second);
+    const bool needed = full ? entry.record.state() != Record::GONE
+                             : entry.changedForFollowersAt > aVersion;
+    if (needed) {
+      *delta.add_servers() = entry.record;
     }
   }
   return delta;
@@ -227,6 +241,7 @@
     Entry& entry = m_servers[record.id()];
     entry.record = record;
     entry.changedAt = ++m_version;
+    entry.changedForFollowersAt = m_version;
     m_byVersion[entry.changedAt] = record.id();
     if (record.state() == Record::GONE) {
       ++m_goneCount;
@@ -234,6 +249,7 @@
       m_holderOfAddress[record.address()] = record.id();
     }
   }
+  m_followerVersion = m_version;
 }
 
 } // namespace fuchsiaramp
--- a/packages/state/servers_state.h
+++ b/packages/state/servers_state.h
@@ -28,11 +28,14 @@
   // Whether the record is not outdated and differs from the table.
   bool WouldChange(const wire::BackendServerRecord& aRecord) const;
 
-  // The records that changed after aVersion, or a full delta if aVersion is 0
-  // or precedes a pruned change.
+  // The records that changed for followers after aVersion, or a full delta if
+  // aVersion is 0 or precedes a pruned change.
   wire::ServersDelta Since(std::uint64_t aVersion) const;
 
   std::uint64_t Version() const { return m_version; }
+  // The version of the last change that followers need. A server that reports
+  // to another control host is none.
+  std::uint64_t FollowerVersion() const { return m_followerVersion; }
   const wire::BackendServerRecord* Find(const std::string& aId) const;
   // The servers that are not GONE. Pointers are valid until the next change.
   std::vector<const wire::BackendServerRecord*> Live() const;
@@ -45,7 +48,8 @@
   struct Entry
   {
     wire::BackendServerRecord record;
-    std::uint64_t changedAt = 0; // version
+    std::uint64_t changedAt = 0;            // version
+    std::uint64_t changedForFollowersAt = 0; // version
   };
 
   bool IsOutdated(const wire::BackendServerRecord& aRecord) const;
@@ -58,6 +62,7 @@
   std::map<std::string, std::string> m_holderOfAddress; // address to id
   std::size_t m_goneCount = 0;
   std::uint64_t m_version = 0;
+  std::uint64_t m_followerVersion = 0;
   std::uint64_t m_prunedVersion = 0; // latest version whose change was pruned
 };
 
--- a/packages/state/servers_state_test.cc
+++ b/packages/state/servers_state_test.cc
@@ -46,6 +46,26 @@
   BOOST_TEST(servers.Version() == version);
 }
 
+BOOST_AUTO_TEST_CASE(AReportToAnotherControlHostIsNoChangeForFollowers)
+{
+  ServersState servers;
+  servers.Report(Report(1, 1));
+  const std::uint64_t version = servers.Version();
+  Record moved = Report(1, 2);
+  moved.set_watcher("control-2");
+  servers.Report(moved);
+  BOOST_TEST(servers.Find("s")->watcher() == "control-2");
+  BOOST_TEST(servers.Version() > version);
+  BOOST_TEST(servers.FollowerVersion() == version);
+  BOOST_TEST(servers.Since(version).servers_size() == 0);
+  BOOST_TEST(servers.Since(version).to_version() == servers.Version());
+  servers.Report(Report(1, 3, Record::LEAVING));
+  BOOST_TEST(servers.FollowerVersion() == servers.Version());
+  BOOST_TEST(servers.Since(version).servers_size() == 1);
+  // A follower that has nothing yet gets all.
+  BOOST_TEST(servers.Since(0).servers_size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(LeavingIsFinalWithinAnIncarnation)
 {
   ServersState servers;
