Name the control hosts in replies to pulls only

Cause: each push of a change repeated the records of all control hosts, about 1 KB, to each entry host. Ruled out: entry hosts that learn of a new control host late; they pull twice a second. Change: pushes leave them out.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -322,6 +322,7 @@
   wire::Envelope envelope;
   *envelope.mutable_lists_push() = MakePush(entryHost, aNow);
   envelope.mutable_lists_push()->set_pull_id(aPull.pull_id());
+  AddControlHosts(*envelope.mutable_lists_push());
   m_hooks.send(aFrom, envelope);
 }
 
@@ -345,14 +346,6 @@
   for (const auto& other : m_groups) {
     push.add_group_leaders(other->node->Leader().Value());
   }
-  for (const wire::Member& member : group.node->Members().members()) {
-    wire::HostRecord* host = push.add_control_hosts();
-    const auto location = m_controlHostLocations.find(HostId(member.host()));
-    if (location != m_controlHostLocations.end()) {
-      *host = location->second;
-    }
-    host->set_host(member.host());
-  }
   if (aEntryHost.subscribed) {
     AddEntryHosts(aEntryHost, push);
   }
@@ -361,6 +354,20 @@
   return push;
 }
 
+void
+ControlNode::AddControlHosts(wire::ListsPush& aPush) const
+{
+  const Node& node = *m_groups[kListsGroup]->node;
+  for (const wire::Member& member : node.Members().members()) {
+    wire::HostRecord* host = aPush.add_control_hosts();
+    const auto location = m_controlHostLocations.find(HostId(member.host()));
+    if (location != m_controlHostLocations.end()) {
+      *host = location->second;
+    }
+    host->set_host(member.host());
+  }
+}
+
 void
 ControlNode::AddEntryHosts(EntryHostStatus& aEntryHost,
                            wire::ListsPush& aPush) const
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -171,6 +171,8 @@
                    const wire::ListsPull& aPull,
                    TimePoint aNow);
   wire::ListsPush MakePush(EntryHostStatus& aEntryHost, TimePoint aNow) const;
+  // Only replies to pulls name the control hosts.
+  void AddControlHosts(wire::ListsPush& aPush) const;
   void AddEntryHosts(EntryHostStatus& aEntryHost, wire::ListsPush& aPush) const;
   void PushChanges(TimePoint aNow);
   void RelayEvidence(const HostId& aFrom,
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -247,6 +247,21 @@
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(PushesOfChangesDoNotRepeatTheControlHosts)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  PullHosts(group, "entry-north", "north", 11);
+  BOOST_TEST(group.m_toEntryHosts.back().lists_push().control_hosts_size() ==
+             3);
+  group.m_toEntryHosts.clear();
+  group.Put(kDocument, 0, "change-a");
+  BOOST_REQUIRE(group.m_toEntryHosts.size() == 1u);
+  const wire::ListsPush& push = group.m_toEntryHosts.front().lists_push();
+  BOOST_TEST(push.deltas_size() == 1);
+  BOOST_TEST(push.control_hosts_size() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(OutcomesAreSentOnlyToHostsThatReceiveThem)
 {
   ControlGroup group;
