Send changes of the views of the fleet, and merge them together

Cause: each change of an entry host's record sent the whole view of its control host, some 50 records, to the eight others, and each view that came made the receiver merge all 447 records, up to 50 times a second and sender. Change: views are sent as changes of the view sent before, at most ten times a second; a receiver that does not have that view asks for all. Merges are at least 100 ms apart.

--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -242,6 +242,8 @@
   const auto south = PullHosts(group, "entry-south", "south", 11);
   BOOST_TEST(south == std::vector<std::string>({ "entry-south" }),
              boost::test_tools::per_element());
+  // Hosts that join together are merged together.
+  group.Run(std::chrono::milliseconds(200));
   const auto north = PullHosts(group, "entry-north", "north", 12);
   BOOST_TEST(north == std::vector<std::string>({ "entry-north" }),
              boost::test_tools::per_element());
--- a/packages/control/fleet_table.cc
+++ b/packages/control/fleet_table.cc
@@ -15,6 +15,11 @@
 // entry hosts pull from other control hosts, and those that do not are off.
 static constexpr Duration kViewLifetime = std::chrono::seconds(5);
 
+// In a fleet of hundreds of hosts a merge takes milliseconds, and many hosts
+// change together.
+static constexpr Duration kMergeInterval = std::chrono::milliseconds(100);
+static constexpr Duration kUpdateInterval = std::chrono::milliseconds(100);
+
 // With as many hosts as this, a failure domain provides the peers that its
 // hosts need, and lists of the region would cost more than they are worth.
 static constexpr std::size_t kMinHostsOfDomainView = 32;
@@ -39,6 +44,17 @@
   if (!same) {
     host.record = aRecord;
     m_ownHostsChanged = true;
+    MergeWhenDue(aNow);
+  }
+}
+
+void
+FleetTable::MergeWhenDue(TimePoint aNow)
+{
+  m_isStale = true;
+  if (IsDue(m_nextMergeAt, aNow)) {
+    m_isStale = false;
+    m_nextMergeAt = aNow + kMergeInterval;
     Merge();
   }
 }
@@ -55,6 +71,27 @@
   return view;
 }
 
+// Keeps the hosts sorted, as they are in whole views.
+static void
+ApplyChanges(const wire::FleetView& aChanges, wire::FleetView& aView)
+{
+  std::map<std::string, wire::HostRecord> hosts;
+  for (const wire::HostRecord& host : aView.hosts()) {
+    hosts[host.host()] = host;
+  }
+  for (const std::string& host : aChanges.removed()) {
+    hosts.erase(host);
+  }
+  for (const wire::HostRecord& host : aChanges.hosts()) {
+    hosts[host.host()] = host;
+  }
+  aView.clear_hosts();
+  for (auto& [name, host] : hosts) {
+    *aView.add_hosts() = std::move(host);
+  }
+  aView.set_digest(aChanges.digest());
+}
+
 bool
 FleetTable::UpdateView(const HostId& aFrom,
                        const wire::FleetView& aView,
@@ -62,12 +99,19 @@
 {
   PeerView& existing = m_peerViews[aFrom];
   existing.receivedAt = aNow;
-  const bool same = existing.view.digest() == aView.digest();
-  if (aView.whole() && !same) {
+  if (existing.view.digest() == aView.digest()) {
+    return false;
+  }
+  if (aView.whole()) {
     existing.view = aView;
-    Merge();
+  } else if (aView.base_digest() == 0 ||
+             aView.base_digest() != existing.view.digest()) {
+    return true;
+  } else {
+    ApplyChanges(aView, existing.view);
   }
-  return !same && !aView.whole();
+  MergeWhenDue(aNow);
+  return false;
 }
 
 void
@@ -80,18 +124,46 @@
     return IsDue(aItem.second.receivedAt + kViewLifetime, aNow);
   });
   m_ownHostsChanged = m_ownHostsChanged || expiredHosts > 0;
-  if (expiredHosts + expiredViews > 0) {
-    Merge();
+  m_isStale = m_isStale || expiredHosts + expiredViews > 0;
+  if (m_isStale) {
+    MergeWhenDue(aNow);
+  }
+}
+
+wire::FleetView
+FleetTable::ChangesOfOwnView()
+{
+  wire::FleetView view;
+  std::map<std::string, std::string> records;
+  for (const auto& [id, host] : m_ownHosts) {
+    std::string record = host.record.SerializeAsString();
+    const auto sent = m_sentRecords.find(id.Value());
+    if (sent == m_sentRecords.end() || sent->second != record) {
+      *view.add_hosts() = host.record;
+    }
+    records.emplace(id.Value(), std::move(record));
   }
+  for (const auto& [host, record] : m_sentRecords) {
+    if (records.count(host) == 0) {
+      view.add_removed(host);
+    }
+  }
+  view.set_whole(m_sentDigest == 0);
+  view.set_base_digest(m_sentDigest);
+  m_sentRecords = std::move(records);
+  m_sentDigest = OwnView().digest();
+  view.set_digest(m_sentDigest);
+  return view;
 }
 
 std::optional<wire::FleetView>
 FleetTable::TakeUpdate(TimePoint aNow)
 {
-  if (m_ownHostsChanged) {
+  if (m_ownHostsChanged && IsDue(m_nextUpdateAt, aNow)) {
     m_ownHostsChanged = false;
+    m_nextUpdateAt = aNow + kUpdateInterval;
     m_nextRefreshAt = aNow + kRefreshInterval;
-    return OwnView();
+    return ChangesOfOwnView();
   }
   if (!IsDue(m_nextRefreshAt, aNow)) {
     return std::nullopt;
--- a/packages/control/fleet_table.h
+++ b/packages/control/fleet_table.h
@@ -35,7 +35,8 @@
   bool UpdateView(const HostId& aFrom,
                   const wire::FleetView& aView,
                   TimePoint aNow);
-  // Removes entry hosts and views that were not renewed in time.
+  // Removes entry hosts and views that were not renewed in time, and merges
+  // changes that came close together.
   void Tick(TimePoint aNow);
 
   // Returns the update that is due for the other control hosts, if any.
@@ -83,7 +84,10 @@
   };
   using Scopes = std::map<std::string, Scope>;
 
+  // Merges now or, if the last merge was recent, later.
+  void MergeWhenDue(TimePoint aNow);
   void Merge();
+  wire::FleetView ChangesOfOwnView();
   void UpdateScopes(
     Scopes& aScopes,
     const std::function<std::string(const wire::HostRecord&)>& aNameOf);
@@ -99,8 +103,14 @@
   Scopes m_domains;
   Scopes m_regions;
   std::map<std::string, std::size_t> m_hostsByDomain;
+  bool m_isStale = false; // changes are not merged yet
+  TimePoint m_nextMergeAt;
   bool m_ownHostsChanged = false;
+  TimePoint m_nextUpdateAt;
   TimePoint m_nextRefreshAt;
+  // The own view that was last sent: serialized records by host.
+  std::map<std::string, std::string> m_sentRecords;
+  std::uint64_t m_sentDigest = 0; // 0 if none was sent
 };
 
 } // namespace fuchsiaramp
