Send the servers to a starting host from the closest control host alone

Cause: until an entry host serves it pulls from all control hosts in turn, each of which sent it the whole table of servers. Change: such pulls ask for no servers, except from the closest control host, which is pulled from every second time. Older control hosts send them anyway. Test: lists_follower_test OnlyTheClosestControlHostSendsServersToAStartingHost.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -305,7 +305,10 @@
   entryHost.version = ListsVersion(aPull.have_version());
   entryHost.reportedAt = aNow;
   entryHost.sentLists = aPull.have_version();
-  entryHost.sentServers = aPull.have_servers_version();
+  entryHost.sentServers =
+    aPull.without_servers()
+      ? m_groups[kListsGroup]->state.ServersPart().Version()
+      : aPull.have_servers_version();
   const bool subscribes = direct && aPull.subscribes();
   if (subscribes && !entryHost.subscribed) {
     // Another control host may have sent it a different set of hosts meanwhile.
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -79,7 +79,9 @@
   }
 }
 
-// Until this host serves, it pulls from the control hosts in turn. From then on
+// Until this host serves, it pulls from the control hosts in turn, and from the
+// closest one between them, which alone sends the servers: the whole table from
+// each of them would fill the links of a large fleet. From then on
 // it stays with the closest one that confirms that its lists are current. It
 // moves to another one only after that one has confirmed: while none can, no
 // entry host moves, since each move is an update for the whole fleet.
@@ -96,9 +98,10 @@
     }
   }
   if (!m_serving) {
+    const std::size_t turn = m_nextControlIndex++;
     auto it = m_controlHosts.begin();
-    std::advance(it, m_nextControlIndex++ % m_controlHosts.size());
-    SendPull(it->first, false, aNow);
+    std::advance(it, turn / 2 % m_controlHosts.size());
+    SendPull(turn % 2 == 0 ? BestControlHost(aNow) : it->first, false, aNow);
     return;
   }
   if (!m_currentControlHost.IsEmpty()) {
@@ -115,6 +118,7 @@
 {
   wire::ListsPull pull = MakePull(true);
   pull.set_subscribes(aSubscribes);
+  pull.set_without_servers(!m_serving && aTo != BestControlHost(aNow));
   pull.set_hears_outcomes(m_hooks.receivesOutcomes());
   const auto ownRecord = m_hooks.ownRecord();
   if (aSubscribes && ownRecord) {
--- a/packages/entry/lists_follower_test.cc
+++ b/packages/entry/lists_follower_test.cc
@@ -29,6 +29,7 @@
       pulls.swap(m_pulls);
       for (const auto& [host, pull] : pulls) {
         m_pullCounts[host] += 1;
+        m_serverPullCounts[host] += pull.without_servers() ? 0 : 1;
         const auto delay = m_responseDelays.find(host);
         const bool delayed = delay != m_responseDelays.end();
         m_due.emplace(delayed ? m_now + delay->second : m_now,
@@ -105,6 +106,7 @@
   std::map<HostId, Duration> m_responseDelays;
   std::multimap<TimePoint, std::pair<HostId, wire::ListsPull>> m_due;
   std::map<HostId, int> m_pullCounts;
+  std::map<HostId, int> m_serverPullCounts; // of those that ask for servers
   int m_hostUpdates = 0;
   std::vector<std::pair<HostId, wire::ListsPull>> m_pulls;
   ListsFollower m_follower;
@@ -194,6 +196,20 @@
   BOOST_TEST(test.m_hostUpdates == 1);
 }
 
+BOOST_AUTO_TEST_CASE(OnlyTheClosestControlHostSendsServersToAStartingHost)
+{
+  FollowerTest test;
+  test.m_stale = { kDomainControl, kOtherControl };
+  test.RunFor(std::chrono::milliseconds(500));
+  test.m_serverPullCounts.clear();
+  test.m_pullCounts.clear();
+  test.RunFor(std::chrono::seconds(2));
+  BOOST_TEST(!test.m_follower.IsServing());
+  BOOST_TEST(test.m_pullCounts[kOtherControl] > 0);
+  BOOST_TEST(test.m_serverPullCounts[kOtherControl] == 0);
+  BOOST_TEST(test.m_serverPullCounts[kDomainControl] >= 4);
+}
+
 // Control confirms empty lists until the operators' first change. No request
 // can be judged by them.
 BOOST_AUTO_TEST_CASE(DoesNotServeBeforeTheFirstLists)
