Ignore SIGHUP until the settings are watched

What operators see: a daemon that gets SIGHUP while it starts ends. Cause: the default action of the signal until its handler is installed. Change: it is ignored from the first line of main; the settings are read after that. Before: process test signal_at_start (a daemon that still waits for its settings gets SIGHUP) failed, 'Hangup'. After: passes.

--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -239,6 +239,8 @@
 int
 main(int aCount, char** aArguments)
 {
+  // Until the settings are watched, a request to reload them has no effect.
+  std::signal(SIGHUP, SIG_IGN);
   std::string settingsFile;
   try {
     TCLAP::CmdLine line("The fuchsiaramp daemon.", ' ', "0.1.0");
