--- /dev/null
+++ b/tests/process/soak.sh
@@ -0,0 +1,145 @@
+#!/usr/bin/env bash
+# Fault soak: real processes under load while faults are injected from outside,
+# drawn from a seed. Processes are paused, killed and stopped gracefully and
+# start again, settings are reloaded, lists change, connections are delayed,
+# reset, silenced and cut one way; all of it overlaps. Callers must get true
+# responses throughout, no key may run twice, and once the faults end every
+# request must be answered.
+#
+#   bash tests/process/soak.sh [SEED [SECONDS [FIRST_PORT]]]
+set -eu
+. tests/process/fleet.sh
+SEED=${1:-1} SECONDS_OF_FAULTS=${2:-20} PORT=${3:-30000}
+RANDOM=$SEED
+BACKENDS=5
+draw() { DRAWN=$((RANDOM % $1)); } # 0 to $1 - 1
+proxy_address() { echo "127.0.0.1:$((PORT + 500 + $1))"; }
+
+start_proxy() { # NUMBER TARGET
+  start_process proxy-$1 "$FLEET_BIN"/tests/support/faulty_proxy \
+    --listen "$(proxy_address $1)" --to "$2" --mode-file "$FLEET/proxy-$1.mode"
+}
+start_soak_backend() { start_backend $1 profile --announce "$(proxy_address $1)"; }
+
+# Entry hosts 1 and 2 reach control hosts 1 and 2 through proxies 11 and 12.
+FLEET_ROUTE["entry-1>control-1"]=$(proxy_address 11)
+FLEET_ROUTE["entry-2>control-2"]=$(proxy_address 12)
+fleet_prepare "run/soak-$PORT" "$PORT" 3 4
+trap 'echo "seed $SEED"; fleet_stop' EXIT
+start_proxy 11 "$(message_address control 1)"
+start_proxy 12 "$(message_address control 2)"
+for i in 1 2 3; do start_control $i; done
+for i in 1 2 3 4; do start_entry $i; done
+for i in $(seq $BACKENDS); do start_proxy $i "$(backend_address $i)"; start_soak_backend $i; done
+put_lists samples/demo-lists.yaml 0 || fail "the lists were not accepted"
+wait_version 1
+wait_serving 1 2 3 4
+wait_servers profile $BACKENDS
+
+load "$SECONDS_OF_FAULTS" 0.3 --list-keys >"$FLEET/load.txt" 2>&1 &
+LOAD=$!
+wait_until 20 test -s "$FLEET/runs.log"
+
+# Processes that are down or paused, by name, with the time in ms at which they
+# come back; "proxy-N" there is a proxy in a faulty mode.
+declare -A BACK_AT=()
+declare -A FAULT=()
+now_ms() { date +%s%3N; }
+start_named() {
+  case $1 in
+    entry-* | control-*) start_daemon $1 ;;
+    backend-*) start_soak_backend "${1#backend-}" ;;
+  esac
+}
+ended() { ! kill -0 "${FLEET_PID[$1]}" 2>/dev/null; }
+bring_back() { # NAME
+  local name=$1
+  case ${FAULT[$name]} in
+    pause) signal_process $name CONT ;;
+    kill) start_named $name ;;
+    stop)
+      # The process may still be finishing its requests.
+      if ! ended $name; then
+        BACK_AT[$name]=$(($(now_ms) + 300))
+        return
+      fi
+      wait "${FLEET_PID[$name]}" || true
+      start_named $name
+      ;;
+    proxy) rm -f "$FLEET/$name.mode" ;;
+  esac
+  unset "BACK_AT[$name]" "FAULT[$name]"
+}
+inject() { # NAME FAULT MILLISECONDS
+  [ -z "${FAULT[$1]:-}" ] || return 0
+  FAULT[$1]=$2
+  BACK_AT[$1]=$(($(now_ms) + $3))
+  echo "$(now_ms) $1 $2 for $3 ms" >>"$FLEET/faults.log"
+  case $2 in
+    pause) signal_process $1 STOP ;;
+    kill) end_process $1 ;;
+    stop)
+      signal_process $1 TERM
+      # The first signal to a server announces that it leaves.
+      [ "${1%-*}" != backend ] || { sleep 0.2; signal_process $1 TERM; }
+      ;;
+  esac
+}
+VERSION=1
+change_lists() {
+  if client lists put "$FLEET/lists.yaml" --expected-version $VERSION --timeout 3 >/dev/null 2>&1; then
+    VERSION=$((VERSION + 1))
+  fi
+}
+cp samples/demo-lists.yaml "$FLEET/lists.yaml"
+
+END=$(($(now_ms) + SECONDS_OF_FAULTS * 1000 - 2000))
+while [ "$(now_ms)" -lt "$END" ]; do
+  draw 12; kind=$DRAWN
+  draw 4; span=$((300 + DRAWN * 700))
+  draw 4; entry=entry-$((DRAWN + 1))
+  draw 3; control=control-$((DRAWN + 1))
+  draw $BACKENDS; backend=$((DRAWN + 1))
+  draw 5; modes=("delay 80" silence one-way reset "delay 400"); mode=${modes[$DRAWN]}
+  case $kind in
+    0) inject $entry pause $span ;;
+    1) inject $entry kill $span ;;
+    2) inject $entry stop $span ;;
+    3) inject $control pause $span ;;
+    4) inject $control kill $span ;;
+    5) inject $control stop $span ;;
+    6) inject backend-$backend pause $span ;;
+    7) inject backend-$backend kill $span ;;
+    8) inject backend-$backend stop $span ;;
+    9 | 10)
+      draw 3; name=proxy-$backend
+      [ $DRAWN != 0 ] || name=proxy-$((11 + span / 700 % 2))
+      inject $name proxy $span
+      [ "${FAULT[$name]}" != proxy ] || echo "$mode" >"$FLEET/$name.mode"
+      ;;
+    11) [ -n "${FAULT[$entry]:-}" ] || signal_process $entry HUP ;;
+  esac
+  draw 20; [ $DRAWN != 0 ] || change_lists
+  draw 8
+  sleep "0.$((DRAWN + 1))"
+  for name in "${!BACK_AT[@]}"; do
+    [ "$(now_ms)" -lt "${BACK_AT[$name]}" ] || bring_back $name
+  done
+done
+while [ ${#BACK_AT[@]} -gt 0 ]; do
+  for name in "${!BACK_AT[@]}"; do bring_back $name; done
+  sleep 0.2
+done
+wait "$LOAD" || fail "a caller received a wrong response: $(cat "$FLEET/load.txt")"
+check_load "$FLEET/load.txt"
+wait_serving 1 2 3 4
+wait_servers profile $BACKENDS
+wait_until 60 leader_of 0
+wait_until 60 leader_of 1
+# Ejected servers come back after 8 s and a ramp.
+sleep 2
+load 5 0.3 --list-keys --key-prefix after- >"$FLEET/after.txt" 2>&1 || fail "a caller received a wrong response: $(cat "$FLEET/after.txt")"
+check_load "$FLEET/after.txt"
+grep -q '^answered=[1-9][0-9]* not_run=0 unknown=0 unanswered=0 ' "$FLEET/after.txt" ||
+  fail "requests were not answered after the faults: $(head -1 "$FLEET/after.txt")"
+echo "PASSED seed $SEED"
--- a/tests/support/fake_backend.cc
+++ b/tests/support/fake_backend.cc
@@ -32,6 +32,7 @@
   std::string id;
   std::string service;
   std::string address;
+  std::string announcedAddress; // may be that of a proxy
   std::string region;
   std::string failureDomain;
   std::vector<std::string> entryHosts;
@@ -104,7 +105,7 @@
     request.timeout = std::chrono::milliseconds(500);
     request.body = json::serialize(
       json::value{ { "service", m_options.service },
-                   { "address", m_options.address },
+                   { "address", m_options.announcedAddress },
                    { "region", m_options.region },
                    { "failure_domain", m_options.failureDomain },
                    { "slots", m_options.slots },
@@ -221,6 +222,8 @@
   Text id("", "id", "Id.", true, "", "ID", line);
   Text service("", "service", "Service.", true, "", "NAME", line);
   Text address("", "address", "Address.", true, "", "IP:PORT", line);
+  Text announced(
+    "", "announce", "Announced address.", false, "", "IP:PORT", line);
   Text region("", "region", "Region.", false, "r1", "NAME", line);
   Text domain("", "domain", "Failure domain.", false, "d1", "NAME", line);
   Text runLog("", "run-log", "File for executed keys.", false, "", "F", line);
@@ -233,6 +236,8 @@
   options.id = id.getValue();
   options.service = service.getValue();
   options.address = address.getValue();
+  options.announcedAddress =
+    announced.isSet() ? announced.getValue() : address.getValue();
   options.region = region.getValue();
   options.failureDomain = domain.getValue();
   options.runLog = runLog.getValue();
--- a/tests/support/load_caller.cc
+++ b/tests/support/load_caller.cc
@@ -27,6 +27,7 @@
   std::vector<std::string> entryHosts;
   std::string service;
   std::string token;
+  std::string keyPrefix;
   double seconds = 5.0;
   double keyed = 0.2; // share of requests with an idempotency key
   std::size_t callers = 8;
@@ -103,8 +104,8 @@
   void Send(std::uint64_t aIndex)
   {
     const bool keyed = m_random.Chance(m_options.keyed);
-    const std::string name =
-      std::to_string(m_number) + '-' + std::to_string(aIndex);
+    const std::string name = m_options.keyPrefix + std::to_string(m_number) +
+                             '-' + std::to_string(aIndex);
     HttpCallRequest request;
     request.address = ChooseAddress();
     request.timeout = std::chrono::seconds(15);
@@ -234,6 +235,13 @@
     "", "service", "Service.", true, "", "NAME", line);
   TCLAP::ValueArg<std::string> token(
     "", "token", "Token.", true, "", "TOKEN", line);
+  TCLAP::ValueArg<std::string> prefix("",
+                                      "key-prefix",
+                                      "Tells the keys of several loads apart.",
+                                      false,
+                                      "",
+                                      "TEXT",
+                                      line);
   TCLAP::ValueArg<double> seconds(
     "", "seconds", "Duration.", false, 5.0, "S", line);
   TCLAP::ValueArg<double> keyed("",
@@ -251,6 +259,7 @@
   options.entryHosts = entry.getValue();
   options.service = service.getValue();
   options.token = token.getValue();
+  options.keyPrefix = prefix.getValue();
   options.seconds = seconds.getValue();
   options.keyed = keyed.getValue();
   options.callers = callers.getValue();
