--- a/packages/net/forwarding.cc
+++ b/packages/net/forwarding.cc
@@ -53,6 +53,17 @@
   return request;
 }
 
+void
+SetRemainingMs(BackendRequest& aRequest,
+               std::string_view aHeader,
+               Duration aRemaining)
+{
+  const auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining).count();
+  aRequest.set(aHeader,
+               std::to_string(std::max<std::int64_t>(milliseconds, 1)));
+}
+
 HttpResponse
 RelayedResponse(BackendResponse& aResponse, const HeaderFilter& aPasses)
 {
--- a/packages/net/forwarding.h
+++ b/packages/net/forwarding.h
@@ -18,6 +18,12 @@
 ForwardedRequest(const HttpExchange::Request& aMessage,
                  const HeaderFilter& aPasses);
 
+// Sets a header to the remaining time in milliseconds, at least 1.
+void
+SetRemainingMs(BackendRequest& aRequest,
+               std::string_view aHeader,
+               Duration aRemaining);
+
 // Moves the body out of aResponse; filters headers as ForwardedRequest does.
 HttpResponse
 RelayedResponse(BackendResponse& aResponse, const HeaderFilter& aPasses);
--- a/packages/net/native_api.cc
+++ b/packages/net/native_api.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "net/announcement.h"
+#include "net/forwarding.h"
 #include "net/http_responses.h"
 #include "state/lists_document.h"
 
@@ -134,10 +135,7 @@
 static void
 SetDeadline(BackendRequest& aRequest, Duration aRemaining)
 {
-  const auto milliseconds =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aRemaining).count();
-  aRequest.set(kDeadlineHeader,
-               std::to_string(std::max<std::int64_t>(milliseconds, 1)));
+  SetRemainingMs(aRequest, kDeadlineHeader, aRemaining);
 }
 
 static ClassifiedResponse
