Draw on the retry budget when a forwarded request is sent again

Cause: read-through. A repeatable request whose connection to another entry host broke may have reached a server there; it was forwarded again without a token of the retry budget that all hosts share. Change: it needs one now; requests that certainly did not run need none, as before.

--- a/packages/entry/entry_forwarding.cc
+++ b/packages/entry/entry_forwarding.cc
@@ -151,6 +151,18 @@
   return true;
 }
 
+// A second send that may reach a server draws on the retry budget.
+bool
+EntryNode::MayForwardAgain(const Request& aRequest)
+{
+  if (!aRequest.mayHaveRun) {
+    return true;
+  }
+  ServiceRouter* router = m_services->Find(aRequest.head.service);
+  return aRequest.repeatable && router != nullptr &&
+         router->Retries().TryRetry();
+}
+
 void
 EntryNode::OnForwardEnd(Request& aRequest,
                         const AttemptEnd& aEnd,
@@ -178,8 +190,7 @@
   if (!aRequest.runningAttempts.empty()) {
     return;
   }
-  if ((aRequest.repeatable || !aRequest.mayHaveRun) && !expired &&
-      Forward(aRequest, aNow)) {
+  if (!expired && MayForwardAgain(aRequest) && Forward(aRequest, aNow)) {
     return;
   }
   FailRequest(aRequest,
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -305,6 +305,7 @@
   // Returns whether the request was sent to another entry host.
   bool Forward(Request& aRequest, TimePoint aNow);
   void ForwardOrRefuse(Request& aRequest, TimePoint aNow);
+  bool MayForwardAgain(const Request& aRequest);
   void OnForwardEnd(Request& aRequest, const AttemptEnd& aEnd, TimePoint aNow);
 
   // Refuses a request that did not run. If it has an idempotency key and the
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -322,12 +322,10 @@
 }
 
 bool
-ServiceRouter::IsAvailable(const BackendServerId& aServer,
-                           TimePoint aNow) const
+ServiceRouter::IsAvailable(const BackendServerId& aServer, TimePoint aNow) const
 {
   const auto it = m_servers.find(aServer);
-  return it != m_servers.end() &&
-         it->second.server.state == ServerState::kUp &&
+  return it != m_servers.end() && it->second.server.state == ServerState::kUp &&
          IsDue(it->second.avoidUntil, aNow) &&
          it->second.outstanding < it->second.server.slots;
 }
--- a/packages/state/servers_state.h
+++ b/packages/state/servers_state.h
@@ -48,7 +48,7 @@
   struct Entry
   {
     wire::BackendServerRecord record;
-    std::uint64_t changedAt = 0;            // version
+    std::uint64_t changedAt = 0;             // version
     std::uint64_t changedForFollowersAt = 0; // version
   };
 
