Read and log the limit that a server names in its responses

Cause: no host read Server-Limit, and the logs could not say that a server had named one. Responses with 421 come from another server and are not read.

Nothing obeys the limit yet.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -108,6 +108,7 @@
   report.reportedLoad = aEnd.reportedLoad;
   report.countedAsSlow = attempt.countedAsSlow;
   report.retryAfter = aEnd.retryAfter;
+  report.limitNotice = aEnd.limitNotice;
   const double running = static_cast<double>(router->Outstanding());
   RecordEnded(attempt, aEnd, report.latency, aNow);
   router->OnFinished(attempt.server, report, aNow);
--- a/packages/entry/request.h
+++ b/packages/entry/request.h
@@ -76,6 +76,8 @@
   bool serverIsLeaving = false;
   // For how long the server wants no requests from this host, if it says so.
   std::optional<Duration> retryAfter;
+  // Empty unless the server itself sent a response whose notice is valid.
+  std::optional<LimitNotice> limitNotice;
   std::string contentType;
   // The response body if it is small enough for the ledger.
   std::optional<std::string> body;
--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -279,6 +279,9 @@
       end.contentType = std::string((*response)[http::field::content_type]);
       end.serverIsLeaving = m_classified.serverIsLeaving;
       end.retryAfter = m_classified.retryAfter;
+      if (aOutcome != AttemptOutcome::kOtherServer) {
+        end.limitNotice = m_classified.limitNotice;
+      }
       end.reportedLoad = m_classified.reportedLoad;
       if (response->body().size() <= m_owner.m_options.maxLedgerResponseBytes) {
         end.body = response->body();
--- a/packages/net/backend_client.h
+++ b/packages/net/backend_client.h
@@ -58,6 +58,7 @@
   bool serverIsLeaving = false;
   // For how long the server wants no requests from this host, if it says so.
   std::optional<Duration> retryAfter;
+  std::optional<LimitNotice> limitNotice; // empty if its header is invalid
 };
 
 using ResponseClassifier =
--- a/packages/net/native_api.cc
+++ b/packages/net/native_api.cc
@@ -19,6 +19,7 @@
 static constexpr char kNotRunHeader[] = "Fuchsiaramp-Not-Run";
 static constexpr char kLoadHeader[] = "Fuchsiaramp-Load";
 static constexpr char kStateHeader[] = "Fuchsiaramp-State";
+static constexpr char kLimitHeader[] = "Fuchsiaramp-Request-Limit";
 static constexpr char kOutcomeHeader[] = "Fuchsiaramp-Outcome";
 static constexpr std::uint32_t kMisdirected = 421;
 static constexpr std::uint32_t kTooManyRequests = 429;
@@ -122,6 +123,8 @@
     classified.outcome = AttemptOutcome::kServerError;
   }
   classified.serverIsLeaving = aResponse[kStateHeader] == "leaving";
+  classified.limitNotice = ParseLimitNotice(aResponse.count(kLimitHeader) != 0,
+                                            aResponse[kLimitHeader]);
   const auto load = aResponse[kLoadHeader];
   std::uint32_t value = 0;
   const auto parsed =
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -353,6 +353,9 @@
   if (aReport.retryAfter) {
     view.avoidUntil = std::max(view.avoidUntil, aNow + *aReport.retryAfter);
   }
+  if (aReport.limitNotice) {
+    RecordLimit(view, *aReport.limitNotice);
+  }
   if (aReport.reportedLoad) {
     const double own = view.outstanding + 1.0;
     view.otherHostsLoad = std::max(0.0, *aReport.reportedLoad - own);
@@ -407,6 +410,21 @@
   }
 }
 
+void
+ServiceRouter::RecordLimit(ServerView& aView, const LimitNotice& aNotice)
+{
+  if (aView.limit == aNotice.rate) {
+    return;
+  }
+  aView.limit = aNotice.rate;
+  Event event(aNotice.rate ? "server_limited" : "server_limit_ended");
+  event.Add("server", aView.server.id);
+  if (aNotice.rate) {
+    event.Add("per_second", aNotice.rate->perSecond);
+  }
+  m_record(event);
+}
+
 Duration
 ServiceRouter::SlowThreshold(const BackendServerId& aServer) const
 {
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -20,6 +20,7 @@
 #include "base/event.h"
 #include "base/ids.h"
 #include "base/random.h"
+#include "base/request_rate.h"
 #include "base/time.h"
 #include "membership/directory.h"
 #include "routing/health_estimate.h"
@@ -87,6 +88,8 @@
   bool countedAsSlow = false; // OnOverdue was called for the attempt
   // For how long the server wants no requests from this host, if it says so.
   std::optional<Duration> retryAfter;
+  // Empty unless the server itself sent a response whose notice is valid.
+  std::optional<LimitNotice> limitNotice;
 };
 
 class ServiceRouter
@@ -197,6 +200,7 @@
     // Earliest time of the next trial request; empty before the first one.
     std::optional<TimePoint> trialAt;
     std::optional<ServerHealth> restriction;
+    std::optional<RequestRate> limit; // that the server named last
     OutcomeCounts counts;
     // Estimate for the server, from the outcomes of this and other hosts.
     HealthEstimate health;
@@ -243,6 +247,7 @@
   double Load(const ServerView& aView, TimePoint aNow) const;
   double Score(const ServerView& aView, TimePoint aNow) const;
   void RecordFailure(ServerView& aView);
+  void RecordLimit(ServerView& aView, const LimitNotice& aNotice);
   void UpdateSubset();
   void SelectSubset();
 
