--- a/packages/testing/fake_server.h
+++ b/packages/testing/fake_server.h
@@ -6,11 +6,13 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "base/ids.h"
 #include "base/random.h"
+#include "base/request_rate.h"
 #include "base/time.h"
 #include "testing/event_queue.h"
 
@@ -25,6 +27,8 @@
   double hangRate = 0.0;    // share of requests that get no response
   bool down = false;        // refuses connections
   bool failsAtOnce = false; // server errors take no service time
+  // Named in each response, including rejections.
+  std::optional<RequestRate> limit;
 };
 
 struct FakeServerOptions
--- a/packages/testing/load_model.cc
+++ b/packages/testing/load_model.cc
@@ -15,6 +15,8 @@
 static constexpr double kMeanEpisodeSeconds = 5.0;
 static constexpr double kFaultyFailureRate = 0.9;
 static constexpr int kViewsOfHosts = 3; // pushed to each host
+// After this long, control takes a host that it does not hear of for gone.
+static constexpr Duration kReportLifetime = std::chrono::seconds(5);
 static constexpr char kControlHost[] = "control-1";
 static constexpr char kService[] = "service";
 static constexpr char kCallerHost[] = "service.example";
@@ -56,7 +58,7 @@
 void
 LoadModel::AddServers()
 {
-  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  const std::size_t domains = DomainCount();
   for (std::size_t i = 0; i < m_options.servers; ++i) {
     FakeServerOptions options;
     options.id = BackendServerId("server-" + std::to_string(i));
@@ -69,39 +71,142 @@
     m_servers.push_back(
       std::make_unique<FakeServer>(options, m_queue, Random(m_random.Bits())));
   }
+  m_arrivals.resize(m_servers.size());
 }
 
 void
 LoadModel::AddHosts()
 {
-  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  const std::size_t domains = DomainCount();
   m_hosts.resize(m_options.hosts);
   for (std::size_t i = 0; i < m_hosts.size(); ++i) {
     Host& host = m_hosts[i];
     host.id = HostId("entry-" + std::to_string(i));
     host.domain = i % domains;
     m_hostIndex[host.id] = i;
-    EntryOptions options;
-    options.settings.host = host.id;
-    options.settings.region = RegionOf(host.domain);
-    options.settings.failureDomain = DomainOf(host.domain);
-    options.settings.callerAddress = host.id.Value();
-    options.settings.messageAddress = host.id.Value();
-    options.settings.routing = m_options.routing;
-    options.settings.membershipByControl = true;
-    options.settings.sameDomainShare = 1.0;
-    options.settings.controlHosts.push_back({ HostId(kControlHost), "", "" });
-    host.node = std::make_unique<EntryNode>(
-      options, HooksOf(i), Random(m_random.Bits()), m_queue.Now());
+    CreateNode(i);
   }
 }
 
+void
+LoadModel::CreateNode(std::size_t aHost)
+{
+  Host& host = m_hosts[aHost];
+  EntryOptions options;
+  options.incarnation = host.incarnation;
+  options.settings.host = host.id;
+  options.settings.region = RegionOf(host.domain);
+  options.settings.failureDomain = DomainOf(host.domain);
+  options.settings.callerAddress = host.id.Value();
+  options.settings.messageAddress = host.id.Value();
+  options.settings.routing = m_options.routing;
+  options.settings.membershipByControl = true;
+  options.settings.sameDomainShare = 1.0;
+  options.settings.controlHosts.push_back({ HostId(kControlHost), "", "" });
+  host.viewsSent = 0;
+  host.node = std::make_unique<EntryNode>(
+    options, HooksOf(aHost), Random(m_random.Bits()), m_queue.Now());
+}
+
+void
+LoadModel::At(Duration aAfterStart, std::function<void()> aAction)
+{
+  m_actions.emplace(aAfterStart, std::move(aAction));
+}
+
+void
+LoadModel::SetLimit(std::size_t aServer, std::optional<RequestRate> aLimit)
+{
+  ServerFaults faults = m_servers[aServer]->Faults();
+  faults.limit = aLimit;
+  m_servers[aServer]->SetFaults(faults);
+}
+
+void
+LoadModel::PauseHost(std::size_t aHost, Duration aSpan)
+{
+  m_hosts[aHost].pausedUntil = m_queue.Now() + aSpan;
+}
+
+void
+LoadModel::IsolateHost(std::size_t aHost, Duration aSpan)
+{
+  m_hosts[aHost].isolatedUntil = m_queue.Now() + aSpan;
+  m_queue.At(m_queue.Now() + kReportLifetime, [this, aHost] {
+    if (IsIsolated(aHost)) {
+      SetAbsent(aHost, true);
+    }
+  });
+  m_queue.At(m_queue.Now() + aSpan, [this, aHost] { SetAbsent(aHost, false); });
+}
+
+void
+LoadModel::RestartHost(std::size_t aHost, Duration aSpan)
+{
+  Host& host = m_hosts[aHost];
+  ++host.incarnation;
+  host.down = true;
+  for (auto it = m_attempts.begin(); it != m_attempts.end();) {
+    if (it->first.first == aHost) {
+      m_servers[it->second.server]->Cancel(it->second.serverRequest);
+      it = m_attempts.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  std::erase_if(m_pending, [aHost](const auto& aItem) {
+    return aItem.second.host == aHost;
+  });
+  m_queue.At(m_queue.Now() + kReportLifetime, [this, aHost] {
+    if (m_hosts[aHost].down) {
+      SetAbsent(aHost, true);
+    }
+  });
+  m_queue.At(m_queue.Now() + aSpan, [this, aHost] {
+    m_hosts[aHost].down = false;
+    CreateNode(aHost);
+    SetAbsent(aHost, false);
+  });
+}
+
+void
+LoadModel::SetAbsent(std::size_t aHost, bool aAbsent)
+{
+  m_hosts[aHost].absent = aAbsent;
+  for (Host& host : m_hosts) {
+    host.viewsSent = 0;
+  }
+}
+
+void
+LoadModel::RunOnHost(std::size_t aHost, std::function<void()> aAction)
+{
+  const Host& host = m_hosts[aHost];
+  if (host.down) {
+    return;
+  }
+  if (IsDue(host.pausedUntil, m_queue.Now())) {
+    aAction();
+    return;
+  }
+  m_queue.At(
+    host.pausedUntil,
+    [this, aHost, incarnation = host.incarnation, action = std::move(aAction)] {
+      if (m_hosts[aHost].incarnation == incarnation) {
+        RunOnHost(aHost, action);
+      }
+    });
+}
+
 EntryHooks
 LoadModel::HooksOf(std::size_t aHost)
 {
   EntryHooks hooks;
   hooks.send = [this, aHost](const HostId& aTo,
                              const wire::Envelope& aMessage) {
+    if (IsIsolated(aHost)) {
+      return;
+    }
     const auto to = m_hostIndex.find(aTo);
     if (to == m_hostIndex.end()) {
       OnControlMessage(aHost, aMessage);
@@ -147,7 +252,12 @@
 {
   m_queue.At(m_queue.Now() + aDelay,
              [this, aHost, aFrom, message = std::move(aMessage)] {
-               m_hosts[aHost].node->OnMessage(aFrom, message, m_queue.Now());
+               if (IsIsolated(aHost)) {
+                 return;
+               }
+               RunOnHost(aHost, [this, aHost, aFrom, message] {
+                 m_hosts[aHost].node->OnMessage(aFrom, message, m_queue.Now());
+               });
              });
 }
 
@@ -214,6 +324,9 @@
     push.set_has_hosts(true);
     std::map<std::size_t, std::uint32_t> sizes;
     for (const Host& host : m_hosts) {
+      if (host.absent) {
+        continue;
+      }
       ++sizes[host.domain];
       if (RegionOf(host.domain) == RegionOf(puller.domain)) {
         *push.add_hosts() = host.node->Members().Self();
@@ -238,6 +351,9 @@
     }
   }
   ScheduleArrival();
+  for (const auto& [after, action] : m_actions) {
+    m_queue.At(m_queue.Now() + after, action);
+  }
   m_queue.RunUntil(m_queue.Now() + kWarmUp);
   m_counting = true;
   m_queue.RunUntil(m_queue.Now() + aSpan);
@@ -251,7 +367,9 @@
 LoadModel::ScheduleTick()
 {
   for (Host& host : m_hosts) {
-    host.node->Tick(m_queue.Now());
+    if (!host.down && IsDue(host.pausedUntil, m_queue.Now())) {
+      host.node->Tick(m_queue.Now());
+    }
   }
   m_queue.At(m_queue.Now() + kTickInterval, [this] { ScheduleTick(); });
 }
@@ -259,7 +377,7 @@
 void
 LoadModel::SetFaulty(std::size_t aServer, bool aFaulty)
 {
-  ServerFaults faults;
+  ServerFaults faults = m_servers[aServer]->Faults();
   faults.failureRate = aFaulty ? kFaultyFailureRate : 0.0;
   faults.failsAtOnce = true;
   faults.shedRate = m_options.shedRate;
@@ -311,16 +429,22 @@
   head.callerRequestId = std::to_string(head.id.Value());
   head.fingerprint = Fingerprint(head.id.Value());
   head.deadline = m_queue.Now() + m_options.callerTimeout;
-  m_pending[head.id] = { m_queue.Now(), m_counting };
+  const std::size_t host = m_random.Below(m_hosts.size());
+  if (m_hosts[host].down) {
+    return;
+  }
+  m_pending[head.id] = { m_queue.Now(), host, m_counting };
   m_result.requests += m_counting ? 1.0 : 0.0;
-  m_hosts[m_random.Below(m_hosts.size())].node->OnRequest(head, m_queue.Now());
+  RunOnHost(host, [this, host, head] {
+    m_hosts[host].node->OnRequest(head, m_queue.Now());
+  });
 }
 
 ConnectionKind
 LoadModel::StartAttempt(std::size_t aHost, const AttemptStart& aStart)
 {
   const std::size_t server = m_serverIndex.at(aStart.server);
-  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  const std::size_t domains = DomainCount();
   Duration delay = Delay(m_hosts[aHost].domain, server % domains);
   if (aStart.requiresNewConnection) {
     delay *= 3; // one round trip to connect
@@ -332,6 +456,7 @@
     if (it == m_attempts.end()) {
       return;
     }
+    m_arrivals[it->second.server].push_back({ m_queue.Now(), aHost });
     m_servers[it->second.server]->HandleRequest(
       it->second.serverRequest,
       "",
@@ -350,13 +475,14 @@
                             FakeResponse aResponse)
 {
   const auto it = m_attempts.find({ aHost, aAttempt });
-  const std::size_t domains = m_options.regions * m_options.domainsPerRegion;
+  const std::size_t domains = DomainCount();
   const Duration delay =
     Delay(m_hosts[aHost].domain, it->second.server % domains);
   AttemptEnd end;
   end.id = aAttempt;
   end.outcome = AttemptOutcome::kSuccess;
   end.status = 200;
+  end.limitNotice = LimitNotice{ m_servers[it->second.server]->Faults().limit };
   if (aResponse == FakeResponse::kShed) {
     end.outcome = AttemptOutcome::kShed;
     end.status = 503;
@@ -367,7 +493,9 @@
   }
   m_queue.At(m_queue.Now() + delay, [this, aHost, end] {
     if (m_attempts.erase({ aHost, end.id }) > 0) {
-      m_hosts[aHost].node->OnAttemptEnd(end, m_queue.Now());
+      RunOnHost(aHost, [this, aHost, end] {
+        m_hosts[aHost].node->OnAttemptEnd(end, m_queue.Now());
+      });
     }
   });
 }
--- a/packages/testing/load_model.h
+++ b/packages/testing/load_model.h
@@ -5,9 +5,11 @@
 // Servers have a few slots and a short queue. A share of them is faulty at any
 // time: a faulty server fails most of its requests at once. Callers pick a host
 // at random. Host and server views are complete from the start, so that the
-// result shows placement, queueing and refusing alone.
+// result shows placement, queueing and refusing alone. A test may let servers
+// name limits and disturb hosts at chosen times.
 //
 //   LoadModel model(options);
+//   model.At(std::chrono::seconds(2), [&] { model.PauseHost(3, span); });
 //   LoadResult result = model.Run(std::chrono::seconds(10));
 //   double inTime = result.inTime / result.requests;
 #pragma once
@@ -16,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -79,17 +82,51 @@
   // Plays aSpan after a warm-up, of which nothing is counted.
   LoadResult Run(Duration aSpan);
 
+  // Calls aAction at a time after the start of the callers. Call it before Run.
+  void At(Duration aAfterStart, std::function<void()> aAction);
+  TimePoint Now() const { return m_queue.Now(); }
+  // The server names the limit in its responses from now on, or none.
+  void SetLimit(std::size_t aServer, std::optional<RequestRate> aLimit);
+  // The host does nothing for aSpan, and then handles what has arrived.
+  void PauseHost(std::size_t aHost, Duration aSpan);
+  // The host loses its state and its requests, and starts again after aSpan.
+  void RestartHost(std::size_t aHost, Duration aSpan);
+  // The host exchanges no messages with other hosts for aSpan. Callers and
+  // servers still reach it.
+  void IsolateHost(std::size_t aHost, Duration aSpan);
+
+  // A request that reached a server.
+  struct Arrival
+  {
+    TimePoint at;
+    std::size_t host = 0;
+  };
+  const std::vector<Arrival>& ArrivalsAt(std::size_t aServer) const
+  {
+    return m_arrivals[aServer];
+  }
+  std::size_t DomainOfServer(std::size_t aServer) const
+  {
+    return aServer % DomainCount();
+  }
+
 private:
   struct Host
   {
     HostId id;
     std::size_t domain = 0;
     std::unique_ptr<EntryNode> node;
+    std::uint64_t incarnation = 1;
     int viewsSent = 0; // of the entry hosts
+    TimePoint pausedUntil;
+    TimePoint isolatedUntil;
+    bool down = false;
+    bool absent = false; // control has no report of it
   };
   struct Pending
   {
     TimePoint startedAt;
+    std::size_t host = 0;
     bool counted = false;
   };
   struct Attempt
@@ -98,6 +135,19 @@
     std::uint64_t serverRequest = 0;
   };
 
+  std::size_t DomainCount() const
+  {
+    return m_options.regions * m_options.domainsPerRegion;
+  }
+  bool IsIsolated(std::size_t aHost) const
+  {
+    return !IsDue(m_hosts[aHost].isolatedUntil, m_queue.Now());
+  }
+  // Calls aAction now, or when the host's pause ends; not at all if the host
+  // restarts before.
+  void RunOnHost(std::size_t aHost, std::function<void()> aAction);
+  void CreateNode(std::size_t aHost);
+  void SetAbsent(std::size_t aHost, bool aAbsent);
   Region RegionOf(std::size_t aDomain) const;
   FailureDomain DomainOf(std::size_t aDomain) const;
   void AddServers();
@@ -126,6 +176,8 @@
   EventQueue m_queue;
   std::vector<std::unique_ptr<FakeServer>> m_servers;
   std::unordered_map<BackendServerId, std::size_t> m_serverIndex;
+  std::vector<std::vector<Arrival>> m_arrivals; // by server
+  std::multimap<Duration, std::function<void()>> m_actions;
   std::vector<Host> m_hosts;
   std::unordered_map<HostId, std::size_t> m_hostIndex;
   std::unordered_map<RequestId, Pending> m_pending;
