Keep the sum over all entry hosts within the limit that a server names

Cause: no host obeyed the limit; the class is a bound on a sum that nobody owns. Ruled out: a bucket a host (30 hosts hold 30 first permits), the allocator of plan limits (the same below one request a second a host), the replicated table (a commit for each change of the figure).

ServerLimit: the hosts of the server's cell rank for it by rendezvous hashing; as many share the rate as get one request a second each, the others send nothing. Hosts report notices to their cell and, through control, to all hosts. Choices, retries, hedges, trials and reserved starts ask it. Limited slots count for capacity only up to the limit; what all limits together cannot carry is refused at once, with a Retry-After that the sum supports. The rate doubles each second after the end.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -196,7 +196,8 @@
 // control host forwards evidence to its own subscribed entry hosts that receive
 // outcomes, so the traffic between control hosts does not grow with the number
 // of receiving entry hosts. Evidence from a control host is not sent to other
-// control hosts.
+// control hosts. All entry hosts hear of the limits of servers, since one that
+// does not know of a limit would exceed it.
 void
 ControlNode::RelayEvidence(const HostId& aFrom,
                            const wire::Envelope& aMessage,
@@ -212,8 +213,9 @@
   for (const auto& [host, entryHost] : m_entryHosts) {
     const bool recent =
       !IsDue(entryHost.reportedAt + kSubscriptionTimeout, aNow);
-    const bool receives =
-      entryHost.subscribed && entryHost.receivesOutcomes && recent;
+    const bool concerned =
+      entryHost.receivesOutcomes || aMessage.evidence().limits_size() > 0;
+    const bool receives = entryHost.subscribed && concerned && recent;
     if (host != aFrom && receives) {
       m_hooks.send(host, aMessage);
     }
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -264,23 +264,41 @@
   BOOST_TEST(push.control_hosts_size() == 0);
 }
 
+// Sends evidence from an entry host; returns how many entry hosts receive it.
+static int
+CountEvidence(ControlGroup& aGroup, const wire::Envelope& aEvidence)
+{
+  aGroup.m_toEntryHosts.clear();
+  aGroup.m_network.Send(
+    HostId("entry-other"), aGroup.m_hosts.front(), aEvidence, aGroup.m_now);
+  aGroup.Run(std::chrono::milliseconds(100));
+  int received = 0;
+  for (const wire::Envelope& envelope : aGroup.m_toEntryHosts) {
+    received += envelope.has_evidence() ? 1 : 0;
+  }
+  return received;
+}
+
 BOOST_AUTO_TEST_CASE(OutcomesAreSentOnlyToHostsThatReceiveThem)
 {
   ControlGroup group;
   group.Run(std::chrono::seconds(6));
   PullHosts(group, "entry-busy", "north", 11, true);
   PullHosts(group, "entry-idle", "north", 12, false);
-  group.m_toEntryHosts.clear();
   wire::Envelope evidence;
   evidence.mutable_evidence()->add_reports()->set_service("s");
-  group.m_network.Send(
-    HostId("entry-other"), group.m_hosts.front(), evidence, group.m_now);
-  group.Run(std::chrono::milliseconds(100));
-  int received = 0;
-  for (const wire::Envelope& envelope : group.m_toEntryHosts) {
-    received += envelope.has_evidence() ? 1 : 0;
-  }
-  BOOST_TEST(received == 1);
+  BOOST_TEST(CountEvidence(group, evidence) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(LimitsOfServersAreSentToAllHosts)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  PullHosts(group, "entry-busy", "north", 11, true);
+  PullHosts(group, "entry-idle", "north", 12, false);
+  wire::Envelope evidence;
+  evidence.mutable_evidence()->add_limits()->set_service("s");
+  BOOST_TEST(CountEvidence(group, evidence) == 2);
 }
 
 } // namespace fuchsiaramp
--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -25,6 +25,7 @@
   const BackendServer* server = router->Find(aServer);
   if (server == nullptr) {
     // The server left while the key was being claimed.
+    ReleaseReservation(aRequest, aNow);
     aRequest.excludedServers.insert(aServer);
     if (!Retry(aRequest, true, aNow)) {
       FailRequest(aRequest,
@@ -70,7 +71,10 @@
   ++aRequest.attemptsStarted;
   aRequest.firstAttemptAt = std::min(aRequest.firstAttemptAt, aNow);
   ++m_counters.attempts;
-  router->OnStarted(aServer);
+  if (!aRequest.reservedServer) {
+    router->OnStarted(aServer, aNow);
+  }
+  aRequest.reservedServer.reset();
   m_hooks.record(Event("attempt_started")
                    .With("request", aRequest.head.id)
                    .With("attempt", start.id)
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -15,6 +15,9 @@
 // How long this host tries to record the outcome of a request in the ledger.
 static constexpr Duration kReportTimeout = std::chrono::minutes(10);
 static constexpr std::size_t kMaxKeyLength = 200; // bytes
+static constexpr double kMinStartRate = 1e-3;     // requests per second
+// Callers that are told to wait for longer give up; they may as well try again.
+static constexpr double kMaxWaitSeconds = 30.0;
 // About the mean latency of a service, with which its rate is estimated.
 static constexpr double kTypicalLatencyQuantile = 0.6;
 // The latency that a queued request must still have left. In an overload all
@@ -325,14 +328,40 @@
                    ToSeconds(kArrivalHalfLife);
   rates.starting =
     running / ToSeconds(router->LatencyQuantile(kTypicalLatencyQuantile));
+  if (const auto limited = router->CapacityIfAllLimited(aNow)) {
+    rates.starting = std::min(rates.starting, limited->ownRate.perSecond);
+    rates.nextStartAt = limited->nextAt;
+  }
   return rates;
 }
 
 Duration
 EntryNode::EstimateWait(const ServiceName& aService, TimePoint aNow)
 {
-  return FromSeconds(static_cast<double>(m_admissions[aService].queue.size()) /
-                     RatesOf(aService, aNow).starting);
+  const double queued =
+    static_cast<double>(m_admissions[aService].queue.size());
+  const QueueRates rates = RatesOf(aService, aNow);
+  const Duration wait =
+    queued > 0.0
+      ? FromSeconds(std::min(queued / std::max(rates.starting, kMinStartRate),
+                             kMaxWaitSeconds))
+      : Duration();
+  const auto limited = m_services->Find(aService)->CapacityIfAllLimited(aNow);
+  return limited ? std::max(wait, WaitForLimits(*limited, rates)) : wait;
+}
+
+// Callers that are refused by this host come back to any host. If all hosts get
+// as many requests as this one, the limits of all servers together carry what
+// arrives within a second in this time.
+Duration
+EntryNode::WaitForLimits(const LimitedCapacity& aCapacity,
+                         const QueueRates& aRates) const
+{
+  const double arriving =
+    aRates.arriving * static_cast<double>(m_services->RetryBudgetHosts());
+  return FromSeconds(
+    std::min(arriving / std::max(aCapacity.totalRate.perSecond, kMinStartRate),
+             kMaxWaitSeconds));
 }
 
 // Refuses the queued requests that will not be served, so that their callers
@@ -389,7 +418,8 @@
     return;
   }
   aRequest.reservedServer = aServer;
-  m_services->Find(aRequest.head.service)->OnStarted(aServer);
+  aRequest.reservedAt = aNow;
+  m_services->Find(aRequest.head.service)->OnStarted(aServer, aNow);
   StartClaim(aRequest, aNow);
 }
 
@@ -471,9 +501,7 @@
   switch (aResult->code()) {
     case wire::CommandResult::GRANTED: {
       request.keyIsFree = true;
-      const BackendServerId server = *request.reservedServer;
-      ReleaseReservation(request, aNow);
-      StartAttempt(request, server, aNow);
+      StartReserved(request, aNow);
       return;
     }
     case wire::CommandResult::ALREADY_FINISHED:
@@ -514,6 +542,25 @@
   Respond(request, response, aNow);
 }
 
+void
+EntryNode::StartReserved(Request& aRequest, TimePoint aNow)
+{
+  const BackendServerId server = *aRequest.reservedServer;
+  const ServiceRouter* router = m_services->Find(aRequest.head.service);
+  if (!router->WasLimitedSince(server, aRequest.reservedAt, aNow)) {
+    StartAttempt(aRequest, server, aNow);
+    return;
+  }
+  ReleaseReservation(aRequest, aNow);
+  if (!Requeue(aRequest, aNow)) {
+    FailRequest(aRequest,
+                nullptr,
+                "the service is at capacity",
+                Jitter(kRetryAfterShed),
+                aNow);
+  }
+}
+
 // Ends the claim of a request that did not run, so that a resend can be granted
 // the key. Only then does the caller get the outcome not-run. If the ledger
 // does not answer, the caller gets unknown, since a resend may still find the
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -117,6 +117,11 @@
   bool IsLeaving() const { return m_leaving; }
   // Whether this host reaches no backend server.
   bool IsCutOff() const { return m_reachability->IsCutOff(); }
+  // The number of backend servers whose rate of requests is limited.
+  std::size_t LimitedServers() const
+  {
+    return m_services->LimitedServers(m_now);
+  }
 
   const ListsFollower& ListsInForce() const { return *m_lists; }
   const Membership& Members() const { return *m_membership; }
@@ -167,6 +172,7 @@
     bool forceNewConnection = false;
     std::string claimAttempt; // set while this request holds its key
     std::optional<BackendServerId> reservedServer;
+    TimePoint reservedAt;
     bool callerDisconnected = false;
     std::set<HostId> triedPeers; // entry hosts to which it was forwarded
   };
@@ -248,12 +254,17 @@
   Duration Jitter(Duration aSpan);
   Duration RetryAfterWait(Duration aWait);
   Duration EstimateWait(const ServiceName& aService, TimePoint aNow);
+  Duration WaitForLimits(const LimitedCapacity& aCapacity,
+                         const QueueRates& aRates) const;
   void ClaimOrStart(Request& aRequest,
                     const BackendServerId& aServer,
                     TimePoint aNow);
 
   // Claims.
   void StartClaim(Request& aRequest, TimePoint aNow);
+  // Starts a request that holds its key on the server reserved for it, or
+  // queues it again if the server began to name a limit meanwhile.
+  void StartReserved(Request& aRequest, TimePoint aNow);
   void OnClaimResult(RequestId aRequest,
                      const wire::CommandResult* aResult,
                      TimePoint aNow);
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -1,6 +1,7 @@
 #include "entry/service_plane.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "routing/rendezvous.h"
@@ -89,6 +90,9 @@
       options.retryBudget.initialTokens = 0.0;
     }
     options.usesHealthEstimates = m_options.routing.sharesOutcomes;
+    options.limitHosts = [this](const BackendServer& aServer) {
+      return HostsInRegionOf(aServer);
+    };
     options.domainCost = m_options.routing.domainCost;
     options.regionCost = m_options.routing.regionCost;
     service.router = std::make_unique<ServiceRouter>(
@@ -144,6 +148,34 @@
 {
   m_hostsChanged = true;
   m_cellsAreStale = true;
+  for (auto& [name, service] : m_services) {
+    service.router->LimitHostsChanged();
+  }
+}
+
+// A region without entry hosts is served by all others.
+std::vector<HostId>
+ServicePlane::HostsInRegionOf(const BackendServer& aServer) const
+{
+  const std::vector<HostId> alive = m_hooks.aliveHosts();
+  std::vector<HostId> inRegion;
+  std::copy_if(alive.begin(),
+               alive.end(),
+               std::back_inserter(inRegion),
+               [&](const HostId& aHost) {
+                 return m_hooks.regionOf(aHost) == aServer.region;
+               });
+  return inRegion.empty() ? alive : inRegion;
+}
+
+std::size_t
+ServicePlane::LimitedServers(TimePoint aNow) const
+{
+  std::size_t limited = 0;
+  for (const auto& [name, service] : m_services) {
+    limited += service.router->LimitedServers(aNow);
+  }
+  return limited;
 }
 
 void
@@ -214,6 +246,8 @@
       TickDetector(name, service, aNow);
     }
   }
+  CellMessages none;
+  ShareLimits(none);
 }
 
 void
@@ -311,6 +345,7 @@
   if (forAllHosts.reports_size() > 0) {
     m_hooks.broadcast(forAllHosts);
   }
+  ShareLimits(messages);
   for (const auto& [peers, evidence] : messages) {
     for (const HostId& peer : peers) {
       m_hooks.send(peer, evidence);
@@ -318,6 +353,59 @@
   }
 }
 
+// All hosts need to know of a limit. Those of the cell, which share it, are
+// told directly as well: they then agree on it while control is away.
+void
+ServicePlane::ShareLimits(CellMessages& aMessages)
+{
+  wire::Evidence forAllHosts;
+  for (auto& [name, service] : m_services) {
+    const std::vector<LimitReport> reports = service.router->TakeLimitReports();
+    if (reports.empty()) {
+      continue;
+    }
+    wire::ServerLimits limits;
+    limits.set_service(name.Value());
+    for (const LimitReport& report : reports) {
+      wire::ServerLimit* limit = limits.add_servers();
+      limit->set_server(report.server.Value());
+      limit->set_incarnation(report.incarnation);
+      limit->set_ended(!report.rate);
+      if (report.rate) {
+        limit->set_rate_milli(static_cast<std::uint64_t>(
+          std::llround(report.rate->perSecond * 1e3)));
+      }
+    }
+    *forAllHosts.add_limits() = limits;
+    const Cell& cell = service.router->CurrentCell();
+    if (!cell.peers.empty()) {
+      *aMessages[cell.peers].add_limits() = limits;
+    }
+  }
+  if (forAllHosts.limits_size() > 0) {
+    m_hooks.broadcast(forAllHosts);
+  }
+}
+
+void
+ServicePlane::OnLimitReports(const wire::ServerLimits& aLimits, TimePoint aNow)
+{
+  ServiceRouter* router = Find(ServiceName(aLimits.service()));
+  if (router == nullptr) {
+    return;
+  }
+  for (const wire::ServerLimit& limit : aLimits.servers()) {
+    LimitReport report;
+    report.server = BackendServerId(limit.server());
+    report.incarnation = limit.incarnation();
+    if (!limit.ended()) {
+      report.rate =
+        RequestRate{ static_cast<double>(limit.rate_milli()) / 1e3 };
+    }
+    router->OnLimitReport(report, aNow);
+  }
+}
+
 // Loads are sent on change, and repeatedly while they are not zero.
 void
 ServicePlane::AddLoad(const ServiceName& aName,
@@ -385,6 +473,9 @@
     }
     router->SetPeerLoad(aFrom, outstanding, aNow);
   }
+  for (const wire::ServerLimits& limits : aEvidence.limits()) {
+    OnLimitReports(limits, aNow);
+  }
   for (const wire::Verdict& verdict : aEvidence.verdicts()) {
     OnVerdict(aFrom, verdict, aNow);
   }
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -46,7 +46,7 @@
   std::function<std::vector<HostId>()> domainHosts;
   // Sends to all entry hosts, through control; used if hosts share outcomes.
   std::function<void(const wire::Evidence&)> broadcast;
-  std::function<std::vector<HostId>()> aliveHosts;
+  std::function<std::vector<HostId>()> aliveHosts; // including this one
   std::function<Region(const HostId&)> regionOf;
   EventHook record;
 };
@@ -67,6 +67,8 @@
   void Tick(TimePoint aNow);
   // The number of hosts that share the retry budgets of all services.
   void SetRetryBudgetHosts(std::size_t aHosts);
+  std::size_t RetryBudgetHosts() const { return m_retryBudgetHosts; }
+  std::size_t LimitedServers(TimePoint aNow) const;
   // The set of live hosts changed, or the state of one of them.
   void HostsChanged();
   // Forgets what requests showed about the paths from this host to servers.
@@ -135,6 +137,9 @@
                CellMessages& aMessages,
                TimePoint aNow);
   void OnSharedOutcomes(const wire::EvidenceReport& aReport, TimePoint aNow);
+  void ShareLimits(CellMessages& aMessages);
+  void OnLimitReports(const wire::ServerLimits& aLimits, TimePoint aNow);
+  std::vector<HostId> HostsInRegionOf(const BackendServer& aServer) const;
   void ApplyOwnDecisions(Service& aService, TimePoint aNow);
 
   ServicePlaneOptions m_options;
--- a/packages/limits/admission_queue.cc
+++ b/packages/limits/admission_queue.cc
@@ -84,10 +84,15 @@
   MarkLate(aNow);
   std::vector<RequestId> hopeless;
   std::size_t before = 0; // kept requests that are started earlier
+  const TimePoint firstAt = std::max(aNow, aRates.nextStartAt);
   for (const Key& key : m_order) {
+    if (firstAt == kNever) {
+      hopeless.push_back(key.queued.request);
+      continue;
+    }
     const auto waitAt = [&](double aRate) {
-      return aNow + FromSeconds(static_cast<double>(before) /
-                                std::max(aRate, kMinRate));
+      return firstAt + FromSeconds(static_cast<double>(before) /
+                                   std::max(aRate, kMinRate));
     };
     const bool inTime =
       !key.late && waitAt(aRates.starting) <= key.queued.inTimeUntil;
--- a/packages/limits/admission_queue.h
+++ b/packages/limits/admission_queue.h
@@ -40,6 +40,8 @@
 {
   double arriving = 0.0;
   double starting = 0.0; // as many as the service has room for
+  // Before this time no request is started; kNever if none will be.
+  TimePoint nextStartAt{};
 };
 
 class AdmissionQueue
--- a/packages/limits/admission_queue_test.cc
+++ b/packages/limits/admission_queue_test.cc
@@ -100,4 +100,19 @@
   BOOST_TEST(hopeless.front().Value() == 1U);
 }
 
+// At one request per second, of which the next starts in 400 ms, only the
+// request of the highest priority starts in time.
+BOOST_AUTO_TEST_CASE(RequestsWaitForTheNextStartOrAreRefusedAtOnce)
+{
+  AdmissionQueue queue(100);
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    queue.Push(Make(id, id == 3 ? 1 : 0, 500, 500));
+  }
+  const auto hopeless = queue.TakeHopeless({ 5.0, 1.0, At(400) }, At(0));
+  BOOST_TEST(hopeless.size() == 4U);
+  BOOST_TEST(PopId(queue, 0) == 3U);
+  queue.Push(Make(6, 1, 500, 500));
+  BOOST_TEST(queue.TakeHopeless({ 5.0, 0.0, kNever }, At(0)).size() == 1U);
+}
+
 } // namespace fuchsiaramp
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -506,6 +506,9 @@
     counter("forwarded_total", &EntryCounters::forwarded);
     m_metrics.Gauge("cut_off",
                     [this] { return m_node->IsCutOff() ? 1.0 : 0.0; });
+    m_metrics.Gauge("limited_servers", [this] {
+      return static_cast<double>(m_node->LimitedServers());
+    });
     AddProcessMetrics(m_metrics, m_transport);
     m_metrics.Gauge("lists_version", [this] {
       return static_cast<double>(
--- a/packages/routing/host_cells.cc
+++ b/packages/routing/host_cells.cc
@@ -53,7 +53,8 @@
   Cell cell;
   std::vector<HostId> members = hosts;
   std::vector<BackendServerId> servers = aServers;
-  if (self != hosts.end()) {
+  cell.containsSelf = self != hosts.end();
+  if (cell.containsSelf) {
     cell.cells =
       std::max<std::size_t>(std::min(hosts.size() / aOptions.minHosts,
                                      aServers.size() / aOptions.minServers),
--- a/packages/routing/host_cells.h
+++ b/packages/routing/host_cells.h
@@ -31,6 +31,7 @@
   std::vector<HostId> peers; // other hosts of the cell; sorted
   std::set<BackendServerId> servers;
   std::size_t cells = 1; // in the failure domain
+  bool containsSelf = false;
 };
 
 // aHosts: the entry hosts of the failure domain that receive callers. A host
--- a/packages/routing/rendezvous.h
+++ b/packages/routing/rendezvous.h
@@ -54,4 +54,20 @@
   return top.empty() ? Id() : top.front();
 }
 
+// Returns the number of members that rank before aSelf for aKey.
+template<class Id>
+std::size_t
+RendezvousRank(const std::string& aKey,
+               const Id& aSelf,
+               const std::vector<Id>& aMembers)
+{
+  const std::uint64_t seed = Hash64(aKey);
+  const std::uint64_t own = Hash64(aSelf.Value(), seed);
+  return static_cast<std::size_t>(
+    std::count_if(aMembers.begin(), aMembers.end(), [&](const Id& aMember) {
+      const std::uint64_t hash = Hash64(aMember.Value(), seed);
+      return hash > own || (hash == own && aMember < aSelf);
+    }));
+}
+
 } // namespace fuchsiaramp
--- a/packages/routing/service_router.cc
+++ b/packages/routing/service_router.cc
@@ -144,6 +144,7 @@
   }
   m_subsetIsStale = false;
   m_subset.clear();
+  LimitHostsChanged();
   for (auto& [id, view] : m_servers) {
     view.inCell = IsInDomain(view) && (!m_hasCell || m_cell.cells == 1 ||
                                        m_cell.servers.count(id) != 0);
@@ -199,6 +200,7 @@
   if (aView.server.state != ServerState::kUp ||
       !IsDue(aView.avoidUntil, aNow) ||
       aView.outstanding + aView.peerOutstanding >= aView.server.slots ||
+      !aView.limit.MaySend(aNow) ||
       aRequest.excluded.count(aView.server.id) != 0) {
     return false;
   }
@@ -228,7 +230,8 @@
     const bool trial = view.restriction &&
                        view.restriction->state == HealthState::kTrial &&
                        view.server.state == ServerState::kUp;
-    if (!trial || view.outstanding > 0 || !IsDue(view.avoidUntil, aNow)) {
+    if (!trial || view.outstanding > 0 || !IsDue(view.avoidUntil, aNow) ||
+        !view.limit.MaySend(aNow)) {
       continue;
     }
     const double interval = static_cast<double>(m_reporters) / kTrialsPerSecond;
@@ -250,6 +253,9 @@
 ServiceRouter::Choose(const ChoiceRequest& aRequest, TimePoint aNow)
 {
   UpdateSubset();
+  for (ServerView* view : m_subset) {
+    UpdateLimitRank(*view, aNow);
+  }
   if (m_options.usesHealthEstimates) {
     return ChooseByHealth(aRequest, aNow);
   }
@@ -327,14 +333,17 @@
   const auto it = m_servers.find(aServer);
   return it != m_servers.end() && it->second.server.state == ServerState::kUp &&
          IsDue(it->second.avoidUntil, aNow) &&
-         it->second.outstanding < it->second.server.slots;
+         it->second.outstanding < it->second.server.slots &&
+         it->second.limit.MaySend(aNow);
 }
 
 void
-ServiceRouter::OnStarted(const BackendServerId& aServer)
+ServiceRouter::OnStarted(const BackendServerId& aServer, TimePoint aNow)
 {
-  ++m_servers[aServer].outstanding;
+  ServerView& view = m_servers[aServer];
+  ++view.outstanding;
   ++m_outstanding;
+  view.limit.OnSent(aNow);
 }
 
 void
@@ -353,9 +362,7 @@
   if (aReport.retryAfter) {
     view.avoidUntil = std::max(view.avoidUntil, aNow + *aReport.retryAfter);
   }
-  if (aReport.limitNotice) {
-    RecordLimit(view, *aReport.limitNotice);
-  }
+  OnLimitNotice(view, aReport, aNow);
   if (aReport.reportedLoad) {
     const double own = view.outstanding + 1.0;
     view.otherHostsLoad = std::max(0.0, *aReport.reportedLoad - own);
@@ -410,21 +417,6 @@
   }
 }
 
-void
-ServiceRouter::RecordLimit(ServerView& aView, const LimitNotice& aNotice)
-{
-  if (aView.limit == aNotice.rate) {
-    return;
-  }
-  aView.limit = aNotice.rate;
-  Event event(aNotice.rate ? "server_limited" : "server_limit_ended");
-  event.Add("server", aView.server.id);
-  if (aNotice.rate) {
-    event.Add("per_second", aNotice.rate->perSecond);
-  }
-  m_record(event);
-}
-
 Duration
 ServiceRouter::SlowThreshold(const BackendServerId& aServer) const
 {
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -29,6 +30,7 @@
 #include "routing/outlier_detector.h"
 #include "routing/overflow_limit.h"
 #include "routing/retry_budget.h"
+#include "routing/server_limit.h"
 #include "wire/messages.h"
 
 namespace fuchsiaramp {
@@ -68,6 +70,26 @@
   // of a request. Traffic between them is billed.
   double domainCost = 0.2;
   double regionCost = 0.25;
+  // The entry hosts that may share the limit of a server, used without health
+  // estimates; with them, the hosts of the server's cell do. If unset, this
+  // host is the only one.
+  std::function<std::vector<HostId>(const BackendServer&)> limitHosts;
+};
+
+// A server began or ended to name a limit, or confirms it; sent to other hosts.
+struct LimitReport
+{
+  BackendServerId server;
+  std::uint64_t incarnation = 0;
+  std::optional<RequestRate> rate; // empty: the limit ended
+};
+
+// What this host may send while all servers that it may use are limited.
+struct LimitedCapacity
+{
+  RequestRate ownRate;
+  RequestRate totalRate; // of all hosts
+  TimePoint nextAt;      // when this host may send next
 };
 
 struct ChoiceRequest
@@ -105,10 +127,15 @@
                                         TimePoint aNow);
   // Whether a request that this host sent to the server after aTime succeeded.
   bool AnsweredSince(const BackendServerId& aServer, TimePoint aTime) const;
-  // Whether the server takes requests and has a free slot, considering only
+  // Whether the server takes requests now and has a free slot, considering only
   // this host's requests.
   bool IsAvailable(const BackendServerId& aServer, TimePoint aNow) const;
-  void OnStarted(const BackendServerId& aServer);
+  void OnStarted(const BackendServerId& aServer, TimePoint aNow);
+  // Whether the server began to name a limit after a slot was reserved at
+  // aReservedAt, so that the reservation did not count towards the limit.
+  bool WasLimitedSince(const BackendServerId& aServer,
+                       TimePoint aReservedAt,
+                       TimePoint aNow) const;
   void OnFinished(const BackendServerId& aServer,
                   const AttemptReport& aReport,
                   TimePoint aNow);
@@ -153,6 +180,15 @@
   // Returns and resets the outcomes that are to be shared with other hosts.
   std::vector<ReportedCounts> TakeSharedOutcomes();
   bool HasSharedOutcomes() const { return !m_sharedOutcomes.empty(); }
+  // Another host reports what a server says of its limit.
+  void OnLimitReport(const LimitReport& aReport, TimePoint aNow);
+  // Returns and resets the reports that are due to other hosts.
+  std::vector<LimitReport> TakeLimitReports();
+  // The hosts that may share limits changed.
+  void LimitHostsChanged() { ++m_limitHostsVersion; }
+  // Empty unless all servers that this host may use now are limited.
+  std::optional<LimitedCapacity> CapacityIfAllLimited(TimePoint aNow) const;
+  std::size_t LimitedServers(TimePoint aNow) const;
   // The probability that a server is unhealthy.
   double UnhealthyProbability(const BackendServerId& aServer,
                               TimePoint aNow) const;
@@ -200,7 +236,9 @@
     // Earliest time of the next trial request; empty before the first one.
     std::optional<TimePoint> trialAt;
     std::optional<ServerHealth> restriction;
-    std::optional<RequestRate> limit; // that the server named last
+    ServerLimit limit;
+    std::uint64_t limitHostsVersion = 0; // for which limit has this host's rank
+    TimePoint nextLimitReportAt;
     OutcomeCounts counts;
     // Estimate for the server, from the outcomes of this and other hosts.
     HealthEstimate health;
@@ -221,7 +259,9 @@
   struct CellUsage
   {
     std::size_t slots = 0;
-    std::size_t usableSlots = 0; // of servers that are healthy
+    std::size_t usableSlots = 0; // of servers that are healthy and not limited
+    // Slots that this host's shares of limits keep busy.
+    double limitedSlots = 0.0;
     std::size_t inside = 0;
     std::size_t outside = 0;
   };
@@ -247,7 +287,16 @@
   double Load(const ServerView& aView, TimePoint aNow) const;
   double Score(const ServerView& aView, TimePoint aNow) const;
   void RecordFailure(ServerView& aView);
-  void RecordLimit(ServerView& aView, const LimitNotice& aNotice);
+  void OnLimitNotice(ServerView& aView,
+                     const AttemptReport& aReport,
+                     TimePoint aNow);
+  void OnLimitChanged(ServerView& aView,
+                      const LimitReport& aReport,
+                      const char* aSource,
+                      TimePoint aNow);
+  void UpdateLimitRank(ServerView& aView, TimePoint aNow);
+  std::vector<HostId> LimitHosts(const ServerView& aView) const;
+  bool IsUsable(const ServerView& aView, TimePoint aNow) const;
   void UpdateSubset();
   void SelectSubset();
 
@@ -267,6 +316,8 @@
   RetryBudget m_retries;
   std::uint64_t m_outstanding = 0;
   std::unordered_map<BackendServerId, ReportedCounts> m_sharedOutcomes;
+  std::unordered_map<BackendServerId, LimitReport> m_limitReports;
+  std::uint64_t m_limitHostsVersion = 1;
   struct PeerLoad
   {
     TimePoint receivedAt;
--- a/packages/routing/service_router_health.cc
+++ b/packages/routing/service_router_health.cc
@@ -121,6 +121,20 @@
   return load;
 }
 
+// Whether requests may go to the server, whatever its slots and its limit say.
+bool
+ServiceRouter::IsUsable(const ServerView& aView, TimePoint aNow) const
+{
+  if (aView.server.state != ServerState::kUp ||
+      !IsDue(aView.avoidUntil, aNow)) {
+    return false;
+  }
+  return m_options.usesHealthEstimates
+           ? UnhealthyProbability(aView, aNow) <= kUnhealthyThreshold
+           : !aView.restriction ||
+               aView.restriction->state == HealthState::kRamp;
+}
+
 ServiceRouter::CellUsage
 ServiceRouter::UsageOfCell(TimePoint aNow) const
 {
@@ -130,11 +144,16 @@
       usage.outside += view->outstanding;
       continue;
     }
-    const bool usable =
-      view->server.state == ServerState::kUp && IsDue(view->avoidUntil, aNow) &&
-      UnhealthyProbability(*view, aNow) <= kUnhealthyThreshold;
+    const bool usable = IsUsable(*view, aNow);
+    const bool limited = view->limit.IsInForce(aNow);
     usage.slots += view->server.slots;
-    usage.usableSlots += usable ? view->server.slots : 0;
+    usage.usableSlots += usable && !limited ? view->server.slots : 0;
+    if (usable && limited) {
+      usage.limitedSlots +=
+        std::min<double>(view->server.slots,
+                         view->limit.OwnRate(aNow).perSecond *
+                           ToSeconds(m_latency.TypicalLatency()));
+    }
     usage.inside += view->outstanding;
   }
   return usage;
@@ -154,8 +173,9 @@
     return static_cast<double>(m_outstanding);
   }
   const CellUsage usage = UsageOfCell(aNow);
-  const double share = static_cast<double>(usage.usableSlots) /
-                       static_cast<double>(m_cell.peers.size() + 1);
+  const double share =
+    usage.limitedSlots + static_cast<double>(usage.usableSlots) /
+                           static_cast<double>(m_cell.peers.size() + 1);
   return std::max(share, static_cast<double>(usage.inside)) +
          static_cast<double>(std::max(usage.outside, LimitOutsideCell(usage)));
 }
--- a/packages/routing/service_router_test.cc
+++ b/packages/routing/service_router_test.cc
@@ -61,7 +61,7 @@
   void Finish(const std::string& aId, AttemptOutcome aOutcome)
   {
     const BackendServerId id(aId);
-    m_router.OnStarted(id);
+    m_router.OnStarted(id, m_now);
     AttemptReport report;
     report.outcome = aOutcome;
     m_router.OnFinished(id, report, m_now);
@@ -106,7 +106,7 @@
 {
   RouterFixture test;
   const BackendServerId server("a1");
-  test.m_router.OnStarted(server);
+  test.m_router.OnStarted(server, test.m_now);
   AttemptReport report;
   report.outcome = AttemptOutcome::kShed;
   report.retryAfter = std::chrono::seconds(2);
@@ -125,6 +125,47 @@
   BOOST_TEST(test.m_router.IsAvailable(server, test.m_now));
 }
 
+BOOST_AUTO_TEST_CASE(EveryWayToAServerKeepsToTheLimitThatItNames)
+{
+  RouterFixture test;
+  const BackendServerId server("a1");
+  test.m_router.OnStarted(server, test.m_now);
+  AttemptReport report;
+  report.limitNotice = LimitNotice{ RequestRate{ 1.0 } };
+  test.m_router.OnFinished(server, report, test.m_now);
+  BOOST_TEST(!test.m_router.IsAvailable(server, test.m_now));
+  BOOST_TEST(test.Choices()["a1"] == 0);
+  BOOST_TEST(test.Choices(true)["a1"] == 0);
+  test.m_now += std::chrono::milliseconds(1100);
+  BOOST_TEST(test.m_router.IsAvailable(server, test.m_now));
+  BOOST_TEST(test.Choices()["a1"] > 0);
+  test.m_router.OnStarted(server, test.m_now);
+  BOOST_TEST(!test.m_router.IsAvailable(server, test.m_now));
+  // A new incarnation has named no limit.
+  test.Add("a1", "a", 2);
+  BOOST_TEST(test.m_router.IsAvailable(server, test.m_now));
+}
+
+BOOST_AUTO_TEST_CASE(ALimitThatAnotherHostReportsHoldsWithoutAnOwnResponse)
+{
+  RouterFixture test;
+  const BackendServerId server("a1");
+  test.m_router.OnLimitReport({ server, 7, RequestRate{ 1.0 } }, test.m_now);
+  BOOST_TEST(test.m_router.IsAvailable(server, test.m_now));
+  test.m_router.OnLimitReport({ server, 1, RequestRate{ 1.0 } }, test.m_now);
+  BOOST_TEST(!test.m_router.IsAvailable(server, test.m_now));
+  BOOST_TEST(test.m_router.TakeLimitReports().empty());
+  BOOST_TEST(!test.m_router.CapacityIfAllLimited(test.m_now).has_value());
+  for (const char* other : { "a2", "b1" }) {
+    test.m_router.OnLimitReport(
+      { BackendServerId(other), 1, RequestRate{ 0.5 } }, test.m_now);
+  }
+  const auto capacity = test.m_router.CapacityIfAllLimited(test.m_now);
+  BOOST_REQUIRE(capacity.has_value());
+  BOOST_TEST(capacity->totalRate.perSecond == 2.0);
+  BOOST_TEST((capacity->nextAt == test.m_now + std::chrono::seconds(1)));
+}
+
 BOOST_AUTO_TEST_CASE(OutcomesOfOtherHostsCountLikeOwnOnes)
 {
   RouterFixture test;
@@ -257,7 +298,7 @@
   const TimePoint now = FromMicros(1'000'000);
   const auto finish = [&](const char* aId, int aMilliseconds) {
     const BackendServerId id(aId);
-    router.OnStarted(id);
+    router.OnStarted(id, now);
     AttemptReport report;
     report.latency = std::chrono::milliseconds(aMilliseconds);
     router.OnFinished(id, report, now);
--- a/packages/testing/fault_episode_model.cc
+++ b/packages/testing/fault_episode_model.cc
@@ -189,8 +189,8 @@
 {
   Server& server = m_servers[aServer];
   const Host& host = m_hosts[aRequest.host];
-  host.router->OnStarted(server.record.id);
   const TimePoint now = m_queue.Now();
+  host.router->OnStarted(server.record.id, now);
   AttemptOutcome outcome = AttemptOutcome::kSuccess;
   Duration length = kFailureLatency;
   if (server.running >= server.record.slots) {
--- a/packages/testing/load_model.cc
+++ b/packages/testing/load_model.cc
@@ -513,6 +513,8 @@
   if (aResponse.outcome == CallerOutcome::kNotRun) {
     m_result.refused += 1.0;
     m_result.refusedAfterSeconds += ToSeconds(spent);
+    m_result.retryAfterSeconds +=
+      ToSeconds(aResponse.retryAfter.value_or(Duration()));
   } else if (aResponse.status != 200) {
     m_result.failed += 1.0;
   } else if (spent <= m_options.objective) {
--- a/packages/testing/load_model.h
+++ b/packages/testing/load_model.h
@@ -63,6 +63,7 @@
   double refused = 0.0;             // not run
   double failed = 0.0;              // outcome unknown, or an error of a server
   double refusedAfterSeconds = 0.0; // sum over refused requests
+  double retryAfterSeconds = 0.0;   // the same, of what callers are told
   double attempts = 0.0;
   double shed = 0.0;     // attempts that a server rejected
   double messages = 0.0; // between entry hosts
--- a/tests/randomised/server_limit_run_test.cc
+++ b/tests/randomised/server_limit_run_test.cc
@@ -54,6 +54,19 @@
   return most;
 }
 
+static std::size_t
+CountBetween(const std::vector<LoadModel::Arrival>& aArrivals,
+             TimePoint aFrom,
+             TimePoint aTo)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aArrivals.begin(),
+                  aArrivals.end(),
+                  [&](const LoadModel::Arrival& aArrival) {
+                    return aArrival.at >= aFrom && aArrival.at < aTo;
+                  }));
+}
+
 // Servers 0 to 3 name kRates from kNamedAt to kEndsAt.
 class LimitedFleet
 {
@@ -88,6 +101,17 @@
   TimePoint m_start;
 };
 
+static double
+RateBetween(const LoadModel& aModel,
+            std::size_t aServer,
+            TimePoint aFrom,
+            TimePoint aTo)
+{
+  return static_cast<double>(
+           CountBetween(aModel.ArrivalsAt(aServer), aFrom, aTo)) /
+         ToSeconds(aTo - aFrom);
+}
+
 BOOST_AUTO_TEST_CASE(TheSumOverAllHostsStaysWithinTheLimitThatAServerNames)
 {
   for (const auto& [hosts, servers] :
@@ -133,4 +157,66 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ALimitedServerGetsMostOfWhatItAsksFor)
+{
+  LimitedFleet fleet(FleetOf(30, 36, SeedRangeFromEnvironment(1).first));
+  fleet.m_model.Run(kEndsAt);
+  for (std::size_t i = 0; i < std::size(kRates); ++i) {
+    BOOST_TEST_CONTEXT("limit " << kRates[i].perSecond)
+    {
+      BOOST_TEST(RateBetween(fleet.m_model,
+                             i,
+                             fleet.m_start + kNamedAt + kNoticePeriod,
+                             fleet.m_start + kEndsAt) >=
+                 0.6 * kRates[i].perSecond);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LoadReturnsStepByStepWhenTheLimitEnds)
+{
+  LimitedFleet fleet(FleetOf(30, 36, SeedRangeFromEnvironment(1).first));
+  fleet.m_model.Run(kEndsAt + std::chrono::seconds(12));
+  const TimePoint ends = fleet.m_start + kEndsAt;
+  for (std::size_t i = 0; i < std::size(kRates); ++i) {
+    const double usual =
+      RateBetween(fleet.m_model, i, fleet.m_start, fleet.m_start + kNamedAt);
+    BOOST_TEST_CONTEXT("limit " << kRates[i].perSecond << " usual " << usual)
+    {
+      BOOST_TEST(
+        RateBetween(fleet.m_model, i, ends, ends + std::chrono::seconds(1)) <
+        0.9 * usual);
+      // The server that named the smallest limit is asked once in five seconds.
+      BOOST_TEST(RateBetween(fleet.m_model,
+                             i,
+                             ends + std::chrono::seconds(10),
+                             ends + std::chrono::seconds(14)) > 0.6 * usual);
+    }
+  }
+}
+
+// 36 servers take 36 of 240 requests per second.
+BOOST_AUTO_TEST_CASE(WhenAllServersNameLimitsTheRestIsRefusedAtOnce)
+{
+  const LoadOptions options =
+    FleetOf(30, 36, SeedRangeFromEnvironment(1).first);
+  LoadModel model(options);
+  model.At(Duration(), [&] {
+    for (std::size_t i = 0; i < options.servers; ++i) {
+      model.SetLimit(i, RequestRate{ 1.0 });
+    }
+  });
+  const TimePoint start = model.Now();
+  const LoadResult result = model.Run(std::chrono::seconds(15));
+  BOOST_TEST(result.inTime >= 0.6 * 36 * 15);
+  BOOST_TEST(result.late + result.failed < 0.02 * result.requests);
+  BOOST_TEST(result.refusedAfterSeconds < 0.1 * result.refused);
+  BOOST_TEST(result.retryAfterSeconds > 0.5 * 240.0 / 36.0 * result.refused);
+  for (std::size_t i = 0; i < options.servers; ++i) {
+    BOOST_TEST(MostInWindow(model.ArrivalsAt(i),
+                            start + std::chrono::seconds(7),
+                            start + std::chrono::seconds(20)) <= 11u);
+  }
+}
+
 } // namespace fuchsiaramp
