--- a/tests/randomised/mutation_test.cc
+++ b/tests/randomised/mutation_test.cc
@@ -77,6 +77,10 @@
   report->set_service("profile");
   report->add_counts()->set_server("server-1");
   report->mutable_counts(0)->set_failures(3);
+  wire::ServerLimits* limits = messages[2].mutable_evidence()->add_limits();
+  limits->set_service("profile");
+  limits->add_servers()->set_server("server-1");
+  limits->mutable_servers(0)->set_rate_milli(1400);
   wire::Verdict* verdict = messages[3].mutable_evidence()->add_verdicts();
   verdict->set_service("profile");
   verdict->add_servers()->set_server("server-1");
--- a/tests/support/fake_backend.cc
+++ b/tests/support/fake_backend.cc
@@ -1,9 +1,10 @@
 // A fake backend server for process tests and the demo. It announces itself to
 // two entry hosts, echoes requests after a random time and injects failures.
 //
-// PUT /fake?fail=0.3&broken=0&latency_ms=20 changes its behaviour. Each
-// executed Idempotency-Key is appended to the run log, so that a test can count
-// keys that ran twice.
+// PUT /fake?fail=0.3&broken=0&latency_ms=20&limit=1.4 changes its behaviour; a
+// negative limit is none. Each executed Idempotency-Key is appended to the run
+// log, so that a test can count keys that ran twice, and the time of each
+// request, in milliseconds, to the arrival log.
 #include <atomic>
 #include <csignal>
 #include <fstream>
@@ -37,6 +38,7 @@
   std::string failureDomain;
   std::vector<std::string> entryHosts;
   std::string runLog;
+  std::string arrivalLog;
   std::uint32_t slots = 4;
 };
 
@@ -45,6 +47,7 @@
   double failureRate = 0.0; // share of requests answered with 500
   double hangRate = 0.0;    // share of requests that get no response
   double latencyMs = 5.0;
+  double limit = -1.0; // requests per second that it names; negative: none
 };
 
 class FakeBackend
@@ -136,12 +139,15 @@
         QueryNumber(target, "broken", m_behaviour.hangRate);
       m_behaviour.latencyMs =
         QueryNumber(target, "latency_ms", m_behaviour.latencyMs);
+      m_behaviour.limit = QueryNumber(target, "limit", m_behaviour.limit);
       aExchange->Respond({});
       return;
     }
+    LogArrival();
     if (m_running >= m_options.slots) {
       HttpResponse shed;
       shed.status = 503;
+      AddLimit(shed);
       shed.headers.emplace_back("Fuchsiaramp-Not-Run", "true");
       shed.headers.emplace_back("Fuchsiaramp-Load", std::to_string(m_running));
       aExchange->Respond(std::move(shed));
@@ -150,6 +156,24 @@
     Execute(aExchange);
   }
 
+  void LogArrival() const
+  {
+    if (!m_options.arrivalLog.empty()) {
+      const auto now = std::chrono::system_clock::now().time_since_epoch();
+      std::ofstream(m_options.arrivalLog, std::ios::app)
+        << std::chrono::duration_cast<std::chrono::milliseconds>(now).count()
+        << '\n';
+    }
+  }
+
+  void AddLimit(HttpResponse& aResponse) const
+  {
+    if (m_behaviour.limit >= 0.0) {
+      aResponse.headers.emplace_back("Fuchsiaramp-Request-Limit",
+                                     std::to_string(m_behaviour.limit));
+    }
+  }
+
   void Execute(const HttpExchangePtr& aExchange)
   {
     ++m_running;
@@ -181,6 +205,7 @@
     response.contentType = "text/plain";
     response.headers.emplace_back("Fuchsiaramp-Load",
                                   std::to_string(m_running));
+    AddLimit(response);
     if (m_leaving) {
       response.headers.emplace_back("Fuchsiaramp-State", "leaving");
     }
@@ -227,6 +252,8 @@
   Text region("", "region", "Region.", false, "r1", "NAME", line);
   Text domain("", "domain", "Failure domain.", false, "d1", "NAME", line);
   Text runLog("", "run-log", "File for executed keys.", false, "", "F", line);
+  Text arrivals(
+    "", "arrival-log", "File for times of requests.", false, "", "F", line);
   TCLAP::ValueArg<std::uint32_t> slots(
     "", "slots", "Slots.", false, 4, "N", line);
   TCLAP::MultiArg<std::string> entry(
@@ -241,6 +268,7 @@
   options.region = region.getValue();
   options.failureDomain = domain.getValue();
   options.runLog = runLog.getValue();
+  options.arrivalLog = arrivals.getValue();
   options.slots = slots.getValue();
   options.entryHosts = entry.getValue();
   boost::asio::io_context io(1);
