--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -81,7 +81,8 @@
   FLEET_PID[$name]=$!
 }
 
-start_daemon() { start_process $1 "$FLEET_BIN"/programs/fuchsiarampd --settings "$FLEET/settings/$1.yaml"; }
+# FLEET_DAEMON selects another build of the daemon.
+start_daemon() { start_process $1 "${FLEET_DAEMON:-$FLEET_BIN/programs/fuchsiarampd}" --settings "$FLEET/settings/$1.yaml"; }
 start_control() { start_daemon control-$1; }
 start_entry() { start_daemon entry-$1; }
 start_backend() { # NUMBER SERVICE [ARGUMENT...]
