Let a control host with an empty disk join when it knows only followers

Cause, from the logs: after the first disk was lost, the leader was a host that no seed names. A host with an empty disk announces itself to the hosts of its settings, but only the leader adds members, and followers keep the announcement to themselves. So no host with an empty disk joined for 20 s, a removed host was not replaced, and the third lost disk took the quorum. The age of leases, suspected before, has no part in it.

Change: the reply to an announcement names the members of the sender's group, and the host announces itself to them as well.

control_node_test AHostWithAnEmptyDiskThatKnowsOnlyFollowersJoins fails before (not a member after 3 s, the leader not discovered) and passes now.

--- a/packages/consensus/node.cc
+++ b/packages/consensus/node.cc
@@ -272,15 +272,22 @@
   m_joinTargets = std::move(aHosts);
 }
 
-void
-Node::ProbeHosts()
+std::set<HostId>
+Node::OtherHosts() const
 {
-  std::set<HostId> hosts(m_joinTargets.begin(), m_joinTargets.end());
+  std::set<HostId> hosts = m_hostsOfGroup;
+  hosts.insert(m_joinTargets.begin(), m_joinTargets.end());
   for (const wire::Member& member : m_configuration.members()) {
     hosts.insert(HostId(member.host()));
   }
   hosts.erase(m_options.self);
-  for (const HostId& host : hosts) {
+  return hosts;
+}
+
+void
+Node::ProbeHosts()
+{
+  for (const HostId& host : OtherHosts()) {
     Send(host, 0, Message(wire::RaftMessage::BLANK_PROBE));
   }
 }
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -113,6 +114,8 @@
   bool HasRecentContact(const HostId& aHost, TimePoint aNow) const;
   // Hosts to probe in order to join the group, besides the current members.
   void SetJoinTargets(std::vector<HostId> aHosts);
+  // The control hosts that this member knows, except itself.
+  std::set<HostId> OtherHosts() const;
   const HostId& Leader() const { return m_leader; }
   std::uint64_t Term() const { return m_hardState.term(); }
   std::uint64_t Commit() const { return m_commit; }
@@ -288,6 +291,9 @@
   };
   Bootstrap m_bootstrap;
   std::vector<HostId> m_joinTargets;
+  // Members of the group, learned from replies to probes; used until a leader
+  // is in contact.
+  std::set<HostId> m_hostsOfGroup;
   TimePoint m_leaderSince; // when this member became leader
   // Commit index last sent by a leader with a lease, and the time of the reply
   // of this member that the leader had received by then.
--- a/packages/consensus/node_members.cc
+++ b/packages/consensus/node_members.cc
@@ -23,6 +23,10 @@
   if (!HasEmptyDisk() && m_snapshotMeta.index() == kBootstrapIndex) {
     *reply.mutable_snapshot() = m_snapshotMeta;
   }
+  // Only the leader adds the host, which may know none but followers.
+  for (const wire::Member& member : m_configuration.members()) {
+    reply.add_member_hosts(member.host());
+  }
   Send(aFrom, aMessage.from_disk(), reply);
 }
 
@@ -32,6 +36,11 @@
                    TimePoint aNow)
 {
   m_bootstrap.OnReply(aFrom, aMessage, aNow);
+  if (aMessage.to_disk() == m_hardState.disk_id()) {
+    for (const std::string& host : aMessage.member_hosts()) {
+      m_hostsOfGroup.insert(HostId(host));
+    }
+  }
   const wire::Configuration& initial = aMessage.snapshot().configuration();
   if (HasEmptyDisk() && aMessage.to_disk() == m_hardState.disk_id() &&
       IsVoter(initial, Self())) {
--- a/packages/consensus/node_replication.cc
+++ b/packages/consensus/node_replication.cc
@@ -86,6 +86,9 @@
                  "a term has at most one leader");
   BecomeFollower(aMessage.term(), aFrom, aNow);
   m_leaderContactUntil = aNow + m_options.electionTimeout;
+  if (!m_configuration.members().empty()) {
+    m_hostsOfGroup.clear();
+  }
   reply.set_term(Term());
   const std::uint64_t previous = aMessage.log_index();
   const auto previousTerm = m_log.TermAt(previous);
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -46,7 +46,6 @@
   , m_hooks(std::move(aHooks))
   , m_commands(m_options.hosts, m_hooks.send)
   , m_serverWatch(m_options.self, m_options.serverLifetime)
-  , m_joinTargets(m_options.hosts)
   , m_nextExpiryAt(aNow)
 {
   wire::HostRecord& location = m_controlHostLocations[m_options.self];
@@ -174,7 +173,6 @@
 void
 ControlNode::SetJoinTargets(const std::vector<HostId>& aHosts)
 {
-  m_joinTargets = aHosts;
   for (const auto& group : m_groups) {
     group->node->SetJoinTargets(aHosts);
   }
@@ -183,13 +181,7 @@
 std::set<HostId>
 ControlNode::OtherControlHosts() const
 {
-  std::set<HostId> hosts(m_joinTargets.begin(), m_joinTargets.end());
-  for (const wire::Member& member :
-       m_groups[kListsGroup]->node->Members().members()) {
-    hosts.insert(HostId(member.host()));
-  }
-  hosts.erase(m_options.self);
-  return hosts;
+  return m_groups[kListsGroup]->node->OtherHosts();
 }
 
 // Sends evidence from an entry host once to each other control host. Each
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -197,7 +197,6 @@
   ServerWatch m_serverWatch;
   FleetTable m_fleet;
   TimePoint m_nextPushAt;
-  std::vector<HostId> m_joinTargets;
   std::map<HostId, wire::HostRecord> m_controlHostLocations;
   std::set<HostId> m_discoveredHosts; // passed to hostDiscovered
   TimePoint m_nextExpiryAt;
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE control_node
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "control/control_node.h"
 #include "testing/fake_network.h"
@@ -12,41 +14,55 @@
 class ControlGroup
 {
 public:
-  ControlGroup()
-    : m_network({}, Random(7))
+  explicit ControlGroup(bool aOpenMembership = false)
+    : m_openMembership(aOpenMembership)
+    , m_network({}, Random(7))
     , m_now(FromMicros(1'000'000))
   {
     for (int i = 0; i < 3; ++i) {
       m_hosts.push_back(HostId("control-" + std::to_string(i)));
     }
     for (const HostId& host : m_hosts) {
-      std::vector<GroupStorage> storage(2);
-      for (GroupStorage& group : storage) {
-        group.stored.hardState.set_disk_id(m_random.Bits());
-        group.hooks.append = [](const auto&, const auto&) {
+      StartOnEmptyDisk(host, m_hosts, true);
+    }
+  }
+
+  // aKnown: the control hosts in the settings of the host.
+  void StartOnEmptyDisk(const HostId& aHost,
+                        const std::vector<HostId>& aKnown,
+                        bool aMayBootstrap)
+  {
+    std::vector<GroupStorage> storage(2);
+    for (GroupStorage& group : storage) {
+      group.stored.hardState.set_disk_id(m_random.Bits());
+      group.hooks.append = [](const auto&, const auto&) {
+        return std::error_code();
+      };
+      group.hooks.saveSnapshot =
+        [](const auto&, const auto&, const auto&, const auto&) {
           return std::error_code();
         };
-        group.hooks.saveSnapshot =
-          [](const auto&, const auto&, const auto&, const auto&) {
-            return std::error_code();
-          };
-      }
-      ControlHooks hooks;
-      hooks.send = [this, host](const HostId& aTo,
-                                const wire::Envelope& aMessage) {
-        if (host != m_isolated && aTo != m_isolated) {
-          m_network.Send(host, aTo, aMessage, m_now);
-        }
-      };
-      hooks.wallClock = [this] { return ToMicros(m_now); };
-      hooks.fatal = [](std::error_code) {};
-      hooks.record = [](const Event&) {};
-      ControlOptions options;
-      options.self = host;
-      options.hosts = m_hosts;
-      m_nodes[host] = std::make_unique<ControlNode>(
-        options, std::move(storage), hooks, Random(m_random.Bits()), m_now);
     }
+    ControlHooks hooks;
+    hooks.send = [this, aHost](const HostId& aTo,
+                               const wire::Envelope& aMessage) {
+      if (aHost != m_isolated && aTo != m_isolated) {
+        m_network.Send(aHost, aTo, aMessage, m_now);
+      }
+    };
+    hooks.wallClock = [this] { return ToMicros(m_now); };
+    hooks.fatal = [](std::error_code) {};
+    hooks.record = [](const Event&) {};
+    hooks.hostDiscovered = [this, aHost](const HostId& aOther) {
+      m_discovered.emplace_back(aHost, aOther);
+    };
+    ControlOptions options;
+    options.self = aHost;
+    options.hosts = aKnown;
+    options.consensus.openMembership = m_openMembership;
+    options.consensus.mayBootstrap = aMayBootstrap;
+    m_nodes[aHost] = std::make_unique<ControlNode>(
+      options, std::move(storage), hooks, Random(m_random.Bits()), m_now);
   }
 
   void Run(Duration aSpan)
@@ -93,6 +109,8 @@
     return *reply;
   }
 
+  bool m_openMembership;
+  std::vector<std::pair<HostId, HostId>> m_discovered; // by a host, which host
   HostId m_isolated; // sends nothing and receives nothing from control hosts
   std::vector<wire::Envelope> m_toEntryHosts;
   Random m_random{ 3 };
@@ -301,4 +319,27 @@
   BOOST_TEST(CountEvidence(group, evidence) == 2);
 }
 
+BOOST_AUTO_TEST_CASE(AHostWithAnEmptyDiskThatKnowsOnlyFollowersJoins)
+{
+  ControlGroup group(true);
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(group.Leader(0) != nullptr);
+  const HostId leader = group.Leader(0)->GroupNode(0).Self().host;
+  const HostId follower = group.m_hosts.front() == leader
+                            ? group.m_hosts.back()
+                            : group.m_hosts.front();
+  const HostId joining("control-new");
+  group.StartOnEmptyDisk(joining, { follower }, false);
+  group.Run(std::chrono::seconds(3));
+  const auto& members = group.Leader(0)->GroupNode(0).Members().members();
+  BOOST_TEST(std::any_of(
+    members.begin(), members.end(), [&](const wire::Member& aMember) {
+      return aMember.host() == joining.Value();
+    }));
+  // The adapter needs to know of the leader in order to reach it.
+  BOOST_TEST(std::count(group.m_discovered.begin(),
+                        group.m_discovered.end(),
+                        std::pair(joining, leader)) == 1);
+}
+
 } // namespace fuchsiaramp
