Answer a request that crosses the idle timeout of its connection

Cause: the idle timer of a connection and the request became ready in the same turn of the event loop. Reading the request cancels the timer, but its handler was queued already, with success, and closed the socket; the request had been read by then and was handled all the same. Changes of the lists that shorten the idle timeout make it likelier, and so does a busy loop. Ruled out: a stop (no SIGTERM near), the disconnect watch (it closes nothing).

Beast's own timeouts, used elsewhere, check this themselves.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -117,14 +117,17 @@
     StartIdleTimer();
   }
 
-  // The timeout of the stream does not cover async_wait.
+  // The timeout of the stream does not cover async_wait. The timer may expire in
+  // the moment in which a request arrives, and its handler may then already be
+  // queued behind the one that reads the request.
   void StartIdleTimer()
   {
+    m_isIdle = true;
     m_idleTimer.emplace(m_stream.get_executor());
     m_idleTimer->expires_after(m_state->options.limits.idleTimeout);
     m_idleTimer->async_wait(
       [self = shared_from_this()](const beast::error_code& aError) {
-        if (!aError) {
+        if (!aError && self->m_isIdle) {
           self->Close();
         }
       });
@@ -132,6 +135,7 @@
 
   void ReadRequest()
   {
+    m_isIdle = false;
     if (m_idleTimer) {
       m_idleTimer->cancel();
     }
@@ -325,6 +329,7 @@
   beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::optional<asio::steady_timer> m_idleTimer;
+  bool m_isIdle = false; // no byte of a request has arrived
   http::response<http::string_body> m_response;
   std::uint64_t m_exchangeNumber = 0;
   bool m_answered = true;
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -50,14 +51,31 @@
     tcp::socket socket(m_io);
     socket.connect({ asio::ip::address_v4::loopback(), m_port });
     asio::write(socket, asio::buffer(aBytes));
-    socket.non_blocking(true);
+    return ReadFrom(socket);
+  }
+
+  // The same on a connection that the server has accepted before; the server
+  // does nothing until aDelay after the bytes were sent.
+  std::string ExchangeAfterStall(const std::string& aBytes, Duration aDelay)
+  {
+    tcp::socket socket(m_io);
+    socket.connect({ asio::ip::address_v4::loopback(), m_port });
+    m_io.run_for(std::chrono::milliseconds(5));
+    asio::write(socket, asio::buffer(aBytes));
+    std::this_thread::sleep_for(aDelay);
+    return ReadFrom(socket);
+  }
+
+  std::string ReadFrom(tcp::socket& aSocket)
+  {
+    aSocket.non_blocking(true);
     std::string response;
     m_closed = false;
     for (int i = 0; i < 200 && !m_closed; ++i) {
       m_io.run_for(std::chrono::milliseconds(2));
       char buffer[4096];
       boost::system::error_code error;
-      const std::size_t count = socket.read_some(asio::buffer(buffer), error);
+      const std::size_t count = aSocket.read_some(asio::buffer(buffer), error);
       response.append(buffer, count);
       m_closed = error && error != asio::error::would_block;
     }
@@ -177,4 +195,19 @@
   BOOST_TEST(server.Closed());
 }
 
+// The server finds the request and the end of its idle timeout at the same
+// time.
+BOOST_AUTO_TEST_CASE(ARequestThatCrossesTheIdleTimeoutIsAnsweredIfItIsHandled)
+{
+  for (int i = 0; i < 20; ++i) {
+    TestServer server;
+    HttpLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(30);
+    server.SetLimits(limits);
+    const std::string response = server.ExchangeAfterStall(
+      "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", std::chrono::milliseconds(40));
+    BOOST_TEST(server.Paths().empty() == response.empty());
+  }
+}
+
 } // namespace fuchsiaramp
