End the process right after the loop when a host has stopped

An entry host logged stopped 4.0 s after SIGTERM and started again only 6.5 s after it.

Cause: the process stayed. Ruled out: the grace time and the address lifetime (stopped comes in time), the transport's linger.

Both roles now end the process after the loop. Nothing durable depends on destructors: storage is synced before messages leave.

--- a/packages/base/request_rate.h
+++ b/packages/base/request_rate.h
@@ -26,8 +26,8 @@
   std::optional<RequestRate> rate;
 };
 
-// Parses a decimal number of requests per second. Returns nothing unless it is
-// finite and not negative.
+// Parses a decimal number of requests per second, at most 1e9. Returns nothing
+// unless it is finite and not negative.
 std::optional<RequestRate>
 ParseRequestRate(std::string_view aText);
 
--- a/packages/base/request_rate_test.cc
+++ b/packages/base/request_rate_test.cc
@@ -11,6 +11,7 @@
   BOOST_TEST(ParseRequestRate("1.4")->perSecond == 1.4);
   BOOST_TEST(ParseRequestRate("0")->perSecond == 0.0);
   BOOST_TEST(ParseRequestRate("1e9")->perSecond == 1e9);
+  BOOST_TEST(ParseRequestRate("1e300")->perSecond == 1e9);
 }
 
 BOOST_AUTO_TEST_CASE(InvalidNumbersAreNoRate)
--- a/packages/routing/service_router_limits.cc
+++ b/packages/routing/service_router_limits.cc
@@ -28,7 +28,8 @@
   if (changed) {
     OnLimitChanged(aView, report, "response", aNow);
   }
-  const bool confirms = report.rate && IsDue(aView.nextLimitReportAt, aNow);
+  const bool confirms = report.rate && aView.limit.IsInForce(aNow) &&
+                        IsDue(aView.nextLimitReportAt, aNow);
   if (changed || confirms) {
     m_limitReports[report.server] = report;
     aView.nextLimitReportAt = aNow + kLimitReportInterval;
--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -5,6 +5,7 @@
 // storage failed, 2 for invalid settings or an invalid command line.
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -160,6 +161,16 @@
   aIo.run();
 }
 
+// Ends the process without destroying the service. Nothing durable depends on
+// its destructors, and threads of libraries may hold them up for seconds.
+[[noreturn]] static void
+EndProcess(int aExitCode)
+{
+  std::cout.flush();
+  std::cerr.flush();
+  std::_Exit(aExitCode);
+}
+
 static ExternalApi
 MakeExternalApi(const Settings& aSettings)
 {
@@ -177,7 +188,7 @@
   EntryService service(
     aIo, aSettings, aSecretKey, MakeExternalApi(aSettings).entry);
   RunUntilStopped(aIo, service, aSettingsFile);
-  return 0;
+  EndProcess(0);
 }
 
 static int
@@ -200,9 +211,9 @@
   if (service.FatalError()) {
     std::cerr << "event=storage_failed error=\""
               << service.FatalError().message() << "\"\n";
-    return kExitFailed;
+    EndProcess(kExitFailed);
   }
-  return 0;
+  EndProcess(0);
 }
 
 static int
