--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -117,9 +117,9 @@
     StartIdleTimer();
   }
 
-  // The timeout of the stream does not cover async_wait. The timer may expire in
-  // the moment in which a request arrives, and its handler may then already be
-  // queued behind the one that reads the request.
+  // The timeout of the stream does not cover async_wait. The timer may expire
+  // in the moment in which a request arrives, and its handler may then already
+  // be queued behind the one that reads the request.
   void StartIdleTimer()
   {
     m_isIdle = true;
