Keep the ports of two process tests out of the ephemeral range

Its ports, 38000 and on, like those of mixed_builds, 41000 and on, are in the range from which the system takes ports of outgoing connections (32768 to 60999), so a connection of another process may hold one. All other process tests use ports below it. Now 26000 and 27000, which no other test uses.

--- a/tests/process/mixed_builds.sh
+++ b/tests/process/mixed_builds.sh
@@ -8,7 +8,7 @@
 . tests/process/fleet.sh
 OLD=$PWD/$(bash tests/process/build_old.sh)
 NEW=$FLEET_BIN/programs/fuchsiarampd
-fleet_prepare run/mixed 41000 3 4
+fleet_prepare run/mixed 27000 3 4
 trap fleet_stop EXIT
 HOSTS="control-1 entry-1 control-2 entry-2 control-3 entry-3 entry-4"
 FLEET_DAEMON=$OLD
--- a/tests/process/server_limit.sh
+++ b/tests/process/server_limit.sh
@@ -4,7 +4,7 @@
 # all entry hosts, stays within the users' bound from 3 s after the first notice.
 set -eu
 . tests/process/fleet.sh
-fleet_prepare run/limit 38000 3 4
+fleet_prepare run/limit 26000 3 4
 trap fleet_stop EXIT
 for i in 1 2 3; do start_control $i; done
 for i in 1 2 3 4; do start_entry $i; done
