--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -9,9 +9,15 @@
 static constexpr std::int64_t kDrainMs = 2500;         // DrainMs
 static constexpr std::int64_t kContactWindowMs = 3000; // ContactWindowMs
 static constexpr std::int64_t kDownMs = 500; // DEPLOY.md: back within a second
-static constexpr std::int64_t kServesOnMs = 11'000; // "at times many seconds"
+static constexpr std::int64_t kServesOnMs = 9000; // "at times many seconds"
+static constexpr std::int64_t kAskMs = 15'000;
 static constexpr std::int64_t kDeadlineMs = 2500;
-static constexpr int kTargetsPerZone = 3;
+static constexpr int kTargetsPerZone = 12;
+// scale_in: a share of 0.13 of the targets, here 3 of 36, at a time.
+static constexpr std::size_t kLeavingAtOnce = 3;
+static constexpr std::size_t kLeaving = 9; // a round
+static constexpr std::int64_t kLeavingPauseMs = 300;
+static constexpr std::size_t kRounds = 3;
 static constexpr int kMachines = 6;
 static constexpr int kControls = 3;
 
@@ -27,6 +33,65 @@
   std::string target;
 };
 
+// A target that deregistered, and the requests that count.
+struct Leaver
+{
+  std::string target;
+  std::int64_t acknowledgedAt = -1;
+  std::int64_t countsFrom = 0; // by the time at which they were sent
+  std::int64_t countsUntil = 0;
+};
+
+// Kills and restarts the core, and lets kLeaving targets deregister meanwhile,
+// each beginning at another control host. They serve on for kServesOnMs.
+static void
+LetTargetsLeave(Record& aRecord,
+                Fleet& aFleet,
+                std::vector<std::unique_ptr<Target>>& aTargets,
+                std::size_t aFirst,
+                std::vector<Leaver>& aLeavers)
+{
+  std::int64_t lastEvent = 0;
+  if (HasTrouble()) {
+    for (int i = 0; i < kControls; ++i) {
+      aFleet.Kill(aFleet.Control(i), SIGKILL);
+    }
+    SleepMs(kDownMs);
+    for (int i = 0; i < kControls; ++i) {
+      aFleet.Launch(aFleet.Control(i));
+    }
+    lastEvent = NowMs();
+  }
+  std::vector<std::int64_t> acknowledged(kLeaving, -1);
+  std::vector<std::thread> leaving;
+  leaving.reserve(kLeaving);
+  for (std::size_t i = 0; i < kLeaving; ++i) {
+    leaving.emplace_back([&, i] {
+      acknowledged[i] = aTargets[aFirst + i]->Deregister(i, NowMs() + kAskMs);
+    });
+    if (i % kLeavingAtOnce == kLeavingAtOnce - 1) {
+      SleepMs(kLeavingPauseMs);
+    }
+  }
+  for (std::thread& thread : leaving) {
+    thread.join();
+  }
+  SleepMs(kServesOnMs);
+  const std::int64_t until = NowMs();
+  for (std::size_t i = 0; i < kLeaving; ++i) {
+    const std::string& id = aTargets[aFirst + i]->Id();
+    aTargets[aFirst + i]->Stop();
+    if (acknowledged[i] < 0) {
+      aRecord.Say(id + " was not acknowledged");
+      continue;
+    }
+    // Machines are in touch again ContactWindowMs after the last start.
+    const std::int64_t from =
+      std::max(acknowledged[i] + kDrainMs, lastEvent + kContactWindowMs);
+    aLeavers.push_back({ id, acknowledged[i], from, until });
+  }
+}
+
 static void
 Consume(Record& aRecord,
         const Address& aFront,
@@ -94,6 +159,7 @@
   Sent sent;
   std::atomic<bool> stop{ false };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(kMachines) * 3);
   for (int i = 0; i < kMachines; ++i) {
     for (int j = 0; j < 3; ++j) {
       threads.emplace_back([&, i, j] {
@@ -106,56 +172,32 @@
     }
   }
   SleepMs(4000);
-  std::int64_t lastEvent = 0;
-  if (HasTrouble()) {
-    for (int i = 0; i < kControls; ++i) {
-      fleet.Kill(fleet.Control(i), SIGKILL);
-    }
-    SleepMs(kDownMs);
-    for (int i = 0; i < kControls; ++i) {
-      fleet.Launch(fleet.Control(i));
-    }
-    lastEvent = NowMs();
+  std::vector<Leaver> leavers;
+  for (std::size_t round = 0; round < kRounds; ++round) {
+    LetTargetsLeave(record, fleet, targets, round * kLeaving, leavers);
   }
-  // One target of each zone leaves, each beginning at another control host.
-  std::vector<std::int64_t> acknowledged(3, -1);
-  std::vector<std::thread> leaving;
-  for (std::size_t i = 0; i < 3; ++i) {
-    leaving.emplace_back([&, i] {
-      acknowledged[i] = targets[i]->Deregister(i, NowMs() + 15'000);
-    });
-  }
-  for (std::thread& thread : leaving) {
-    thread.join();
-  }
-  SleepMs(kServesOnMs);
   stop = true;
   for (std::thread& thread : threads) {
     thread.join();
   }
   int late = 0;
   const std::lock_guard<std::mutex> hold(lock);
-  for (std::size_t i = 0; i < 3; ++i) {
-    if (acknowledged[i] < 0) {
-      record.Say(targets[i]->Id() + " was not acknowledged");
-      continue;
-    }
-    // Machines are in touch again ContactWindowMs after the last start.
-    const std::int64_t from =
-      std::max(acknowledged[i] + kDrainMs, lastEvent + kContactWindowMs);
+  for (const Leaver& leaver : leavers) {
     int count = 0;
     for (const Run& run : runs) {
       const std::int64_t at = sent.at[run.attempt];
-      if (run.target == targets[i]->Id() && at > from) {
+      if (run.target == leaver.target && at > leaver.countsFrom &&
+          at < leaver.countsUntil) {
         ++count;
         record.Line("late " + run.attempt + " sent at " + std::to_string(at) +
-                    ", " + std::to_string(at - acknowledged[i]) +
+                    ", " + std::to_string(at - leaver.acknowledgedAt) +
                     " ms after the ack of " + run.target);
       }
     }
-    record.Say(targets[i]->Id() + " acknowledged at " +
-               std::to_string(acknowledged[i]) + ", requests sent after " +
-               std::to_string(from) + " that it ran: " + std::to_string(count));
+    record.Say(leaver.target + " acknowledged at " +
+               std::to_string(leaver.acknowledgedAt) +
+               ", requests sent after " + std::to_string(leaver.countsFrom) +
+               " that it ran: " + std::to_string(count));
     late += count;
   }
   record.Say(late > 0 ? "DRAIN broken" : "DRAIN held");
