Log what an entry host still holds while it leaves

A process that SIGKILL ends writes no last line, and the record of the users had none for the hosts that were stopped, so the logs could not tell whether requests were waiting for a response (hypothesis 1), responses were being written (2), or the process ended by an invariant (3).

While a host leaves it now logs, twice a second, its requests so far, those held, and its connections by what they are doing; 'stopped' has the same fields, and the outcome of every request is logged, not of a sample.

--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -382,7 +382,7 @@
   m_addressResponsesExpireAt =
     std::max(m_addressResponsesExpireAt,
              aNow + kLeavePropagationTime + m_options.settings.addressLifetime);
-  m_hooks.record(Event("leaving"));
+  m_hooks.record(Event("leaving").With("held", m_requests.size()));
 }
 
 bool
@@ -510,10 +510,14 @@
   }
   const bool sampled =
     timely && m_timelyResponses++ % kServedRequestsPerLogLine == 0;
+  if (m_leaving) {
+    event.Add("leaving", true);
+  }
   if (sampled) {
     event.Add("one_of", kServedRequestsPerLogLine);
   }
-  const bool detail = timely && !sampled;
+  // The outcomes of a host that leaves are the last that are known of it.
+  const bool detail = timely && !sampled && !m_leaving;
   m_hooks.record(detail ? std::move(event).AsDebug() : std::move(event));
 }
 
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -34,6 +34,9 @@
 static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 static constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
 static constexpr Duration kConnectionCheckInterval = std::chrono::seconds(1);
+// While the host leaves, what it still holds is logged this often. A process
+// that is killed at the end of its grace period writes no other line.
+static constexpr Duration kLeaveLogInterval = std::chrono::milliseconds(500);
 // Marks a request that another entry host forwards.
 static constexpr char kForwardedHeader[] = "Fuchsiaramp-Forwarded";
 
@@ -100,6 +103,7 @@
     // Each response now closes its connection, so that callers connect to other
     // hosts.
     m_servers.front()->CloseAfterResponses();
+    m_nextLeaveLogAt = MonotonicNow() + kLeaveLogInterval;
   }
 
   // Adds the control hosts and seeds of the new settings.
@@ -214,8 +218,12 @@
       }
       m_node->Tick(MonotonicNow());
       ApplyLimits();
+      if (m_node->IsLeaving() && IsDue(m_nextLeaveLogAt, MonotonicNow())) {
+        m_nextLeaveLogAt = MonotonicNow() + kLeaveLogInterval;
+        m_log.Write(HeldWork(Event("leave_progress")));
+      }
       if (m_node->MayExit(MonotonicNow())) {
-        m_log.Write(Event("stopped"));
+        m_log.Write(HeldWork(Event("stopped")));
         for (const auto& server : m_servers) {
           server->StopAccepting();
         }
@@ -226,6 +234,20 @@
     });
   }
 
+  // Adds what a process that ends now would cut off: requests without a
+  // response, and responses that are not written yet.
+  Event HeldWork(Event aEvent) const
+  {
+    const ConnectionCounts connections = m_servers.front()->Connections();
+    aEvent.Add("requests", m_node->Counters().requests);
+    aEvent.Add("held", m_node->InFlight());
+    aEvent.Add("idle", connections.idle);
+    aEvent.Add("receiving", connections.receiving);
+    aEvent.Add("handling", connections.handling);
+    aEvent.Add("responding", connections.responding);
+    return aEvent;
+  }
+
   // Applies the request limits of the lists in force.
   void ApplyLimits()
   {
@@ -540,6 +562,7 @@
   LoopMonitor m_loop;
   TimePoint m_nextTrafficLogAt;
   TimePoint m_nextConnectionCheckAt;
+  TimePoint m_nextLeaveLogAt;
   std::unique_ptr<EntryNode> m_node;
   // The first one serves callers.
   std::vector<std::unique_ptr<HttpServer>> m_servers;
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -33,7 +33,23 @@
   HttpServerOptions options;
   HttpHandler handler;
   std::size_t connections = 0;
+  ConnectionCounts counts;
   bool closing = false;
+
+  std::size_t& Count(ConnectionState aState)
+  {
+    switch (aState) {
+      case ConnectionState::kReceiving:
+        return counts.receiving;
+      case ConnectionState::kHandling:
+        return counts.handling;
+      case ConnectionState::kResponding:
+        return counts.responding;
+      case ConnectionState::kIdle:
+        break;
+    }
+    return counts.idle;
+  }
 };
 
 class HttpSession : public std::enable_shared_from_this<HttpSession>
@@ -44,10 +60,15 @@
     , m_state(std::move(aState))
   {
     ++m_state->connections;
+    ++m_state->Count(m_activity);
   }
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
-  ~HttpSession() { --m_state->connections; }
+  ~HttpSession()
+  {
+    --m_state->connections;
+    --m_state->Count(m_activity);
+  }
 
   void Start()
   {
@@ -93,8 +114,16 @@
   }
 
 private:
+  void SetActivity(ConnectionState aActivity)
+  {
+    --m_state->Count(m_activity);
+    m_activity = aActivity;
+    ++m_state->Count(m_activity);
+  }
+
   void Read()
   {
+    SetActivity(ConnectionState::kIdle);
     m_parser.emplace();
     m_parser->header_limit(
       static_cast<std::uint32_t>(m_state->options.limits.headerBytes));
@@ -122,12 +151,11 @@
   // be queued behind the one that reads the request.
   void StartIdleTimer()
   {
-    m_isIdle = true;
     m_idleTimer.emplace(m_stream.get_executor());
     m_idleTimer->expires_after(m_state->options.limits.idleTimeout);
     m_idleTimer->async_wait(
       [self = shared_from_this()](const beast::error_code& aError) {
-        if (!aError && self->m_isIdle) {
+        if (!aError && self->m_activity == ConnectionState::kIdle) {
           self->Close();
         }
       });
@@ -135,7 +163,7 @@
 
   void ReadRequest()
   {
-    m_isIdle = false;
+    SetActivity(ConnectionState::kReceiving);
     if (m_idleTimer) {
       m_idleTimer->cancel();
     }
@@ -195,6 +223,7 @@
       return;
     }
     m_stream.expires_never();
+    SetActivity(ConnectionState::kHandling);
     WatchForDisconnect();
     m_state->handler(
       std::make_shared<Exchange>(shared_from_this(), m_exchangeNumber));
@@ -270,6 +299,7 @@
 
   void Write()
   {
+    SetActivity(ConnectionState::kResponding);
     m_stream.expires_after(kWriteTimeout);
     http::async_write(m_stream,
                       m_response,
@@ -329,7 +359,7 @@
   beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::optional<asio::steady_timer> m_idleTimer;
-  bool m_isIdle = false; // no byte of a request has arrived
+  ConnectionState m_activity = ConnectionState::kIdle;
   http::response<http::string_body> m_response;
   std::uint64_t m_exchangeNumber = 0;
   bool m_answered = true;
@@ -425,4 +455,10 @@
   return m_impl->State().connections;
 }
 
+ConnectionCounts
+HttpServer::Connections() const
+{
+  return m_impl->State().counts;
+}
+
 } // namespace fuchsiaramp
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -56,6 +56,24 @@
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
+// What a connection is doing.
+enum class ConnectionState
+{
+  kIdle,       // no byte of a request has arrived
+  kReceiving,  // a request is arriving
+  kHandling,   // a whole request waits for its response
+  kResponding, // the response is being written
+};
+
+// The number of connections in each state.
+struct ConnectionCounts
+{
+  std::size_t idle = 0;
+  std::size_t receiving = 0;
+  std::size_t handling = 0;
+  std::size_t responding = 0;
+};
+
 // A request that can be responded to once.
 class HttpExchange
 {
@@ -91,6 +109,7 @@
   // Accepts no further connections.
   void StopAccepting();
   std::size_t ConnectionCount() const;
+  ConnectionCounts Connections() const;
 
 private:
   class Impl;
