Deliver a response before its connection is closed with unread bytes

Callers saw a response that broke off, or a reset, when they had sent more on the connection than the server had read: the next request, or the rest of a body that was rejected. The server closed the socket at once, the kernel then resets the connection because of the unread bytes, and the peer drops what it has not read of the response. Every response of a host that leaves closes its connection, so a stop under load is where it shows.

A connection is now closed in two steps: the sending side after the last response, the rest once the peer has closed it too, or after 2 s; what arrives meanwhile is discarded. The server counts its connections by what they do, and can close the idle ones; a request that has arrived on one is still answered.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include <optional>
+#include <unordered_set>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/strand.hpp>
@@ -26,13 +27,18 @@
 // Bytes of the body and of later requests that may be read with a header.
 static constexpr std::size_t kReadAheadBytes = 64 << 10;
 static constexpr Duration kWriteTimeout = std::chrono::seconds(30);
+// How long a peer may take to close a connection after the last response.
+static constexpr Duration kCloseTimeout = std::chrono::seconds(2);
+static constexpr std::size_t kDiscardBytes = 4 << 10;
+
+class HttpSession;
 
 // State shared by the connections of a server.
 struct HttpServerState
 {
   HttpServerOptions options;
   HttpHandler handler;
-  std::size_t connections = 0;
+  std::unordered_set<HttpSession*> sessions;
   ConnectionCounts counts;
   bool closing = false;
 
@@ -45,6 +51,8 @@
         return counts.handling;
       case ConnectionState::kResponding:
         return counts.responding;
+      case ConnectionState::kClosing:
+        return counts.closing;
       case ConnectionState::kIdle:
         break;
     }
@@ -59,14 +67,14 @@
     : m_stream(std::move(aSocket))
     , m_state(std::move(aState))
   {
-    ++m_state->connections;
+    m_state->sessions.insert(this);
     ++m_state->Count(m_activity);
   }
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
   ~HttpSession()
   {
-    --m_state->connections;
+    m_state->sessions.erase(this);
     --m_state->Count(m_activity);
   }
 
@@ -113,6 +121,14 @@
     }
   }
 
+  // A request that has arrived already is read and answered.
+  void CloseIfIdle()
+  {
+    if (m_activity == ConnectionState::kIdle && !HasUnreadBytes()) {
+      CloseGracefully();
+    }
+  }
+
 private:
   void SetActivity(ConnectionState aActivity)
   {
@@ -139,7 +155,7 @@
     m_stream.socket().async_wait(
       tcp::socket::wait_read,
       [self = shared_from_this()](const beast::error_code& aError) {
-        if (!aError) {
+        if (!aError && self->m_activity == ConnectionState::kIdle) {
           self->ReadRequest();
         }
       });
@@ -282,14 +298,7 @@
         if (aError || exchange != self->m_exchangeNumber || self->m_answered) {
           return;
         }
-        char byte = 0;
-        beast::error_code error;
-        self->m_stream.socket().non_blocking(true, error);
-        const std::size_t count = self->m_stream.socket().receive(
-          asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        const bool disconnected =
-          count == 0 && error != asio::error::would_block;
-        if (disconnected && self->m_onDisconnect) {
+        if (self->IsDisconnected() && self->m_onDisconnect) {
           const auto hook = std::move(self->m_onDisconnect);
           self->m_onDisconnect = nullptr;
           hook();
@@ -297,6 +306,27 @@
       });
   }
 
+  // Returns the number of bytes that can be read, up to one.
+  std::size_t Peek(beast::error_code& aError)
+  {
+    char byte = 0;
+    m_stream.socket().non_blocking(true, aError);
+    return m_stream.socket().receive(
+      asio::buffer(&byte, 1), tcp::socket::message_peek, aError);
+  }
+
+  bool HasUnreadBytes()
+  {
+    beast::error_code ignored;
+    return Peek(ignored) > 0;
+  }
+
+  bool IsDisconnected()
+  {
+    beast::error_code error;
+    return Peek(error) == 0 && error != asio::error::would_block;
+  }
+
   void Write()
   {
     SetActivity(ConnectionState::kResponding);
@@ -310,12 +340,43 @@
                                                !self->m_state->closing;
                         if (keepAlive) {
                           self->Read();
-                        } else {
+                        } else if (aError) {
                           self->Close();
+                        } else {
+                          self->CloseGracefully();
                         }
                       });
   }
 
+  // Waits until the peer has closed the connection, too. A socket that is
+  // closed with unread bytes resets the connection, and the peer then loses
+  // what it has not read of the response.
+  void CloseGracefully()
+  {
+    SetActivity(ConnectionState::kClosing);
+    if (m_idleTimer) {
+      m_idleTimer->cancel();
+    }
+    beast::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(kCloseTimeout);
+    DiscardInput();
+  }
+
+  void DiscardInput()
+  {
+    m_buffer.clear();
+    m_stream.async_read_some(m_buffer.prepare(kDiscardBytes),
+                             [self = shared_from_this()](
+                               const beast::error_code& aError, std::size_t) {
+                               if (aError) {
+                                 self->Close();
+                               } else {
+                                 self->DiscardInput();
+                               }
+                             });
+  }
+
   void Close()
   {
     beast::error_code ignored;
@@ -394,8 +455,8 @@
         if (!self->m_acceptor.is_open()) {
           return;
         }
-        const bool hasCapacity =
-          self->m_state->connections < self->m_state->options.maxConnections;
+        const bool hasCapacity = self->m_state->sessions.size() <
+                                 self->m_state->options.maxConnections;
         if (!aError && hasCapacity) {
           std::make_shared<HttpSession>(std::move(aSocket), self->m_state)
             ->Start();
@@ -410,6 +471,15 @@
     m_acceptor.close(ignored);
   }
 
+  void CloseIdle()
+  {
+    const std::vector<HttpSession*> sessions(m_state->sessions.begin(),
+                                             m_state->sessions.end());
+    for (HttpSession* session : sessions) {
+      session->CloseIfIdle();
+    }
+  }
+
   HttpServerState& State() { return *m_state; }
 
 private:
@@ -449,10 +519,16 @@
   m_impl->Stop();
 }
 
+void
+HttpServer::CloseIdleConnections()
+{
+  m_impl->CloseIdle();
+}
+
 std::size_t
 HttpServer::ConnectionCount() const
 {
-  return m_impl->State().connections;
+  return m_impl->State().sessions.size();
 }
 
 ConnectionCounts
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -63,6 +63,7 @@
   kReceiving,  // a request is arriving
   kHandling,   // a whole request waits for its response
   kResponding, // the response is being written
+  kClosing,    // no more is sent; waits for the peer to close
 };
 
 // The number of connections in each state.
@@ -72,6 +73,7 @@
   std::size_t receiving = 0;
   std::size_t handling = 0;
   std::size_t responding = 0;
+  std::size_t closing = 0;
 };
 
 // A request that can be responded to once.
@@ -108,6 +110,8 @@
   void CloseAfterResponses();
   // Accepts no further connections.
   void StopAccepting();
+  // Closes the connections on which no byte of a request has arrived.
+  void CloseIdleConnections();
   std::size_t ConnectionCount() const;
   ConnectionCounts Connections() const;
 
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -40,7 +40,9 @@
     m_server = std::make_unique<HttpServer>(
       m_io, options, [this](const HttpExchangePtr& aExchange) {
         m_paths.emplace_back(aExchange->Message().target());
-        aExchange->Respond(HttpResponse());
+        HttpResponse response;
+        response.body = m_body;
+        aExchange->Respond(std::move(response));
       });
   }
 
@@ -82,6 +84,22 @@
     return response;
   }
 
+  // Connects, and sends the bytes if there are any.
+  tcp::socket Connect(const std::string& aBytes, int aReceiveBuffer = 0)
+  {
+    tcp::socket socket(m_io);
+    socket.open(tcp::v4());
+    if (aReceiveBuffer > 0) {
+      socket.set_option(asio::socket_base::receive_buffer_size(aReceiveBuffer));
+    }
+    socket.connect({ asio::ip::address_v4::loopback(), m_port });
+    asio::write(socket, asio::buffer(aBytes));
+    return socket;
+  }
+  void RunFor(Duration aSpan) { m_io.run_for(aSpan); }
+  void SetBody(const std::string& aBody) { m_body = aBody; }
+  HttpServer& Server() { return *m_server; }
+
   bool Closed() const { return m_closed; }
   const std::vector<std::string>& Paths() const { return m_paths; }
   const std::vector<std::uint32_t>& Rejected() const { return m_rejected; }
@@ -90,6 +108,7 @@
 private:
   asio::io_context m_io;
   std::uint16_t m_port = 0;
+  std::string m_body;
   std::vector<std::string> m_paths;
   std::vector<std::uint32_t> m_rejected;
   bool m_closed = false;
@@ -210,4 +229,50 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AResponseIsDeliveredWholeAlthoughMoreRequestsWereSent)
+{
+  TestServer server;
+  server.Server().CloseAfterResponses();
+  server.SetBody(std::string(300'000, 'x'));
+  static constexpr int kReceiveBuffer = 4 << 10;
+  const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  tcp::socket socket = server.Connect(request + request, kReceiveBuffer);
+  server.RunFor(std::chrono::milliseconds(20));
+  asio::write(socket, asio::buffer(request));
+  server.RunFor(std::chrono::milliseconds(20));
+  const std::string response = server.ReadFrom(socket);
+  BOOST_TEST(response.size() > 300'000u);
+  BOOST_TEST(server.Paths().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ClosesIdleConnectionsButAnswersARequestThatHasArrived)
+{
+  TestServer server;
+  tcp::socket idle = server.Connect("");
+  tcp::socket busy = server.Connect("");
+  server.RunFor(std::chrono::milliseconds(5));
+  BOOST_TEST(server.Server().Connections().idle == 2u);
+  server.Server().CloseAfterResponses();
+  asio::write(busy,
+              asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n"
+                                       "\r\n")));
+  server.Server().CloseIdleConnections();
+  BOOST_TEST(StatusOf(server.ReadFrom(busy)) == "HTTP/1.1 200");
+  BOOST_TEST(server.ReadFrom(idle).empty());
+  BOOST_TEST(server.Closed());
+  BOOST_TEST(server.Server().Connections().idle == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotWaitWithoutBoundForAPeerToClose)
+{
+  TestServer server;
+  server.Server().CloseAfterResponses();
+  const tcp::socket socket =
+    server.Connect("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.RunFor(std::chrono::milliseconds(20));
+  BOOST_TEST(server.Server().Connections().closing == 1u);
+  server.RunFor(std::chrono::milliseconds(2200));
+  BOOST_TEST(server.Server().ConnectionCount() == 0u);
+}
+
 } // namespace fuchsiaramp
