Keep a leaving entry host until its responses are written

Callers with a slow link lost the end of a long response: the entry host ended 4.0 s after the SIGTERM, two seconds before the end of its grace period, while it was still writing.

EntryNode::MayExit counts the requests without a response; one whose response is being written counted no more, and the process ended with the rest in its memory. The service now also waits until no connection has a response to write.

--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -222,7 +222,7 @@
         m_nextLeaveLogAt = MonotonicNow() + kLeaveLogInterval;
         m_log.Write(HeldWork(Event("leave_progress")));
       }
-      if (m_node->MayExit(MonotonicNow())) {
+      if (m_node->MayExit(MonotonicNow()) && HasRespondedToAll()) {
         m_log.Write(HeldWork(Event("stopped")));
         for (const auto& server : m_servers) {
           server->StopAccepting();
@@ -234,6 +234,15 @@
     });
   }
 
+  // Whether every response has been handed to the kernel.
+  bool HasRespondedToAll() const
+  {
+    return std::ranges::all_of(m_servers, [](const auto& aServer) {
+      const ConnectionCounts connections = aServer->Connections();
+      return connections.handling + connections.responding == 0;
+    });
+  }
+
   // Adds what a process that ends now would cut off: requests without a
   // response, and responses that are not written yet.
   Event HeldWork(Event aEvent) const
