Refuse what a leaving entry host can't finish, and end without cutting a request

Callers that keep sending on open connections saw their requests cut, at work, when the entry host was killed at the end of its grace period: the record names the backend server of each, no process logged a refusal or a failure, and two requests of a host end in the same moment.

Cause: a leaving host accepted work until its end, ended only in a moment in which it held none, and knew neither the grace period nor whether a request would end in it. With 40 callers 'held' was 33 to 40 up to the SIGKILL, and 'stopped' never came.

Refusals are counted, and how many of them another entry host could have taken.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -287,7 +287,8 @@
                              ? static_cast<int>(aRequest.reachedServers.size())
                              : aRequest.attemptsStarted - aRequest.attemptsShed;
   if (serversTried >= aRequest.maxServers ||
-      IsDue(aRequest.head.deadline, aNow) || aRequest.callerDisconnected) {
+      IsDue(aRequest.head.deadline, aNow) || aRequest.callerDisconnected ||
+      !m_shutdown.EndsInTime(aRequest.head.deadline)) {
     return false;
   }
   // Attempts that did not run put no load on the service, so a retry after them
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -36,9 +36,9 @@
   static constexpr Filter kFilters[] = {
     &EntryNode::CheckServing,    &EntryNode::FindOpenRoute,
     &EntryNode::Authenticate,    &EntryNode::FindRoute,
-    &EntryNode::CheckKey,        &EntryNode::CheckQuarantine,
-    &EntryNode::ForwardIfCutOff, &EntryNode::CheckService,
-    &EntryNode::CheckLimits,
+    &EntryNode::CheckShutdown,   &EntryNode::CheckKey,
+    &EntryNode::CheckQuarantine, &EntryNode::ForwardIfCutOff,
+    &EntryNode::CheckService,    &EntryNode::CheckLimits,
   };
   for (const Filter filter : kFilters) {
     if ((this->*filter)(request, aNow) == FilterResult::kDone) {
@@ -175,6 +175,33 @@
   return FilterResult::kContinue;
 }
 
+EntryNode::FilterResult
+EntryNode::CheckShutdown(Request& aRequest, TimePoint aNow)
+{
+  if (m_shutdown.Admits(aRequest.head.deadline, aNow)) {
+    return FilterResult::kContinue;
+  }
+  RefuseLeaving(aRequest, aNow);
+  return FilterResult::kDone;
+}
+
+void
+EntryNode::RefuseLeaving(Request& aRequest, TimePoint aNow)
+{
+  ++m_counters.refusedLeaving;
+  const bool hasPeer = std::ranges::any_of(
+    m_membership->Table().Hosts(), [this](const auto& aHost) {
+      return aHost.second.state() == wire::HostRecord::ALIVE &&
+             aHost.first != m_options.settings.host.Value();
+    });
+  m_counters.refusedLeavingWithPeer += hasPeer ? 1 : 0;
+  FailRequest(aRequest,
+              nullptr,
+              "this host is being stopped; use another entry host",
+              Jitter(kRetryAtOtherHost),
+              aNow);
+}
+
 EntryNode::FilterResult
 EntryNode::CheckKey(Request& aRequest, TimePoint aNow)
 {
@@ -545,6 +572,10 @@
 void
 EntryNode::StartReserved(Request& aRequest, TimePoint aNow)
 {
+  if (!m_shutdown.EndsInTime(aRequest.head.deadline)) {
+    RefuseLeaving(aRequest, aNow);
+    return;
+  }
   const BackendServerId server = *aRequest.reservedServer;
   const ServiceRouter* router = m_services->Find(aRequest.head.service);
   if (!router->WasLimitedSince(server, aRequest.reservedAt, aNow)) {
--- a/packages/entry/entry_forwarding.cc
+++ b/packages/entry/entry_forwarding.cc
@@ -185,8 +185,9 @@
                       aEnd.outcome == AttemptOutcome::kRefused ||
                       aEnd.outcome == AttemptOutcome::kNothingWritten;
   aRequest.mayHaveRun = aRequest.mayHaveRun || !notRun;
-  const bool expired =
-    IsDue(aRequest.head.deadline, aNow) || aRequest.callerDisconnected;
+  const bool expired = IsDue(aRequest.head.deadline, aNow) ||
+                       aRequest.callerDisconnected ||
+                       !m_shutdown.EndsInTime(aRequest.head.deadline);
   if (!aRequest.runningAttempts.empty()) {
     return;
   }
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -11,9 +11,6 @@
 
 namespace fuchsiaramp {
 
-// Maximum time until every host that returns addresses knows that a host is
-// leaving.
-static constexpr Duration kLeavePropagationTime = std::chrono::seconds(3);
 static constexpr std::uint32_t kUnauthorized = 401;
 // Half-life of the count of recent requests. An entry host that is not
 // advertised to callers gets less than one request per second, from those who
@@ -60,6 +57,7 @@
         m_services->UpdateServer(aServer, m_now);
       })
   , m_recentRequests(kRequestCountHalfLife)
+  , m_shutdown(m_options.settings.gracePeriod)
 {
   CreateComponents(aRandom, aNow);
 }
@@ -321,7 +319,7 @@
     response.addresses.push_back(
       m_membership->Table().FindHost(host)->caller_address());
   }
-  if (!m_leaving) {
+  if (!IsLeaving()) {
     m_addressResponsesExpireAt =
       std::max(m_addressResponsesExpireAt, aNow + response.lifetime);
   }
@@ -348,7 +346,7 @@
   for (const wire::HostRecord* host : AdvertisedHosts(aRegion, aDomain)) {
     response.addresses.push_back(host->caller_address());
   }
-  if (!m_leaving) {
+  if (!IsLeaving()) {
     m_addressResponsesExpireAt =
       std::max(m_addressResponsesExpireAt, aNow + response.lifetime);
   }
@@ -370,11 +368,10 @@
 void
 EntryNode::Leave(TimePoint aNow)
 {
-  if (m_leaving) {
+  if (IsLeaving()) {
     return;
   }
   m_now = aNow;
-  m_leaving = true;
   m_membership->Leave(aNow);
   m_lists->PullNow();
   // Other hosts may return the address of this one until they learn that it
@@ -382,14 +379,26 @@
   m_addressResponsesExpireAt =
     std::max(m_addressResponsesExpireAt,
              aNow + kLeavePropagationTime + m_options.settings.addressLifetime);
+  m_shutdown.Begin(aNow, m_addressResponsesExpireAt);
   m_hooks.record(Event("leaving").With("held", m_requests.size()));
+  std::vector<RequestId> late;
+  for (const auto& [id, request] : m_requests) {
+    const bool waits =
+      request.stage == Stage::kQueued || request.stage == Stage::kRetryDeferred;
+    if (waits && !m_shutdown.EndsInTime(request.head.deadline)) {
+      late.push_back(id);
+    }
+  }
+  for (const RequestId id : late) {
+    RefuseLeaving(m_requests.at(id), aNow);
+  }
 }
 
 bool
 EntryNode::MayExit(TimePoint aNow) const
 {
-  return m_leaving && IsDue(m_addressResponsesExpireAt, aNow) &&
-         m_requests.empty() && m_claims->PendingCount() == 0;
+  return m_shutdown.IsClosed(aNow) && m_requests.empty() &&
+         m_claims->PendingCount() == 0;
 }
 
 void
@@ -510,14 +519,14 @@
   }
   const bool sampled =
     timely && m_timelyResponses++ % kServedRequestsPerLogLine == 0;
-  if (m_leaving) {
+  if (IsLeaving()) {
     event.Add("leaving", true);
   }
   if (sampled) {
     event.Add("one_of", kServedRequestsPerLogLine);
   }
   // The outcomes of a host that leaves are the last that are known of it.
-  const bool detail = timely && !sampled && !m_leaving;
+  const bool detail = timely && !sampled && !IsLeaving();
   m_hooks.record(detail ? std::move(event).AsDebug() : std::move(event));
 }
 
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -28,6 +28,7 @@
 #include "entry/lists_follower.h"
 #include "entry/request.h"
 #include "entry/service_plane.h"
+#include "entry/shutdown_plan.h"
 #include "limits/admission_queue.h"
 #include "limits/concurrency_limit.h"
 #include "limits/plan_limiter.h"
@@ -78,7 +79,10 @@
   std::uint64_t hedges = 0;
   std::uint64_t shed = 0;
   std::uint64_t claims = 0;
-  std::uint64_t forwarded = 0; // to other entry hosts
+  std::uint64_t forwarded = 0;      // to other entry hosts
+  std::uint64_t refusedLeaving = 0; // since the host is being stopped
+  // Of refusedLeaving, those that another entry host could have taken.
+  std::uint64_t refusedLeavingWithPeer = 0;
 };
 
 class EntryNode
@@ -109,12 +113,14 @@
   void AddSeeds(const std::vector<HostId>& aSeeds);
   void Tick(TimePoint aNow);
 
-  // Withdraws this host from address responses.
+  // Withdraws this host from address responses, and refuses the waiting
+  // requests that may not end before the process is killed.
   void Leave(TimePoint aNow);
-  // Whether every address response that names this host has expired, and no
-  // request or ledger command is in flight.
+  bool IsLeaving() const { return m_shutdown.HasBegun(); }
+  const ShutdownPlan& Shutdown() const { return m_shutdown; }
+  // Whether the host takes no new requests, and no request or ledger command is
+  // in flight.
   bool MayExit(TimePoint aNow) const;
-  bool IsLeaving() const { return m_leaving; }
   // Whether this host reaches no backend server.
   bool IsCutOff() const { return m_reachability->IsCutOff(); }
   // The number of backend servers whose rate of requests is limited.
@@ -237,6 +243,7 @@
   FilterResult CheckServing(Request& aRequest, TimePoint aNow);
   FilterResult Authenticate(Request& aRequest, TimePoint aNow);
   FilterResult FindRoute(Request& aRequest, TimePoint aNow);
+  FilterResult CheckShutdown(Request& aRequest, TimePoint aNow);
   FilterResult FindOpenRoute(Request& aRequest, TimePoint aNow);
   ServiceName ChooseService(const wire::Route& aRoute);
   FilterResult CheckKey(Request& aRequest, TimePoint aNow);
@@ -328,6 +335,8 @@
               const std::string& aReason,
               std::optional<Duration> aRetryAfter,
               TimePoint aNow);
+  // Refuses a request that may not end before the process is killed.
+  void RefuseLeaving(Request& aRequest, TimePoint aNow);
   // Sends the final response and removes the request.
   void Respond(Request& aRequest,
                const FinalResponse& aResponse,
@@ -366,7 +375,7 @@
   DecayedCounts m_recentRequests;
   std::uint64_t m_timelyResponses = 0; // selects the logged sample
   EntryCounters m_counters;
-  bool m_leaving = false;
+  ShutdownPlan m_shutdown;
   TimePoint m_addressResponsesExpireAt;
 };
 
--- /dev/null
+++ b/packages/entry/shutdown_plan.cc
@@ -0,0 +1,49 @@
+#include "entry/shutdown_plan.h"
+
+#include <algorithm>
+
+namespace fuchsiaramp {
+
+// Time to deliver the last responses. A quarter of a shorter grace period is
+// reserved instead.
+static constexpr Duration kDeliveryTime = std::chrono::milliseconds(500);
+static constexpr int kDeliveryFraction = 4;
+
+ShutdownPlan::ShutdownPlan(Duration aGracePeriod)
+  : m_gracePeriod(aGracePeriod)
+{
+}
+
+void
+ShutdownPlan::Begin(TimePoint aNow, TimePoint aAddressesExpireAt)
+{
+  if (m_begun) {
+    return;
+  }
+  m_begun = true;
+  const Duration delivery =
+    std::min(kDeliveryTime, m_gracePeriod / kDeliveryFraction);
+  m_finishBy = aNow + m_gracePeriod - delivery;
+  m_exitBy = aNow + m_gracePeriod - delivery / 2;
+  m_closesAt = std::min(aAddressesExpireAt, m_finishBy);
+}
+
+bool
+ShutdownPlan::IsClosed(TimePoint aNow) const
+{
+  return IsDue(m_closesAt, aNow);
+}
+
+bool
+ShutdownPlan::Admits(TimePoint aDeadline, TimePoint aNow) const
+{
+  return !IsClosed(aNow) && EndsInTime(aDeadline);
+}
+
+bool
+ShutdownPlan::EndsInTime(TimePoint aDeadline) const
+{
+  return aDeadline <= m_finishBy;
+}
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/shutdown_plan.h
@@ -0,0 +1,47 @@
+// Decides which work an entry host takes while it is being stopped.
+//
+// Callers keep sending on open connections, and to an address that they were
+// given before, until the host is gone, and the host is killed at the end of
+// its grace period. So it serves what is certain to end in time until no caller
+// can hold its address any more, and refuses the rest at once, while another
+// host can still serve it.
+//
+//   ShutdownPlan plan(gracePeriod);
+//   plan.Begin(now, addressesExpireAt);
+//   if (!plan.Admits(request.deadline, now)) { ... }  // refuse it
+#pragma once
+
+#include "base/time.h"
+
+namespace fuchsiaramp {
+
+class ShutdownPlan
+{
+public:
+  // aGracePeriod: from the request to stop until the process is killed.
+  explicit ShutdownPlan(Duration aGracePeriod);
+
+  // aAddressesExpireAt: when no caller holds the address of this host any more.
+  void Begin(TimePoint aNow, TimePoint aAddressesExpireAt);
+  bool HasBegun() const { return m_begun; }
+
+  // Whether the host no longer takes new requests and connections.
+  bool IsClosed(TimePoint aNow) const;
+  // Whether a new request that ends at aDeadline at the latest is accepted.
+  bool Admits(TimePoint aDeadline, TimePoint aNow) const;
+  // Whether a request that ends at aDeadline at the latest ends before the
+  // process is killed. Others that are in hand are not started any more.
+  bool EndsInTime(TimePoint aDeadline) const;
+  // When the host stops waiting for callers that neither complete their request
+  // nor close their connection.
+  TimePoint ExitBy() const { return m_exitBy; }
+
+private:
+  Duration m_gracePeriod;
+  bool m_begun = false;
+  TimePoint m_closesAt = kNever;
+  TimePoint m_finishBy = kNever;
+  TimePoint m_exitBy = kNever;
+};
+
+} // namespace fuchsiaramp
--- /dev/null
+++ b/packages/entry/shutdown_plan_test.cc
@@ -0,0 +1,85 @@
+#define BOOST_TEST_MODULE shutdown_plan
+#include <boost/test/unit_test.hpp>
+
+#include "entry/shutdown_plan.h"
+
+namespace fuchsiaramp {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr TimePoint kStart = FromMicros(1'000'000);
+
+static ShutdownPlan
+BegunPlan(Duration aGracePeriod, Duration aAddressLifetime)
+{
+  ShutdownPlan plan(aGracePeriod);
+  plan.Begin(kStart, kStart + aAddressLifetime);
+  return plan;
+}
+
+BOOST_AUTO_TEST_CASE(AdmitsAllRequestsBeforeTheStop)
+{
+  const ShutdownPlan plan{ seconds(6) };
+  BOOST_TEST(!plan.HasBegun());
+  BOOST_TEST(plan.Admits(kStart + std::chrono::hours(1), kStart));
+  BOOST_TEST(!plan.IsClosed(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(ServesWhatEndsInTimeWhileCallersHoldTheAddress)
+{
+  const ShutdownPlan plan = BegunPlan(seconds(6), seconds(4));
+  for (Duration at{}; at < seconds(4); at += milliseconds(100)) {
+    const TimePoint now = kStart + at;
+    BOOST_TEST(plan.Admits(now + milliseconds(1200), now));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatMayEndAfterTheGracePeriod)
+{
+  const ShutdownPlan plan = BegunPlan(seconds(6), seconds(4));
+  BOOST_TEST(plan.Admits(kStart + seconds(4), kStart));
+  BOOST_TEST(!plan.Admits(kStart + seconds(6), kStart));
+  BOOST_TEST(
+    !plan.Admits(kStart + seconds(3) + seconds(4), kStart + seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(LeavesTimeToDeliverTheLastResponse)
+{
+  const ShutdownPlan plan = BegunPlan(seconds(6), seconds(4));
+  BOOST_TEST(plan.EndsInTime(kStart + milliseconds(5500)));
+  BOOST_TEST(!plan.EndsInTime(kStart + milliseconds(5501)));
+  BOOST_TEST((plan.ExitBy() < kStart + seconds(6)));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAllRequestsOnceNoCallerHoldsTheAddress)
+{
+  const ShutdownPlan plan = BegunPlan(seconds(6), seconds(4));
+  const TimePoint now = kStart + seconds(4);
+  BOOST_TEST(plan.IsClosed(now));
+  BOOST_TEST(!plan.Admits(now + milliseconds(1), now));
+}
+
+BOOST_AUTO_TEST_CASE(ClosesInTimeWhenAddressesLiveLongerThanTheGracePeriod)
+{
+  const ShutdownPlan plan = BegunPlan(seconds(6), seconds(33));
+  BOOST_TEST(!plan.IsClosed(kStart + seconds(5)));
+  BOOST_TEST(plan.IsClosed(kStart + milliseconds(5500)));
+}
+
+BOOST_AUTO_TEST_CASE(DividesAShortGracePeriod)
+{
+  const ShutdownPlan plan = BegunPlan(milliseconds(400), seconds(4));
+  BOOST_TEST(plan.Admits(kStart + milliseconds(300), kStart));
+  BOOST_TEST(!plan.Admits(kStart + milliseconds(301), kStart));
+}
+
+BOOST_AUTO_TEST_CASE(ASecondRequestToStopMovesNoDeadline)
+{
+  ShutdownPlan plan = BegunPlan(seconds(6), seconds(4));
+  plan.Begin(kStart + seconds(3), kStart + seconds(9));
+  BOOST_TEST(plan.IsClosed(kStart + seconds(4)));
+  BOOST_TEST(!plan.EndsInTime(kStart + seconds(6)));
+}
+
+} // namespace fuchsiaramp
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -222,11 +222,11 @@
         m_nextLeaveLogAt = MonotonicNow() + kLeaveLogInterval;
         m_log.Write(HeldWork(Event("leave_progress")));
       }
-      if (m_node->MayExit(MonotonicNow()) && HasRespondedToAll()) {
+      if (m_node->Shutdown().IsClosed(MonotonicNow())) {
+        CloseServers();
+      }
+      if (MayExit(MonotonicNow())) {
         m_log.Write(HeldWork(Event("stopped")));
-        for (const auto& server : m_servers) {
-          server->StopAccepting();
-        }
         m_io.stop();
         return;
       }
@@ -234,13 +234,36 @@
     });
   }
 
-  // Whether every response has been handed to the kernel.
-  bool HasRespondedToAll() const
+  // Requests that arrive on connections that are not idle are still refused,
+  // and their connections closed.
+  void CloseServers()
   {
-    return std::ranges::all_of(m_servers, [](const auto& aServer) {
-      const ConnectionCounts connections = aServer->Connections();
-      return connections.handling + connections.responding == 0;
-    });
+    if (m_serversClosed) {
+      return;
+    }
+    m_serversClosed = true;
+    m_log.Write(HeldWork(Event("servers_closed")));
+    m_servers.front()->StopAccepting();
+    m_servers.front()->CloseIdleConnections();
+  }
+
+  // Responses are delivered before the process ends, but callers that do not
+  // complete their request or close their connection are not waited for longer
+  // than the grace period.
+  bool MayExit(TimePoint aNow) const
+  {
+    if (!m_node->MayExit(aNow)) {
+      return false;
+    }
+    for (const auto& server : m_servers) {
+      const ConnectionCounts connections = server->Connections();
+      if (connections.handling + connections.responding > 0) {
+        return false;
+      }
+    }
+    const ConnectionCounts callers = m_servers.front()->Connections();
+    return callers.idle + callers.receiving + callers.closing == 0 ||
+           IsDue(m_node->Shutdown().ExitBy(), aNow);
   }
 
   // Adds what a process that ends now would cut off: requests without a
@@ -249,11 +272,13 @@
   {
     const ConnectionCounts connections = m_servers.front()->Connections();
     aEvent.Add("requests", m_node->Counters().requests);
+    aEvent.Add("refused_leaving", m_node->Counters().refusedLeaving);
     aEvent.Add("held", m_node->InFlight());
     aEvent.Add("idle", connections.idle);
     aEvent.Add("receiving", connections.receiving);
     aEvent.Add("handling", connections.handling);
     aEvent.Add("responding", connections.responding);
+    aEvent.Add("closing", connections.closing);
     return aEvent;
   }
 
@@ -538,6 +563,9 @@
     counter("shed_total", &EntryCounters::shed);
     counter("claims_total", &EntryCounters::claims);
     counter("forwarded_total", &EntryCounters::forwarded);
+    counter("refused_leaving_total", &EntryCounters::refusedLeaving);
+    counter("refused_leaving_with_peer_total",
+            &EntryCounters::refusedLeavingWithPeer);
     m_metrics.Gauge("cut_off",
                     [this] { return m_node->IsCutOff() ? 1.0 : 0.0; });
     m_metrics.Gauge("limited_servers", [this] {
@@ -572,6 +600,7 @@
   TimePoint m_nextTrafficLogAt;
   TimePoint m_nextConnectionCheckAt;
   TimePoint m_nextLeaveLogAt;
+  bool m_serversClosed = false;
   std::unique_ptr<EntryNode> m_node;
   // The first one serves callers.
   std::vector<std::unique_ptr<HttpServer>> m_servers;
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -13,6 +13,8 @@
 static constexpr std::size_t kPublicKeyChars = 40; // Z85 text of 32 bytes
 static constexpr std::size_t kSha256HexChars = 64; // hexadecimal SHA-256
 static constexpr std::uint64_t kGibibyte = 1ULL << 30;
+// What a stop takes beyond the requests that it waits for.
+static constexpr Duration kStopMargin = std::chrono::seconds(1);
 
 static std::string
 Address(MapReader& aMap, const std::string& aKey, Findings& aFindings)
@@ -253,6 +255,24 @@
   return role == "control" ? Role::kControl : Role::kEntry;
 }
 
+// The platform chooses its grace period itself; elsewhere, one in which no
+// caller's address can expire is a mistake.
+static Duration
+GracePeriod(const Settings& aSettings, MapReader& aMap, Findings& aFindings)
+{
+  const Duration withdrawn = aSettings.addressLifetime + kLeavePropagationTime;
+  const Duration grace = aMap.Span(
+    "grace_period", withdrawn + aSettings.routing.requestTimeout + kStopMargin);
+  const bool chosenHere = aSettings.externalApi == ExternalApiKind::kNative;
+  if (chosenHere && aSettings.role == Role::kEntry && grace < withdrawn) {
+    aFindings.Add(aMap.PositionOfKey("grace_period"),
+                  "'grace_period' must be at least 3s longer than "
+                  "'address_lifetime', since callers use an address for that "
+                  "long after a stop has begun");
+  }
+  return grace;
+}
+
 static void
 CheckConsistency(const Settings& aSettings,
                  MapReader& aMap,
@@ -397,6 +417,7 @@
     map.Span("address_lifetime", settings.addressLifetime);
   settings.announcementLifetime =
     map.Span("announcement_lifetime", settings.announcementLifetime);
+  settings.gracePeriod = internal::GracePeriod(settings, map, aFindings);
   internal::CheckConsistency(settings, map, aFindings);
   map.Finish();
   return settings;
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -16,6 +16,10 @@
 
 namespace fuchsiaramp {
 
+// Maximum time until every host that returns addresses knows that a host is
+// leaving.
+inline constexpr Duration kLeavePropagationTime = std::chrono::seconds(3);
+
 enum class Role
 {
   kEntry,
@@ -146,6 +150,9 @@
   Duration pullInterval = std::chrono::seconds(1);
   Duration addressLifetime = std::chrono::seconds(30);
   Duration announcementLifetime = std::chrono::seconds(3);
+  // From SIGTERM until the process is killed. By default, as long as a stop
+  // takes at most.
+  Duration gracePeriod = std::chrono::seconds(44);
 };
 
 // Reads and validates settings. Each error becomes a finding with its position.
--- a/packages/settings/yaml_reader.cc
+++ b/packages/settings/yaml_reader.cc
@@ -31,24 +31,25 @@
   { "m", 60'000'000 }, { "h", 3'600'000'000 },
 };
 
-static constexpr std::uint64_t kMaxDurationMicros = 400ULL * 24 * 3'600'000'000;
+static constexpr double kMaxDurationMicros = 400.0 * 24 * 3'600'000'000;
 
 static std::optional<Duration>
 ParseDuration(const std::string& aText)
 {
-  const std::size_t digits = aText.find_first_not_of("0123456789");
+  const std::size_t digits = aText.find_first_not_of("0123456789.");
   if (digits == 0 || digits == std::string::npos) {
     return std::nullopt;
   }
-  const auto count = ParseNumber<std::uint64_t>(aText.substr(0, digits));
+  const auto count = ParseNumber<double>(aText.substr(0, digits));
   for (const DurationUnit& unit : kDurationUnits) {
     if (aText.substr(digits) != unit.suffix || !count) {
       continue;
     }
-    if (*count > kMaxDurationMicros / unit.micros) {
+    const double micros = *count * static_cast<double>(unit.micros);
+    if (!(micros <= kMaxDurationMicros)) {
       return std::nullopt;
     }
-    return Duration(static_cast<std::int64_t>(*count) * unit.micros);
+    return Duration(static_cast<std::int64_t>(micros));
   }
   return std::nullopt;
 }
