Keep a host running when other hosts name odd or new message addresses

Cause: a peer that moved to another address was connected to with the routing id of its former connection, which ZeroMQ still holds for a moment; ZeroMQ then aborts the process. Two peers that named the same address shared one endpoint: when both moved, the second disconnect threw out of the event loop. Addresses were handed to ZeroMQ as they came, which also resolves names.

Ruled out: an address that ZeroMQ refuses to connect to; that error was caught.

Change: each connection has a routing id of its own, a disconnect covers all peers of the address, and an address without an IP address and a port is not connected to and counted (invalid_addresses_total). Probes of connections skip the unspecified address and port 0 as well.

The format of messages and the identity that a receiver sees are unchanged.

--- a/packages/net/address.cc
+++ b/packages/net/address.cc
@@ -25,4 +25,10 @@
   return { address, port };
 }
 
+bool
+IsConnectable(const boost::asio::ip::tcp::endpoint& aEndpoint)
+{
+  return aEndpoint.port() != 0 && !aEndpoint.address().is_unspecified();
+}
+
 } // namespace fuchsiaramp
--- a/packages/net/address.h
+++ b/packages/net/address.h
@@ -12,4 +12,9 @@
 boost::asio::ip::tcp::endpoint
 ParseEndpoint(const std::string& aText, boost::system::error_code& aError);
 
+// Whether a host can be reached at the endpoint. A connection to the
+// unspecified address would reach this host itself.
+bool
+IsConnectable(const boost::asio::ip::tcp::endpoint& aEndpoint);
+
 } // namespace fuchsiaramp
--- a/packages/net/connection_probe.cc
+++ b/packages/net/connection_probe.cc
@@ -22,7 +22,7 @@
 {
   beast::error_code error;
   const auto endpoint = ParseEndpoint(aAddress, error);
-  if (error) {
+  if (error || !IsConnectable(endpoint)) {
     asio::post(aIo, [onEnd = std::move(aOnEnd)] { onEnd(false); });
     return;
   }
--- a/packages/net/connection_probe_test.cc
+++ b/packages/net/connection_probe_test.cc
@@ -37,4 +37,19 @@
   BOOST_TEST((Probe("nowhere") == false));
 }
 
+BOOST_AUTO_TEST_CASE(AnAddressThatNamesNoHostIsNotConnectedTo)
+{
+  asio::io_context io;
+  tcp::acceptor acceptor(io, { asio::ip::address_v4::any(), 0 });
+  const std::string port = std::to_string(acceptor.local_endpoint().port());
+  for (const std::string& address : { "0.0.0.0:" + port,
+                                      ":" + port,
+                                      "300.0.0.1:" + port,
+                                      std::string("127.0.0.1:0"),
+                                      std::string("127.0.0.1:70000"),
+                                      std::string(100'000, '[') }) {
+    BOOST_TEST((Probe(address) == false), address.substr(0, 40));
+  }
+}
+
 } // namespace fuchsiaramp
--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <zmq.h>
 
+#include "net/address.h"
 #include "net/monotonic.h"
 
 namespace fuchsiaramp {
@@ -138,33 +139,75 @@
                           const std::string& aPublicKey)
 {
   Peer& peer = m_peers[aHost];
-  if (peer.connected && peer.address != aAddress) {
-    m_outgoing.disconnect("tcp://" + peer.address);
-    peer.connected = false;
+  if (!peer.routingId.empty() && peer.address != aAddress) {
+    Disconnect(peer.address);
   }
-  peer.address = aAddress;
+  // Records of hosts may name anything. ZeroMQ would resolve a name or a
+  // wildcard as well.
+  boost::system::error_code error;
+  const auto endpoint = ParseEndpoint(aAddress, error);
+  const bool valid = !error && IsConnectable(endpoint);
+  m_counters.invalidAddresses += valid ? 0 : 1;
+  peer.address = valid ? aAddress : "";
   peer.publicKey = aPublicKey;
 }
 
+// ZeroMQ closes all connections to an address, also where several peers name
+// it. Those of other peers are opened again by the next message.
+void
+MessageTransport::Disconnect(const std::string& aAddress)
+{
+  for (auto& [host, peer] : m_peers) {
+    if (peer.address == aAddress) {
+      m_hostsByRoutingId.erase(peer.routingId);
+      peer.routingId.clear();
+    }
+  }
+  try {
+    m_outgoing.disconnect("tcp://" + aAddress);
+  } catch (const zmq::error_t&) {
+    ++m_counters.dropped;
+  }
+}
+
+// Each connection has a routing id of its own: ZeroMQ ends the process if one
+// is used again before the former connection is closed, which takes a while.
 bool
 MessageTransport::Connect(const HostId& aHost, Peer& aPeer)
 {
-  if (aPeer.connected) {
+  if (!aPeer.routingId.empty()) {
     return true;
   }
+  if (aPeer.address.empty()) {
+    return false;
+  }
+  const std::string routingId =
+    std::to_string(++m_connections) + '/' + aHost.Value();
   try {
     if (!m_options.secretKey.empty()) {
       m_outgoing.set(zmq::sockopt::curve_serverkey, aPeer.publicKey);
     }
-    m_outgoing.set(zmq::sockopt::connect_routing_id, aHost.Value());
+    m_outgoing.set(zmq::sockopt::connect_routing_id, routingId);
     m_outgoing.connect("tcp://" + aPeer.address);
-    aPeer.connected = true;
   } catch (const zmq::error_t&) {
     return false;
   }
+  aPeer.routingId = routingId;
+  m_hostsByRoutingId[routingId] = aHost;
   return true;
 }
 
+HostId
+MessageTransport::SenderOf(const zmq::socket_t& aSocket,
+                           const std::string& aRoutingId) const
+{
+  if (&aSocket != &m_outgoing) {
+    return HostId(aRoutingId);
+  }
+  const auto it = m_hostsByRoutingId.find(aRoutingId);
+  return it == m_hostsByRoutingId.end() ? HostId() : it->second;
+}
+
 void
 MessageTransport::Send(const HostId& aTo, const wire::Envelope& aMessage)
 {
@@ -186,7 +229,7 @@
   kind.bytes += payload.size();
   try {
     // A ROUTER socket drops messages it cannot deliver; senders tolerate loss.
-    socket.send(zmq::buffer(aTo.Value()),
+    socket.send(zmq::buffer(direct ? peer->second.routingId : aTo.Value()),
                 zmq::send_flags::sndmore | zmq::send_flags::dontwait);
     socket.send(zmq::buffer(payload), zmq::send_flags::dontwait);
   } catch (const zmq::error_t&) {
@@ -261,20 +304,19 @@
       }
       last = !payload.more();
     }
-    OnPayload(identity.to_string(), payload);
+    OnPayload(SenderOf(aSocket, identity.to_string()), payload);
   }
 }
 
-// The routing id identifies the connected host; a message that names another
-// sender is malformed.
+// The connection identifies the host; a message that names another sender is
+// malformed.
 void
-MessageTransport::OnPayload(const std::string& aFrom,
-                            const zmq::message_t& aPayload)
+MessageTransport::OnPayload(const HostId& aFrom, const zmq::message_t& aPayload)
 {
   wire::Envelope envelope;
   const bool valid = envelope.ParseFromArray(
                        aPayload.data(), static_cast<int>(aPayload.size())) &&
-                     envelope.from() == aFrom && !aFrom.empty();
+                     envelope.from() == aFrom.Value() && !aFrom.IsEmpty();
   ++m_counters.received;
   m_counters.receivedBytes += aPayload.size();
   if (!valid) {
@@ -286,7 +328,7 @@
     return;
   }
   m_clock.Observe(envelope.clock());
-  m_onMessage(HostId(aFrom), envelope);
+  m_onMessage(aFrom, envelope);
 }
 
 // Answers requests of the ZeroMQ Authentication Protocol (ZAP): only trusted
--- a/packages/net/message_transport.h
+++ b/packages/net/message_transport.h
@@ -57,6 +57,8 @@
   std::uint64_t dropped = 0;
   std::uint64_t malformed = 0;
   std::uint64_t refusedKeys = 0;
+  // Records of hosts without an address to connect to.
+  std::uint64_t invalidAddresses = 0;
   std::map<std::string, TrafficCounter> sentByKind;
 };
 
@@ -76,6 +78,7 @@
   MessageTransport& operator=(const MessageTransport&) = delete;
 
   // Sets the address of a host; the first message to it opens the connection.
+  // A host without a valid address is sent to over the connection it opened.
   void SetPeer(const HostId& aHost,
                const std::string& aAddress,
                const std::string& aPublicKey);
@@ -89,20 +92,23 @@
 private:
   struct Peer
   {
-    std::string address;
+    std::string address; // empty if invalid
     std::string publicKey;
-    bool connected = false;
+    std::string routingId; // of the connection; empty if there is none
   };
 
   void Bind();
   bool Connect(const HostId& aHost, Peer& aPeer);
+  void Disconnect(const std::string& aAddress);
+  HostId SenderOf(const zmq::socket_t& aSocket,
+                  const std::string& aRoutingId) const;
   void WaitReadable(zmq::socket_t& aSocket,
                     boost::asio::posix::stream_descriptor& aDescriptor,
                     bool aIsZap);
   void ReadBatch(zmq::socket_t& aSocket);
   void ScheduleRead(zmq::socket_t& aSocket);
   void AnswerZapRequests();
-  void OnPayload(const std::string& aFrom, const zmq::message_t& aPayload);
+  void OnPayload(const HostId& aFrom, const zmq::message_t& aPayload);
 
   MessageTransportOptions m_options;
   CausalClock& m_clock;
@@ -116,6 +122,8 @@
   boost::asio::posix::stream_descriptor m_outgoingFd;
   std::set<std::string> m_trustedKeys; // binary, not Z85
   std::unordered_map<HostId, Peer> m_peers;
+  std::unordered_map<std::string, HostId> m_hostsByRoutingId;
+  std::uint64_t m_connections = 0; // opened so far
   FreshnessFilter m_freshness;
   std::uint64_t m_sequence = 0;
   bool m_readScheduled = false;
--- /dev/null
+++ b/packages/net/message_transport_test.cc
@@ -0,0 +1,151 @@
+#define BOOST_TEST_MODULE message_transport
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "net/message_transport.h"
+
+namespace fuchsiaramp {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+static std::string
+FreeAddress()
+{
+  asio::io_context io;
+  tcp::acceptor acceptor(io, { asio::ip::address_v4::loopback(), 0 });
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+// A host with a transport that counts the messages it receives.
+class TestHost
+{
+public:
+  TestHost(asio::io_context& aIo,
+           const std::string& aName,
+           const std::string& aAddress)
+    : m_transport(aIo,
+                  Options(aName, aAddress),
+                  m_clock,
+                  [this](const HostId& aFrom, const wire::Envelope&) {
+                    ++m_received[aFrom];
+                  })
+  {
+  }
+
+  static MessageTransportOptions Options(const std::string& aName,
+                                         const std::string& aAddress)
+  {
+    MessageTransportOptions options;
+    options.self = HostId(aName);
+    options.bindAddress = aAddress;
+    return options;
+  }
+
+  CausalClock m_clock;
+  std::map<HostId, int> m_received;
+  MessageTransport m_transport;
+};
+
+class TransportFixture
+{
+public:
+  // Sends messages to aTo until it receives one from the sender.
+  bool Reaches(TestHost& aFrom, const HostId& aTo, TestHost& aReceiver)
+  {
+    aReceiver.m_received.clear();
+    for (int i = 0; i < 300 && aReceiver.m_received.empty(); ++i) {
+      aFrom.m_transport.Send(aTo, wire::Envelope());
+      m_io.run_for(std::chrono::milliseconds(10));
+      m_io.restart();
+      aReceiver.m_transport.Poll();
+    }
+    return !aReceiver.m_received.empty();
+  }
+
+  asio::io_context m_io;
+  const std::string m_first = FreeAddress();
+  const std::string m_second = FreeAddress();
+  TestHost m_sender{ m_io, "sender", FreeAddress() };
+  TestHost m_peer{ m_io, "peer", m_first };
+};
+
+// ZeroMQ aborted while the routing id of the former connection was in use.
+BOOST_FIXTURE_TEST_CASE(APeerThatMovesIsReachedAtItsNewAddress,
+                        TransportFixture)
+{
+  const HostId peer("peer");
+  TestHost moved(m_io, "peer", m_second);
+  for (int i = 0; i < 10; ++i) {
+    m_sender.m_transport.SetPeer(peer, m_first, "");
+    BOOST_TEST(Reaches(m_sender, peer, m_peer));
+    m_sender.m_transport.SetPeer(peer, m_second, "");
+    BOOST_TEST(Reaches(m_sender, peer, moved));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AReplyComesOverTheConnectionThatItsReceiverOpened,
+                        TransportFixture)
+{
+  const HostId peer("peer");
+  m_sender.m_transport.SetPeer(peer, m_first, "");
+  BOOST_TEST(Reaches(m_sender, peer, m_peer));
+  BOOST_TEST(Reaches(m_peer, HostId("sender"), m_sender));
+  BOOST_TEST(m_sender.m_received.count(peer) == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(TwoPeersMayNameTheSameAddress, TransportFixture)
+{
+  for (const char* name : { "peer", "copy" }) {
+    m_sender.m_transport.SetPeer(HostId(name), m_first, "");
+    m_sender.m_transport.Send(HostId(name), wire::Envelope());
+  }
+  BOOST_TEST(Reaches(m_sender, HostId("peer"), m_peer));
+  for (const char* name : { "peer", "copy" }) {
+    m_sender.m_transport.SetPeer(HostId(name), m_second, "");
+    m_sender.m_transport.Send(HostId(name), wire::Envelope());
+  }
+  m_sender.m_transport.SetPeer(HostId("peer"), m_first, "");
+  BOOST_TEST(Reaches(m_sender, HostId("peer"), m_peer));
+}
+
+BOOST_FIXTURE_TEST_CASE(PeersWithOddNamesOrAddressesLeaveTheOthersReachable,
+                        TransportFixture)
+{
+  const std::string odd[] = { "",
+                              "x",
+                              ":",
+                              "127.0.0.1",
+                              "127.0.0.1:",
+                              "127.0.0.1:0",
+                              "127.0.0.1:65536",
+                              "127.0.0.1:99999999999999999999",
+                              "999.0.0.1:80",
+                              "*:*",
+                              "tcp://127.0.0.1:80",
+                              "0.0.0.0:80",
+                              "no.such.host.invalid:80",
+                              "127.0.0.1:80;127.0.0.1:81",
+                              std::string("127.0.0.1:80\0", 13),
+                              "\xff\xfe:80",
+                              std::string(100'000, '[') };
+  for (const std::string& text : odd) {
+    for (const std::string& name : { text, "named" + text }) {
+      m_sender.m_transport.SetPeer(HostId(name), text, text);
+      m_sender.m_transport.Send(HostId(name), wire::Envelope());
+      m_sender.m_transport.SetPeer(HostId(name), m_second, "");
+      m_sender.m_transport.Send(HostId(name), wire::Envelope());
+    }
+  }
+  m_sender.m_transport.SetPeer(HostId("peer"), m_first, "");
+  BOOST_TEST(Reaches(m_sender, HostId("peer"), m_peer));
+}
+
+} // namespace fuchsiaramp
--- a/packages/net/service_common.cc
+++ b/packages/net/service_common.cc
@@ -56,6 +56,7 @@
   counter("messages_dropped_total", &TransportCounters::dropped);
   counter("messages_malformed_total", &TransportCounters::malformed);
   counter("refused_keys_total", &TransportCounters::refusedKeys);
+  counter("invalid_addresses_total", &TransportCounters::invalidAddresses);
 }
 
 HttpRejectHook
