Keep a signal from ending the process within a call of the message library

What callers would see: SIGTERM or SIGHUP, and at that moment every request that the process holds ends without an answer; no 'leaving', no 'stopped'.

Cause: a signal that arrives while the thread is inside a ZeroMQ call makes the call fail with EINTR, the wrapper throws, the exception leaves the event loop, and main ends the process with 'event=start_failed ... Interrupted system call' (exit code 1). The more time a process spends in messages, the likelier.

Class: an outside event that ends the process by an error which nobody handles. All receiving, sending and polling calls now repeat an interrupted call; the library has not acted on it by then. That covers both frames of a message, so that an interrupted second frame cannot shift the next message to another host.

--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -1,6 +1,7 @@
 #include "net/message_transport.h"
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -42,6 +43,37 @@
   aSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
 }
 
+// Repeats a call that a signal interrupted before it had an effect.
+template<class Call>
+static auto
+RetryIfInterrupted(const Call& aCall)
+{
+  while (true) {
+    try {
+      return aCall();
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) {
+        throw;
+      }
+    }
+  }
+}
+
+static zmq::recv_result_t
+Receive(zmq::socket_t& aSocket, zmq::message_t& aMessage)
+{
+  return RetryIfInterrupted(
+    [&] { return aSocket.recv(aMessage, zmq::recv_flags::dontwait); });
+}
+
+static void
+SendFrame(zmq::socket_t& aSocket,
+          const std::string& aFrame,
+          zmq::send_flags aFlags)
+{
+  RetryIfInterrupted([&] { return aSocket.send(zmq::buffer(aFrame), aFlags); });
+}
+
 static std::string
 DecodeKey(const std::string& aZ85)
 {
@@ -229,9 +261,10 @@
   kind.bytes += payload.size();
   try {
     // A ROUTER socket drops messages it cannot deliver; senders tolerate loss.
-    socket.send(zmq::buffer(direct ? peer->second.routingId : aTo.Value()),
-                zmq::send_flags::sndmore | zmq::send_flags::dontwait);
-    socket.send(zmq::buffer(payload), zmq::send_flags::dontwait);
+    SendFrame(socket,
+              direct ? peer->second.routingId : aTo.Value(),
+              zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+    SendFrame(socket, payload, zmq::send_flags::dontwait);
   } catch (const zmq::error_t&) {
     ++m_counters.dropped;
   }
@@ -243,7 +276,9 @@
 void
 MessageTransport::ScheduleRead(zmq::socket_t& aSocket)
 {
-  const bool readable = (aSocket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0;
+  const int events =
+    RetryIfInterrupted([&] { return aSocket.get(zmq::sockopt::events); });
+  const bool readable = (events & ZMQ_POLLIN) != 0;
   if (!readable || m_readScheduled) {
     return;
   }
@@ -293,13 +328,13 @@
 {
   for (int i = 0; i < kMaxMessagesPerRead; ++i) {
     zmq::message_t identity;
-    if (!aSocket.recv(identity, zmq::recv_flags::dontwait)) {
+    if (!Receive(aSocket, identity)) {
       return;
     }
     zmq::message_t payload;
     bool last = !identity.more();
     while (!last) {
-      if (!aSocket.recv(payload, zmq::recv_flags::dontwait)) {
+      if (!Receive(aSocket, payload)) {
         return;
       }
       last = !payload.more();
@@ -340,7 +375,7 @@
     std::vector<std::string> frames;
     zmq::message_t frame;
     do {
-      if (!m_zapSocket.recv(frame, zmq::recv_flags::dontwait)) {
+      if (!Receive(m_zapSocket, frame)) {
         return;
       }
       frames.push_back(frame.to_string());
@@ -355,8 +390,9 @@
     };
     for (std::size_t i = 0; i < reply.size(); ++i) {
       const bool more = i + 1 < reply.size();
-      m_zapSocket.send(zmq::buffer(reply[i]),
-                       more ? zmq::send_flags::sndmore : zmq::send_flags::none);
+      SendFrame(m_zapSocket,
+                reply[i],
+                more ? zmq::send_flags::sndmore : zmq::send_flags::none);
     }
   }
 }
--- a/packages/net/message_transport_test.cc
+++ b/packages/net/message_transport_test.cc
@@ -1,10 +1,13 @@
 #define BOOST_TEST_MODULE message_transport
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <csignal>
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -148,4 +151,33 @@
   BOOST_TEST(Reaches(m_sender, HostId("peer"), m_peer));
 }
 
+BOOST_FIXTURE_TEST_CASE(SignalsEndNoCall, TransportFixture)
+{
+  std::signal(SIGUSR1, [](int) {});
+  const pthread_t receiver = ::pthread_self();
+  std::atomic<bool> stop{ false };
+  std::thread sender([&] {
+    while (!stop) {
+      ::pthread_kill(receiver, SIGUSR1);
+      std::this_thread::sleep_for(std::chrono::microseconds(20));
+    }
+  });
+  m_sender.m_transport.SetPeer(HostId("peer"), m_first, "");
+  int errors = 0;
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  while (std::chrono::steady_clock::now() < until) {
+    try {
+      m_sender.m_transport.Send(HostId("peer"), wire::Envelope());
+      m_sender.m_transport.Poll();
+      m_peer.m_transport.Poll();
+    } catch (const std::exception&) {
+      ++errors;
+    }
+  }
+  stop = true;
+  sender.join();
+  BOOST_TEST(errors == 0);
+  BOOST_TEST(Reaches(m_sender, HostId("peer"), m_peer));
+}
+
 } // namespace fuchsiaramp
