Take a request out of the queue before its claim is fenced

A request that holds its key may wait in the queue again, since its server shed it or named a limit. If its host was then asked to leave, EntryNode::Fence told the ledger that it does not run, but left it in the queue, from which it could be started meanwhile. Its caller would have got not-run for a request that ran; the invariant "a request answered with not-run did not run" ended the process instead. Fence takes it out of the queue.

full_queue_run lets hosts leave with a grace period that is shorter than the callers' deadlines.

--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -610,6 +610,8 @@
   CheckInvariant(!aRequest.mayHaveRun,
                  "only a request that did not run is fenced");
   ReleaseReservation(aRequest, aNow);
+  // It must not be started while the ledger is told that it does not run.
+  AdmissionOf(aRequest.head.service).queue.Remove(aRequest.head.id);
   aRequest.stage = Stage::kFencing;
   wire::Command command;
   wire::Finish* finish = command.mutable_finish();
--- a/tests/randomised/full_queue_run_test.cc
+++ b/tests/randomised/full_queue_run_test.cc
@@ -51,6 +51,7 @@
     options.openShare = 0.7;
     options.giveUpShare = 0.1;
     options.queueCapacity = 12;
+    options.gracePeriod = std::chrono::seconds(3);
     return options;
   }
 
