--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -26,7 +26,9 @@
 static constexpr char kHeaderEnd[] = "\r\n\r\n";
 // Bytes of the body and of later requests that may be read with a header.
 static constexpr std::size_t kReadAheadBytes = 64 << 10;
+// A peer may take this long to receive a response, and longer for a large one.
 static constexpr Duration kWriteTimeout = std::chrono::seconds(30);
+static constexpr std::size_t kMinWriteBytesPerSecond = 64 << 10;
 // How long a peer may take to close a connection after the last response.
 static constexpr Duration kCloseTimeout = std::chrono::seconds(2);
 static constexpr std::size_t kDiscardBytes = 4 << 10;
@@ -140,10 +142,6 @@
   void Read()
   {
     SetActivity(ConnectionState::kIdle);
-    m_parser.emplace();
-    m_parser->header_limit(
-      static_cast<std::uint32_t>(m_state->options.limits.headerBytes));
-    m_parser->body_limit(m_state->options.limits.bodyBytes);
     m_stream.expires_after(m_state->options.limits.idleTimeout);
     if (m_buffer.size() > 0) {
       // The request arrived together with the previous one.
@@ -180,6 +178,10 @@
   void ReadRequest()
   {
     SetActivity(ConnectionState::kReceiving);
+    m_parser.emplace();
+    m_parser->header_limit(
+      static_cast<std::uint32_t>(m_state->options.limits.headerBytes));
+    m_parser->body_limit(m_state->options.limits.bodyBytes);
     if (m_idleTimer) {
       m_idleTimer->cancel();
     }
@@ -330,15 +332,14 @@
   void Write()
   {
     SetActivity(ConnectionState::kResponding);
-    m_stream.expires_after(kWriteTimeout);
+    m_stream.expires_after(
+      kWriteTimeout +
+      std::chrono::seconds(m_response.body().size() / kMinWriteBytesPerSecond));
     http::async_write(m_stream,
                       m_response,
                       [self = shared_from_this()](
                         const beast::error_code& aError, std::size_t) {
-                        const bool keepAlive = !aError &&
-                                               self->m_response.keep_alive() &&
-                                               !self->m_state->closing;
-                        if (keepAlive) {
+                        if (!aError && self->m_response.keep_alive()) {
                           self->Read();
                         } else if (aError) {
                           self->Close();
@@ -354,6 +355,7 @@
   void CloseGracefully()
   {
     SetActivity(ConnectionState::kClosing);
+    m_response = {};
     if (m_idleTimer) {
       m_idleTimer->cancel();
     }
@@ -455,20 +457,27 @@
         if (!self->m_acceptor.is_open()) {
           return;
         }
-        const bool hasCapacity = self->m_state->sessions.size() <
-                                 self->m_state->options.maxConnections;
-        if (!aError && hasCapacity) {
-          std::make_shared<HttpSession>(std::move(aSocket), self->m_state)
-            ->Start();
+        if (!aError) {
+          self->StartSession(std::move(aSocket));
         }
         self->Accept();
       });
   }
 
+  // Takes over the connections that the kernel has accepted already; it would
+  // reset them.
   void Stop()
   {
-    beast::error_code ignored;
-    m_acceptor.close(ignored);
+    beast::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+      tcp::socket socket(m_acceptor.get_executor());
+      m_acceptor.accept(socket, error);
+      if (!error) {
+        StartSession(std::move(socket));
+      }
+    }
+    m_acceptor.close(error);
   }
 
   void CloseIdle()
@@ -483,6 +492,19 @@
   HttpServerState& State() { return *m_state; }
 
 private:
+  // Connections that only wait for their peer to close may take half as many
+  // again.
+  void StartSession(tcp::socket aSocket)
+  {
+    const std::uint64_t limit = m_state->options.maxConnections;
+    const std::size_t count = m_state->sessions.size();
+    const bool hasCapacity =
+      count - m_state->counts.closing < limit && count < limit + limit / 2;
+    if (hasCapacity) {
+      std::make_shared<HttpSession>(std::move(aSocket), m_state)->Start();
+    }
+  }
+
   tcp::acceptor m_acceptor;
   std::shared_ptr<HttpServerState> m_state;
 };
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -24,7 +24,7 @@
 class TestServer
 {
 public:
-  TestServer()
+  explicit TestServer(std::uint64_t aMaxConnections = 4096)
   {
     {
       tcp::acceptor probe(m_io, { asio::ip::address_v4::loopback(), 0 });
@@ -33,6 +33,7 @@
     HttpServerOptions options;
     options.address = "127.0.0.1:" + std::to_string(m_port);
     options.limits.headerBytes = 2048;
+    options.maxConnections = aMaxConnections;
     options.onRejected =
       [this](const std::string&, std::uint32_t aStatus, const std::string&) {
         m_rejected.push_back(aStatus);
@@ -275,4 +276,70 @@
   BOOST_TEST(server.Server().ConnectionCount() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(AConnectionThatWasAnnouncedAsKeptIsKept)
+{
+  TestServer server;
+  server.SetBody(std::string(6'000'000, 'x'));
+  static constexpr int kReceiveBuffer = 4 << 10;
+  const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  tcp::socket socket = server.Connect(request, kReceiveBuffer);
+  server.RunFor(std::chrono::milliseconds(20));
+  BOOST_TEST(server.Server().Connections().responding == 1u);
+  server.Server().CloseAfterResponses();
+  socket.non_blocking(true);
+  std::string response;
+  for (int i = 0; i < 20'000 && response.size() < 6'000'000u; ++i) {
+    server.RunFor(std::chrono::microseconds(200));
+    char buffer[65536];
+    boost::system::error_code error;
+    response.append(buffer, socket.read_some(asio::buffer(buffer), error));
+  }
+  BOOST_TEST(response.find("Connection: close") == std::string::npos);
+  server.SetBody("ok");
+  socket.non_blocking(false);
+  asio::write(socket, asio::buffer(request));
+  const std::string next = server.ReadFrom(socket);
+  BOOST_TEST(next.find("HTTP/1.1 200") != std::string::npos);
+  BOOST_TEST(next.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestIsHeldToTheLimitsInForceWhenItArrives)
+{
+  TestServer server;
+  HttpLimits limits;
+  limits.bodyBytes = 10;
+  server.SetLimits(limits);
+  tcp::socket socket = server.Connect("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_TEST(StatusOf(server.ReadFrom(socket)) == "HTTP/1.1 200");
+  limits.bodyBytes = 1000;
+  server.SetLimits(limits);
+  socket.non_blocking(false);
+  asio::write(socket,
+              asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: x\r\n"
+                                       "Content-Length: 20\r\n\r\n"
+                                       "01234567890123456789")));
+  BOOST_TEST(StatusOf(server.ReadFrom(socket)) == "HTTP/1.1 200");
+}
+
+BOOST_AUTO_TEST_CASE(AConnectionThatWaitsToBeAcceptedIsServedWhenAcceptingStops)
+{
+  TestServer server;
+  server.Server().CloseAfterResponses();
+  tcp::socket socket = server.Connect("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Server().StopAccepting();
+  BOOST_TEST(StatusOf(server.ReadFrom(socket)) == "HTTP/1.1 200");
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsThatWaitForTheirPeersLeaveRoomForOthers)
+{
+  TestServer server(2);
+  server.Server().CloseAfterResponses();
+  const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  const tcp::socket first = server.Connect(request);
+  const tcp::socket second = server.Connect(request);
+  server.RunFor(std::chrono::milliseconds(20));
+  BOOST_TEST(server.Server().Connections().closing == 2u);
+  BOOST_TEST(StatusOf(server.Exchange(request)) == "HTTP/1.1 200");
+}
+
 } // namespace fuchsiaramp
