--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -397,8 +397,9 @@
 bool
 EntryNode::MayExit(TimePoint aNow) const
 {
-  return m_shutdown.IsClosed(aNow) && m_requests.empty() &&
-         m_claims->PendingCount() == 0;
+  const bool reported =
+    m_claims->PendingCount() == 0 || IsDue(m_shutdown.ExitBy(), aNow);
+  return m_shutdown.IsClosed(aNow) && m_requests.empty() && reported;
 }
 
 void
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -119,8 +119,8 @@
   void Leave(TimePoint aNow);
   bool IsLeaving() const { return m_shutdown.HasBegun(); }
   const ShutdownPlan& Shutdown() const { return m_shutdown; }
-  // Whether the host takes no new requests, and no request or ledger command is
-  // in flight.
+  // Whether the host takes no new requests and none is in flight. Ledger
+  // commands in flight are waited for within the grace period.
   bool MayExit(TimePoint aNow) const;
   // Whether this host reaches no backend server.
   bool IsCutOff() const { return m_reachability->IsCutOff(); }
