Acknowledge a deregistration only when the table of servers holds it

Callers saw: a server deregisters while the control hosts restart and is acknowledged, but requests reach it for up to 12 s (DRAIN).

Cause: a deregistration may name no incarnation. The host that received it filled it in from its table, which may lag: after a start, as a new leader that has not applied its log, or as a follower. The command then named incarnation 0 or a former one, was outdated when it was applied, and STALE_ATTEMPT was acknowledged. The same cause, found by reading and shown by tests: a repeated deregistration was acknowledged from a table that lags and does not know the incarnation that started since; a draining report that is overtaken by a later report of its incarnation was acknowledged while the server stays UP; a host that is cut off from the group acknowledged heartbeats that change nothing in its old table, while the leader lets the server expire.

Change: ServerReports decides when a report is acknowledged. A deregistration without an incarnation waits until the table knows the server or is current; its command names the incarnation. If it is outdated when it is applied, the host waits until its table is current as of then, and acknowledges only if the server has ended; otherwise it names the incarnation that has started. An outdated draining report takes over the latest number of its incarnation. A report whose leader steps down is sent on to the next one.

Deciding the incarnation in the replicated state machine was ruled out: a member of an earlier build that applies the same command ends nothing, and the tables diverge. In a mixed group a new host needs nothing from the leader but STALE_ATTEMPT, which old leaders return. An old follower that forwards incarnation 0 gets RESULT_UNKNOWN from a new leader if the server is still registered, and answers 503 as for any unknown outcome. Not covered: an old follower that lags by one incarnation, and an old host that is the leader itself.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -52,6 +52,19 @@
                  m_hooks.send(aTo, envelope);
                })
   , m_serverWatch(m_options.self, m_options.serverLifetime)
+  , m_reports({ [this]() -> const ServersState& {
+                 return m_groups[kListsGroup]->state.ServersPart();
+               },
+                [this](TimePoint aTime) {
+                  return m_groups[kListsGroup]->node->CurrentAsOf(aTime);
+                },
+                [this](const wire::BackendServerRecord& aRecord,
+                       TimePoint aDeadline,
+                       TimePoint aTime,
+                       const ServerReportsHooks::DoneHook& aDone) {
+                  LogReport(aRecord, aDeadline, aTime, aDone);
+                } },
+              kMaxFollowerStaleness)
   , m_nextExpiryAt(aNow)
 {
   wire::HostRecord& location = m_controlHostLocations[m_options.self];
@@ -169,6 +182,7 @@
   }
   UpdateLeaders();
   m_commands.Tick(aNow);
+  m_reports.Poll(aNow);
   ShareFleetView(aNow);
   if (IsDue(m_nextExpiryAt, aNow)) {
     m_nextExpiryAt = aNow + kExpiryInterval;
@@ -283,14 +297,18 @@
   const std::uint64_t requestId = aRequest.request_id();
   Propose(group,
           aRequest.command(),
-          [this, aFrom, group, requestId](ProposalOutcome,
-                                          const wire::CommandResult& aResult) {
+          [this, aFrom, group, requestId, command](
+            ProposalOutcome, const wire::CommandResult& aResult) {
             wire::Envelope envelope;
             wire::ControlReply* reply = envelope.mutable_control_reply();
             reply->set_request_id(requestId);
             reply->set_group(group);
             reply->set_leader(m_groups[group]->node->Leader().Value());
             *reply->mutable_result() = aResult;
+            if (EndsNothing(command, aResult)) {
+              reply->mutable_result()->set_code(
+                wire::CommandResult::RESULT_UNKNOWN);
+            }
             m_hooks.send(aFrom, envelope);
           });
 }
@@ -442,44 +460,74 @@
                           TimePoint aNow,
                           const std::function<void(bool)>& aReply)
 {
-  const Group& group = *m_groups[kListsGroup];
   wire::BackendServerRecord record = aRecord;
   record.set_watcher(m_options.self.Value());
-  const wire::BackendServerRecord* existing =
-    group.state.ServersPart().Find(record.id());
-  if (record.service().empty() && record.incarnation() == 0 &&
-      existing != nullptr) {
-    // A deregistration may name no incarnation; it ends the current one.
-    record.set_incarnation(existing->incarnation());
-  }
-  m_serverWatch.RecordRenewal(record, aNow);
-  // State that this member has applied is committed, so a quorum holds it.
-  if (!group.state.ServersPart().WouldChange(record)) {
-    aReply(true);
-    return;
+  if (record.state() != wire::BackendServerRecord::GONE) {
+    m_serverWatch.RecordRenewal(record, aNow);
   }
+  m_reports.Accept(record, aNow + kReportTimeout, aNow, aReply);
+}
+
+// A report may be logged twice, since its outcome is the same the second time.
+void
+ControlNode::LogReport(const wire::BackendServerRecord& aRecord,
+                       TimePoint aDeadline,
+                       TimePoint aNow,
+                       const ServerReportsHooks::DoneHook& aDone)
+{
   wire::Command command;
-  *command.mutable_server() = record;
-  if (group.node->IsLeader()) {
-    Propose(kListsGroup,
-            std::move(command),
-            [aReply](ProposalOutcome aOutcome, const wire::CommandResult&) {
-              aReply(aOutcome == ProposalOutcome::kApplied);
-            });
+  *command.mutable_server() = aRecord;
+  if (!m_groups[kListsGroup]->node->IsLeader()) {
+    ForwardReport(std::move(command), aDeadline, aNow, aDone);
     return;
   }
-  m_commands.Submit(std::move(command),
-                    aNow + kReportTimeout,
+  Propose(kListsGroup,
+          command,
+          [this, command, aDeadline, aNow, aDone](
+            ProposalOutcome aOutcome, const wire::CommandResult& aResult) {
+            if (aOutcome == ProposalOutcome::kNotLeader ||
+                aOutcome == ProposalOutcome::kUnknown) {
+              ForwardReport(command, aDeadline, aNow, aDone);
+              return;
+            }
+            aDone(aResult.code());
+          });
+}
+
+void
+ControlNode::ForwardReport(wire::Command aCommand,
+                           TimePoint aDeadline,
+                           TimePoint aNow,
+                           const ServerReportsHooks::DoneHook& aDone)
+{
+  m_commands.Submit(std::move(aCommand),
+                    aDeadline,
                     aNow,
-                    [aReply](const wire::CommandResult* aResult) {
-                      const bool durable =
-                        aResult != nullptr &&
-                        (aResult->code() == wire::CommandResult::OK ||
-                         aResult->code() == wire::CommandResult::STALE_ATTEMPT);
-                      aReply(durable);
+                    [aDone](const wire::CommandResult* aResult) {
+                      if (aResult == nullptr) {
+                        aDone(std::nullopt);
+                        return;
+                      }
+                      aDone(aResult->code());
                     });
 }
 
+// Hosts of earlier versions take such a result for a deregistration that holds.
+bool
+ControlNode::EndsNothing(const wire::Command& aCommand,
+                         const wire::CommandResult& aResult) const
+{
+  if (aResult.code() != wire::CommandResult::STALE_ATTEMPT ||
+      !NamesNoIncarnation(aCommand.server())) {
+    return false;
+  }
+  const wire::BackendServerRecord* existing =
+    m_groups[kListsGroup]->state.ServersPart().Find(aCommand.server().id());
+  return existing != nullptr &&
+         (existing->state() != wire::BackendServerRecord::GONE ||
+          existing->lapsed());
+}
+
 void
 ControlNode::OnFleetView(const HostId& aFrom,
                          const wire::FleetView& aView,
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -31,6 +31,7 @@
 #include "control/command_client.h"
 #include "control/evidence_relay.h"
 #include "control/fleet_table.h"
+#include "control/server_reports.h"
 #include "control/server_watch.h"
 #include "state/group_state.h"
 #include "wire/messages.h"
@@ -188,6 +189,16 @@
                    TimePoint aNow);
   void ShareFleetView(TimePoint aNow);
   void SendFleetView(const HostId& aTo, wire::FleetView aView);
+  void LogReport(const wire::BackendServerRecord& aRecord,
+                 TimePoint aDeadline,
+                 TimePoint aNow,
+                 const ServerReportsHooks::DoneHook& aDone);
+  void ForwardReport(wire::Command aCommand,
+                     TimePoint aDeadline,
+                     TimePoint aNow,
+                     const ServerReportsHooks::DoneHook& aDone);
+  bool EndsNothing(const wire::Command& aCommand,
+                   const wire::CommandResult& aResult) const;
   void ExpireServers(TimePoint aNow);
   void UpdateLeaders();
 
@@ -200,6 +211,7 @@
   CommandClient m_commands; // used while another host is the leader
   EvidenceRelay m_evidence;
   ServerWatch m_serverWatch;
+  ServerReports m_reports;
   FleetTable m_fleet;
   TimePoint m_nextPushAt;
   std::map<HostId, wire::HostRecord> m_controlHostLocations;
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -10,7 +10,7 @@
 
 namespace fuchsiaramp {
 
-// Three control hosts whose storage hooks always succeed.
+// Three control hosts with disks in memory.
 class ControlGroup
 {
 public:
@@ -32,16 +32,49 @@
                         const std::vector<HostId>& aKnown,
                         bool aMayBootstrap)
   {
-    std::vector<GroupStorage> storage(2);
-    for (GroupStorage& group : storage) {
-      group.stored.hardState.set_disk_id(m_random.Bits());
-      group.hooks.append = [](const auto&, const auto&) {
+    std::vector<StoredState>& disk = m_disks[aHost];
+    disk.assign(2, {});
+    for (StoredState& group : disk) {
+      group.hardState.set_disk_id(m_random.Bits());
+    }
+    Start(aHost, aKnown, aMayBootstrap);
+  }
+
+  // Ends all processes at once and starts them again.
+  void RestartAll()
+  {
+    m_nodes.clear();
+    for (const HostId& host : m_hosts) {
+      Start(host, m_hosts, false);
+    }
+  }
+
+  void Start(const HostId& aHost,
+             const std::vector<HostId>& aKnown,
+             bool aMayBootstrap)
+  {
+    std::vector<GroupStorage> storage;
+    for (StoredState& disk : m_disks[aHost]) {
+      GroupStorage& group = storage.emplace_back();
+      group.stored = disk;
+      group.hooks.append = [&disk](const wire::HardState& aHardState,
+                                   const auto& aEntries) {
+        disk.hardState = aHardState;
+        while (!aEntries.empty() && !disk.entries.empty() &&
+               disk.entries.back().index() >= aEntries.front().index()) {
+          disk.entries.pop_back();
+        }
+        disk.entries.insert(
+          disk.entries.end(), aEntries.begin(), aEntries.end());
+        return std::error_code();
+      };
+      group.hooks.saveSnapshot = [&disk](const wire::HardState& aHardState,
+                                         const wire::SnapshotMeta& aMeta,
+                                         const std::string& aSnapshot,
+                                         const auto& aRetained) {
+        disk = { aHardState, aMeta, aSnapshot, aRetained };
         return std::error_code();
       };
-      group.hooks.saveSnapshot =
-        [](const auto&, const auto&, const auto&, const auto&) {
-          return std::error_code();
-        };
     }
     ControlHooks hooks;
     hooks.send = [this, aHost](const HostId& aTo,
@@ -118,6 +151,7 @@
   TimePoint m_now;
   std::vector<HostId> m_hosts;
   std::map<HostId, std::unique_ptr<ControlNode>> m_nodes;
+  std::map<HostId, std::vector<StoredState>> m_disks; // by group
 };
 
 static const char* const kDocument = "plans:\n  - {name: p}\n";
@@ -439,4 +473,207 @@
                         std::pair(joining, leader)) == 1);
 }
 
+// A report of server "s", which started at aIncarnation.
+static wire::BackendServerRecord
+ServerReport(
+  std::uint64_t aIncarnation,
+  std::uint64_t aSequence,
+  wire::BackendServerRecord::State aState = wire::BackendServerRecord::UP)
+{
+  wire::BackendServerRecord record;
+  record.set_id("s");
+  record.set_state(aState);
+  record.set_incarnation(aIncarnation);
+  record.set_revision(aSequence);
+  record.set_service("profile");
+  record.set_address("10.0.0.1:80");
+  return record;
+}
+
+static wire::BackendServerRecord
+NamelessDeregistration()
+{
+  wire::BackendServerRecord record;
+  record.set_id("s");
+  record.set_state(wire::BackendServerRecord::GONE);
+  return record;
+}
+
+// Reports to each host in turn, for a second each, until one acknowledges.
+static bool
+ReportUntilAcknowledged(ControlGroup& aGroup,
+                        const wire::BackendServerRecord& aRecord)
+{
+  for (int i = 0; i < 12; ++i) {
+    const HostId& host =
+      aGroup.m_hosts[static_cast<std::size_t>(i) % aGroup.m_hosts.size()];
+    bool acknowledged = false;
+    aGroup.m_nodes.at(host)->ReportServer(
+      aRecord, aGroup.m_now, [&](bool aDurable) { acknowledged = aDurable; });
+    aGroup.Run(std::chrono::seconds(1));
+    if (acknowledged) {
+      return true;
+    }
+  }
+  return false;
+}
+
+static wire::BackendServerRecord
+CurrentServer(ControlGroup& aGroup)
+{
+  BOOST_REQUIRE(aGroup.Leader(0) != nullptr);
+  const auto* record = aGroup.Leader(0)->State(0).ServersPart().Find("s");
+  return record == nullptr ? wire::BackendServerRecord() : *record;
+}
+
+static HostId
+AFollower(ControlGroup& aGroup)
+{
+  const HostId leader = aGroup.Leader(0)->GroupNode(0).Self().host;
+  return aGroup.m_hosts.front() == leader ? aGroup.m_hosts.back()
+                                          : aGroup.m_hosts.front();
+}
+
+BOOST_AUTO_TEST_CASE(ADeregistrationAcknowledgedAfterARestartOfAllHostsIsKept)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
+  group.RestartAll();
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, NamelessDeregistration()));
+  group.Run(std::chrono::seconds(3));
+  BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::GONE);
+}
+
+BOOST_AUTO_TEST_CASE(ADeregistrationAtANewLeaderThatHasNotAppliedItsLogIsKept)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
+  group.RestartAll();
+  ControlNode* leader = nullptr;
+  for (int i = 0; i < 1000 && leader == nullptr; ++i) {
+    group.Run(std::chrono::milliseconds(5));
+    for (auto& [host, node] : group.m_nodes) {
+      leader = node->GroupNode(0).IsLeader() ? node.get() : leader;
+    }
+  }
+  BOOST_REQUIRE(leader != nullptr);
+  BOOST_REQUIRE(leader->State(0).ServersPart().Find("s") == nullptr);
+  bool acknowledged = false;
+  leader->ReportServer(NamelessDeregistration(),
+                       group.m_now,
+                       [&](bool aDurable) { acknowledged = aDurable; });
+  group.Run(std::chrono::seconds(1));
+  BOOST_TEST(acknowledged);
+  BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::GONE);
+}
+
+// The follower has not seen the newest incarnation when it is told.
+BOOST_AUTO_TEST_CASE(ADeregistrationAtAFollowerThatLagsEndsTheNewIncarnation)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  const HostId follower = AFollower(group);
+  const HostId leader = group.Leader(0)->GroupNode(0).Self().host;
+  for (const bool wasDeregistered : { false, true }) {
+    const std::uint64_t first = wasDeregistered ? 20 : 5;
+    BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(first, 1)));
+    if (wasDeregistered) {
+      BOOST_REQUIRE(ReportUntilAcknowledged(group, NamelessDeregistration()));
+    }
+    group.Run(std::chrono::seconds(1));
+    group.m_network.Cut(leader, follower);
+    group.m_nodes.at(leader)->ReportServer(
+      ServerReport(first + 1, 1), group.m_now, [](bool) {});
+    group.Run(std::chrono::milliseconds(100));
+    BOOST_REQUIRE(CurrentServer(group).incarnation() == first + 1);
+    bool acknowledged = false;
+    group.m_nodes.at(follower)->ReportServer(
+      NamelessDeregistration(), group.m_now, [&](bool aDurable) {
+        acknowledged = aDurable;
+      });
+    group.m_network.HealAll();
+    group.Run(std::chrono::seconds(1));
+    BOOST_TEST(acknowledged);
+    BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::GONE);
+  }
+}
+
+// A host of an older build sends what it found in a table that lags.
+BOOST_AUTO_TEST_CASE(AForwardedDeregistrationThatEndsNothingIsNotConfirmed)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
+  wire::Envelope request;
+  *request.mutable_control_request()->mutable_command()->mutable_server() =
+    NamelessDeregistration();
+  group.m_toEntryHosts.clear();
+  group.m_network.Send(HostId("older-build"),
+                       group.Leader(0)->GroupNode(0).Self().host,
+                       request,
+                       group.m_now);
+  group.Run(std::chrono::milliseconds(300));
+  BOOST_REQUIRE(group.m_toEntryHosts.size() == 1u);
+  BOOST_TEST(group.m_toEntryHosts.front().control_reply().result().code() ==
+             wire::CommandResult::RESULT_UNKNOWN);
+  BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::UP);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingReportWithALateNumberIsAppliedWhenAcknowledged)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 9)));
+  BOOST_REQUIRE(ReportUntilAcknowledged(
+    group, ServerReport(5, 3, wire::BackendServerRecord::LEAVING)));
+  BOOST_TEST(CurrentServer(group).state() ==
+             wire::BackendServerRecord::LEAVING);
+}
+
+BOOST_AUTO_TEST_CASE(ALateReportOfAFormerIncarnationLeavesTheNewOne)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(9, 1)));
+  wire::BackendServerRecord named = NamelessDeregistration();
+  named.set_incarnation(5);
+  for (const auto& late :
+       { ServerReport(5, 7),
+         ServerReport(5, 8, wire::BackendServerRecord::LEAVING),
+         named }) {
+    BOOST_TEST(ReportUntilAcknowledged(group, late));
+    BOOST_TEST(CurrentServer(group).incarnation() == 9u);
+    BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::UP);
+  }
+}
+
+// The leader takes over the servers of a host that it cannot reach, and their
+// registrations expire.
+BOOST_AUTO_TEST_CASE(AnIsolatedHostDoesNotAcknowledgeHeartbeats)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  const HostId follower = AFollower(group);
+  const auto report = [&](std::uint64_t aSequence) {
+    bool acknowledged = false;
+    group.m_nodes.at(follower)->ReportServer(
+      ServerReport(5, aSequence), group.m_now, [&](bool aDurable) {
+        acknowledged = aDurable;
+      });
+    group.Run(std::chrono::seconds(1));
+    return acknowledged;
+  };
+  BOOST_REQUIRE(report(1));
+  BOOST_TEST(report(2));
+  group.m_isolated = follower;
+  group.Run(std::chrono::seconds(2));
+  BOOST_TEST(!report(3));
+  group.m_isolated = HostId();
+  group.Run(std::chrono::seconds(3));
+  BOOST_TEST(report(4));
+}
+
 } // namespace fuchsiaramp
--- a/packages/state/servers_state.cc
+++ b/packages/state/servers_state.cc
@@ -10,6 +10,13 @@
 
 using Record = wire::BackendServerRecord;
 
+bool
+NamesNoIncarnation(const Record& aRecord)
+{
+  return aRecord.state() == Record::GONE && !aRecord.lapsed() &&
+         aRecord.service().empty() && aRecord.incarnation() == 0;
+}
+
 const Record*
 ServersState::Find(const std::string& aId) const
 {
--- a/packages/state/servers_state.h
+++ b/packages/state/servers_state.h
@@ -18,6 +18,11 @@
 
 namespace fuchsiaramp {
 
+// Whether the record is a deregistration that leaves open which incarnation
+// ends.
+bool
+NamesNoIncarnation(const wire::BackendServerRecord& aRecord);
+
 class ServersState
 {
 public:
