Connect to no address that can't be parsed

A backend server or peer whose address isn't IP:port was connected to as 0.0.0.0, which is this host: requests for 'localhost:PORT', ':PORT' or '127.0.0.1:PORTx' ran at whatever listens there on that port. The error of ParseEndpoint was not looked at in BackendClient.

Such an attempt now ends as kRefused, without a connection: nothing was sent, the server is avoided for a while as one that can't be connected to, and ConnectionProbe already treats the address so. kNothingWritten would say the same to the caller, but leaves the server selectable at once. The attempt ends after Start has returned, since the owner doesn't know it before.

--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -79,6 +80,13 @@
     }
     beast::error_code error;
     const auto endpoint = ParseEndpoint(m_address, error);
+    if (error) {
+      // The owner does not know the attempt before this call returns.
+      asio::post(m_owner.m_io, [self = shared_from_this(), error] {
+        self->OnConnected(error);
+      });
+      return;
+    }
     const Duration remaining = m_deadline - MonotonicNow();
     m_stream.expires_after(
       std::min(remaining, m_owner.m_options.connectTimeout));
--- a/packages/net/backend_client_test.cc
+++ b/packages/net/backend_client_test.cc
@@ -151,6 +151,7 @@
 
   ClientFixture()
     : m_server(m_io)
+    , m_address(m_server.Address())
   {
     BackendClientOptions options;
     options.maxResponseBytes = kMaxResponseBytes;
@@ -170,12 +171,12 @@
       });
   }
 
-  // Sends a request with this id and returns how it ended.
-  Ended Send(const std::string& aId, bool aNewConnection = false)
+  ConnectionKind Start(const std::string& aId, bool aNewConnection = false)
   {
     AttemptStart start;
     start.id = AttemptId(++m_lastAttempt);
-    start.address = m_server.Address();
+    start.address = m_address;
+    start.callerRequestId = aId;
     m_startedAt = MonotonicNow();
     start.deadline = m_startedAt + std::chrono::seconds(2);
     start.requiresNewConnection = aNewConnection;
@@ -183,7 +184,13 @@
     request.set(http::field::host, "service");
     request.set("X-Id", aId);
     m_ended.reset();
-    m_client->Start(start, request);
+    return m_client->Start(start, request);
+  }
+
+  // Sends a request with this id and returns how it ended.
+  Ended Send(const std::string& aId, bool aNewConnection = false)
+  {
+    Start(aId, aNewConnection);
     for (int i = 0; i < 300 && !m_ended; ++i) {
       m_io.run_for(std::chrono::milliseconds(10));
     }
@@ -198,6 +205,7 @@
 
   asio::io_context m_io;
   ScriptedServer m_server;
+  std::string m_address; // to which requests are sent
   std::unique_ptr<BackendClient> m_client;
   std::optional<Ended> m_ended;
   TimePoint m_startedAt;
@@ -384,4 +392,43 @@
   BOOST_TEST(fixture.m_client->IdleCount() == 0U);
 }
 
+// An address with a host name was connected to as 0.0.0.0, thus as this host.
+BOOST_AUTO_TEST_CASE(AnAddressThatCannotBeParsedIsNotConnectedTo)
+{
+  ClientFixture fixture;
+  const std::string port = fixture.m_server.Address().substr(10);
+  const std::vector<std::string> addresses = { "",
+                                               ":" + port,
+                                               "localhost:" + port,
+                                               "127.0.0.1",
+                                               "127.0.0.1:",
+                                               "127.0.0.1:65536",
+                                               "127.0.0.1:-1",
+                                               "127.0.0.1:" + port + "x",
+                                               port };
+  for (const std::string& address : addresses) {
+    fixture.m_server.m_scripts = {
+      { Response("1", "one"), "", "", true, false }
+    };
+    fixture.m_server.m_requests = 0;
+    fixture.m_address = address;
+    BOOST_TEST_CONTEXT("address '" << address << "'")
+    {
+      BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kRefused));
+      BOOST_TEST(fixture.m_server.m_connections == 0U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAttemptAtAnAddressThatCannotBeParsedCanBeCancelled)
+{
+  ClientFixture fixture;
+  fixture.m_address = "nowhere";
+  fixture.Start("1");
+  fixture.m_client->Cancel(AttemptId(1));
+  fixture.Wait(20);
+  BOOST_TEST(!fixture.m_ended.has_value());
+  BOOST_TEST(fixture.m_client->Running() == 0U);
+}
+
 } // namespace fuchsiaramp
