Believe a refusal only on a connection on which it can't be a copy

Reported by other operators: a faulty target wrote an earlier refusal once more on a kept connection, and requests that a target ran were answered as not run.

Repeatable requests reuse connections, and there - a refusal without an id counted as that of the current request, - one with the id counted as well when the same request was sent again on the connection on which it had been refused, - a 421 without an id took the backend server out until it restarts, - the native API, which has no ids, had no defence, - late responses of a peer were not compared with the id of the forwarded request. The cause is one: a response was taken to be about the send that precedes it, while only its place on the connection said so.

Now a response belongs to the request if it is the first on a new connection, or if it has the request's id, and a connection never carries a request again that failed on it. The classifier says whether a response has the id or lacks one that it should have. A response of a server that lacks it on a reused connection leaves the outcome unknown (kSilent: a repeatable request goes to the same server on a new connection); after a skipped response on a new one, kBroken. A connection on which a refusal without an id came isn't reused, which covers the native API and peers, whose own refusals have none. Refusals with ids cost a connection once in 33, since it remembers 32.

Requests that can't be repeated and the number of their connections are unchanged.

An API without ids still can't tell a refusal that was never sent before (invented bytes) from its own.

OnlyAnExplicitResponseProvesThatTheRequestDidNotRun and all other tests are as they were; the fixture of backend_client_test has a classifier that knows refusals.

--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstddef>
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -34,6 +36,8 @@
 static constexpr std::uint64_t kFramingFactor = 2;
 // Late responses to earlier requests that one attempt skips.
 static constexpr int kMaxOtherResponses = 8;
+// Failed requests that a connection remembers; it is not reused after more.
+static constexpr std::size_t kMaxFailedRequests = 32;
 
 // One connection to a backend server, which carries one attempt at a time.
 class BackendClient::Connection
@@ -50,6 +54,16 @@
   const std::string& Address() const { return m_address; }
   TimePoint UsableUntil() const { return m_lastUsed + m_idleLifetime; }
 
+  // Whether the connection carried a request with this id that failed, so that
+  // a response with the id may be a copy of that one's.
+  bool HasFailed(const std::string& aRequestId) const
+  {
+    return std::find(m_failedRequests.begin(),
+                     m_failedRequests.end(),
+                     std::hash<std::string>()(aRequestId)) !=
+           m_failedRequests.end();
+  }
+
   // A readable idle connection was either closed by the server or holds bytes
   // that belong to no request; neither may be reused.
   bool IsIdleAndOpen()
@@ -67,6 +81,7 @@
              ConnectionKind aKind)
   {
     m_attempt = aStart.id;
+    m_requestId = aStart.callerRequestId;
     m_deadline = aStart.deadline;
     m_request = aRequest;
     m_kind = aKind;
@@ -243,12 +258,37 @@
       ReadHeader();
       return;
     }
+    const bool isFirst =
+      m_kind == ConnectionKind::kNew && m_otherResponses == 0;
+    if (m_classified.lacksRequestId && !isFirst) {
+      // It may be a response to an earlier request.
+      End(m_kind == ConnectionKind::kReused ? AttemptOutcome::kSilent
+                                            : AttemptOutcome::kBroken,
+          false);
+      return;
+    }
+    const bool distinguishable = RememberFailure();
     const bool reusable = response.keep_alive() && !m_parser->need_eof() &&
-                          m_buffer.size() == 0 && m_otherResponses == 0;
+                          m_buffer.size() == 0 && m_otherResponses == 0 &&
+                          distinguishable;
     SetIdleLifetime(response);
     End(m_classified.outcome, reusable);
   }
 
+  // Returns whether a copy of the response could be told from the response to
+  // a later request. Only copies of refusals would let a request run twice.
+  bool RememberFailure()
+  {
+    if (m_classified.hasRequestId) {
+      if (m_classified.outcome != AttemptOutcome::kSuccess) {
+        m_failedRequests.push_back(std::hash<std::string>()(m_requestId));
+      }
+      return m_failedRequests.size() <= kMaxFailedRequests;
+    }
+    return m_classified.outcome == AttemptOutcome::kSuccess ||
+           m_classified.outcome == AttemptOutcome::kServerError;
+  }
+
   // The Keep-Alive header gives whole seconds, as in "timeout=10, max=100".
   void SetIdleLifetime(const BackendResponse& aResponse)
   {
@@ -306,6 +346,8 @@
   BackendRequest m_request;
   std::optional<http::response_parser<http::string_body>> m_parser;
   AttemptId m_attempt;
+  std::string m_requestId;                   // of the caller; may be empty
+  std::vector<std::size_t> m_failedRequests; // hashes of their ids
   TimePoint m_deadline;
   TimePoint m_lastUsed;
   Duration m_idleLifetime{};
@@ -337,17 +379,20 @@
 }
 
 BackendClient::ConnectionPtr
-BackendClient::TakeIdleConnection(const std::string& aAddress)
+BackendClient::TakeIdleConnection(const AttemptStart& aStart)
 {
-  const auto it = m_idleConnections.find(aAddress);
+  const auto it = m_idleConnections.find(aStart.address);
   if (it == m_idleConnections.end()) {
     return nullptr;
   }
   const TimePoint now = MonotonicNow();
   std::vector<ConnectionPtr>& idle = it->second;
-  while (!idle.empty()) {
-    ConnectionPtr connection = idle.back();
-    idle.pop_back();
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (idle[i]->HasFailed(aStart.callerRequestId)) {
+      continue;
+    }
+    ConnectionPtr connection = idle[i];
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     const bool usable =
       now < connection->UsableUntil() && connection->IsIdleAndOpen();
     if (usable) {
@@ -363,7 +408,7 @@
 {
   ConnectionPtr connection;
   if (!aStart.requiresNewConnection) {
-    connection = TakeIdleConnection(aStart.address);
+    connection = TakeIdleConnection(aStart);
   }
   const ConnectionKind kind =
     connection == nullptr ? ConnectionKind::kNew : ConnectionKind::kReused;
--- a/packages/net/backend_client.h
+++ b/packages/net/backend_client.h
@@ -1,8 +1,14 @@
 // Sends attempts to backend servers over pooled HTTP/1.1 connections.
 //
-// A connection carries one request at a time, and a response belongs to that
-// request. A connection whose request was cancelled, or whose response was
-// incomplete, is closed and not reused. A response with neither a
+// A connection carries one request at a time. A connection whose request was
+// cancelled, or whose response was incomplete, is closed and not reused.
+//
+// A faulty server may write an earlier response once more. The first response
+// on a new connection belongs to the request; on a reused one, it must carry
+// the id of the request if responses of the API have ids. A request is not sent
+// on a connection on which it failed before, so that its id is unambiguous; a
+// connection on which a request without an id was refused is not reused.
+// A response with neither a
 // Content-Length nor chunked encoding is complete only if the options allow an
 // orderly close of the connection to delimit it.
 //
@@ -53,6 +59,10 @@
   // The response belongs to another request of the connection; the response to
   // the current request is still expected.
   bool isForOtherRequest = false;
+  // The response carries the id of the current request.
+  bool hasRequestId = false;
+  // The response has no id, although every response of its sender has one.
+  bool lacksRequestId = false;
   AttemptOutcome outcome = AttemptOutcome::kSuccess;
   std::optional<std::uint32_t> reportedLoad;
   bool serverIsLeaving = false;
@@ -94,7 +104,7 @@
   class Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  ConnectionPtr TakeIdleConnection(const std::string& aAddress);
+  ConnectionPtr TakeIdleConnection(const AttemptStart& aStart);
   void OnFinished(const ConnectionPtr& aConnection,
                   const AttemptEnd& aEnd,
                   BackendResponse* aResponse,
--- a/packages/net/backend_client_test.cc
+++ b/packages/net/backend_client_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -56,6 +57,9 @@
   std::size_t m_requests = 0;
   std::size_t m_connections = 0;
   std::size_t m_endlessBytes = 0; // taken by the client's side
+  // Written before what a script says, on connections on which a script has
+  // written exactly this.
+  std::string m_copiesOnUse;
 
 private:
   using SocketPtr = std::shared_ptr<tcp::socket>;
@@ -83,7 +87,15 @@
         if (aError || m_requests >= m_scripts.size()) {
           return;
         }
-        Play(aSocket, m_scripts[m_requests++]);
+        const Script& script = m_scripts[m_requests++];
+        if (m_copying.count(aSocket) != 0) {
+          boost::system::error_code ignored;
+          asio::write(*aSocket, asio::buffer(m_copiesOnUse), ignored);
+        }
+        if (!m_copiesOnUse.empty() && script.bytes == m_copiesOnUse) {
+          m_copying.insert(aSocket);
+        }
+        Play(aSocket, script);
         Read(aSocket);
       });
   }
@@ -129,6 +141,7 @@
 
   asio::io_context& m_io;
   tcp::acceptor m_acceptor;
+  std::set<SocketPtr> m_copying;
 };
 
 static std::string
@@ -139,6 +152,15 @@
          aBody;
 }
 
+// A refusal. Without an id, it has no header that names its request.
+static std::string
+Refusal(const std::string& aId = "", int aStatus = 503)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " Refused\r\n" +
+         (aId.empty() ? "" : "X-Id: " + aId + "\r\n") +
+         "Content-Length: 0\r\n\r\n";
+}
+
 class ClientFixture
 {
 public:
@@ -147,6 +169,7 @@
     AttemptOutcome outcome = AttemptOutcome::kCancelled;
     std::string body;
     Duration after{};
+    ConnectionKind connection = ConnectionKind::kNew;
   };
 
   ClientFixture()
@@ -159,15 +182,14 @@
     m_client = std::make_unique<BackendClient>(
       m_io,
       options,
-      [](const BackendResponse& aResponse, const BackendRequest& aRequest) {
-        ClassifiedResponse classified;
-        classified.isForOtherRequest = aResponse["X-Id"] != aRequest["X-Id"];
-        return classified;
+      [this](const BackendResponse& aResponse, const BackendRequest& aRequest) {
+        return Classify(aResponse, aRequest);
       },
       [this](const AttemptEnd& aEnd, BackendResponse* aResponse) {
         m_ended = Ended{ aEnd.outcome,
                          aResponse == nullptr ? "" : aResponse->body(),
-                         MonotonicNow() - m_startedAt };
+                         MonotonicNow() - m_startedAt,
+                         ConnectionKind::kNew };
       });
   }
 
@@ -190,14 +212,35 @@
   // Sends a request with this id and returns how it ended.
   Ended Send(const std::string& aId, bool aNewConnection = false)
   {
-    Start(aId, aNewConnection);
+    const ConnectionKind connection = Start(aId, aNewConnection);
     for (int i = 0; i < 300 && !m_ended; ++i) {
       m_io.run_for(std::chrono::milliseconds(10));
     }
     BOOST_REQUIRE(m_ended);
+    m_ended->connection = connection;
     return *m_ended;
   }
 
+  ClassifiedResponse Classify(const BackendResponse& aResponse,
+                              const BackendRequest& aRequest) const
+  {
+    ClassifiedResponse classified;
+    if (aResponse.result_int() == 503) {
+      classified.outcome = AttemptOutcome::kShed;
+    } else if (aResponse.result_int() == 421) {
+      classified.outcome = AttemptOutcome::kOtherServer;
+    } else if (aResponse.result_int() >= 500) {
+      classified.outcome = AttemptOutcome::kServerError;
+    }
+    if (m_hasIds) {
+      const auto id = aResponse["X-Id"];
+      classified.lacksRequestId = id.empty();
+      classified.hasRequestId = id == aRequest["X-Id"];
+      classified.isForOtherRequest = !id.empty() && !classified.hasRequestId;
+    }
+    return classified;
+  }
+
   void Wait(int aMilliseconds)
   {
     m_io.run_for(std::chrono::milliseconds(aMilliseconds));
@@ -206,6 +249,7 @@
   asio::io_context m_io;
   ScriptedServer m_server;
   std::string m_address; // to which requests are sent
+  bool m_hasIds = true;  // whether responses have ids
   std::unique_ptr<BackendClient> m_client;
   std::optional<Ended> m_ended;
   TimePoint m_startedAt;
@@ -431,4 +475,142 @@
   BOOST_TEST(fixture.m_client->Running() == 0U);
 }
 
+static bool
+ProvesNotRun(AttemptOutcome aOutcome)
+{
+  return aOutcome == AttemptOutcome::kShed ||
+         aOutcome == AttemptOutcome::kOtherServer;
+}
+
+// A refusal is written once more; the server runs the next request.
+BOOST_AUTO_TEST_CASE(ARefusalWithoutIdOnAReusedConnectionProvesNothing)
+{
+  for (const int status : { 503, 421 }) {
+    for (const bool late : { false, true }) {
+      ClientFixture fixture;
+      const std::string copy = Refusal("", status);
+      const std::string own = Response("2", "two");
+      fixture.m_server.m_scripts = {
+        { Response("1", "one"), "", "", false, false },
+        { late ? "" : copy + own, "", late ? copy + own : "", false, false },
+        { Response("3", "three"), "", "", false, false }
+      };
+      BOOST_TEST(fixture.Send("1").body == "one");
+      const auto ended = fixture.Send("2");
+      BOOST_TEST_CONTEXT("status " << status << (late ? " late" : ""))
+      {
+        BOOST_TEST((ended.connection == ConnectionKind::kReused));
+        BOOST_TEST((ended.outcome == AttemptOutcome::kSilent));
+        BOOST_TEST(fixture.Send("3").body == "three");
+        BOOST_TEST(fixture.m_server.m_connections == 2U);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalWithoutIdOnANewConnectionIsOfTheRequest)
+{
+  for (const int status : { 503, 421 }) {
+    ClientFixture fixture;
+    fixture.m_server.m_scripts = {
+      { Refusal("", status), "", "", false, false },
+      { Response("2", "two"), "", "", false, false }
+    };
+    BOOST_TEST(ProvesNotRun(fixture.Send("1").outcome));
+    BOOST_TEST((fixture.Send("2").connection == ConnectionKind::kNew));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalWithoutIdAfterAnotherResponseProvesNothing)
+{
+  ClientFixture fixture;
+  fixture.m_server.m_scripts = {
+    { Response("other", "x") + Refusal(), "", "", false, false },
+  };
+  BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kBroken));
+}
+
+// The same request is sent again to the server, which runs it and writes its
+// earlier refusal once more.
+BOOST_AUTO_TEST_CASE(ARefusedRequestIsNotSentOnTheSameConnectionAgain)
+{
+  for (const bool late : { false, true }) {
+    ClientFixture fixture;
+    const std::string copy = Refusal("1");
+    const std::string own = Response("1", "one");
+    fixture.m_server.m_scripts = {
+      { copy, "", "", false, false },
+      { late ? "" : own, "", late ? own : "", false, false },
+      { Response("2", "two"), "", "", false, false }
+    };
+    fixture.m_server.m_copiesOnUse = copy;
+    BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kShed));
+    const auto again = fixture.Send("1");
+    BOOST_TEST((again.outcome == AttemptOutcome::kSuccess));
+    BOOST_TEST(again.body == "one");
+    // Another request tells the copy from its own response.
+    BOOST_TEST(fixture.Send("2").body == "two");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnyTimeOfACopyOfARefusalLeavesTheNextResponseWhole)
+{
+  const std::string copy = Refusal("1");
+  const std::string own = Response("2", "two");
+  const std::vector<std::pair<Script, Script>> cases = {
+    // with the refusal, in one segment
+    { { copy + copy, "", "", false, false }, { own, "", "", false, false } },
+    // while the connection is idle
+    { { copy, "", copy, false, false }, { own, "", "", false, false } },
+    // after the next request was written
+    { { copy, "", "", false, false }, { copy + own, "", "", false, false } },
+    { { copy, "", "", false, false }, { copy, "", own, false, false } },
+  };
+  for (const auto& [first, second] : cases) {
+    for (const int pause : { 0, 60 }) {
+      ClientFixture fixture;
+      fixture.m_server.m_scripts = { first, second };
+      BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kShed));
+      fixture.Wait(pause);
+      const auto next = fixture.Send("2");
+      BOOST_TEST((next.outcome == AttemptOutcome::kSuccess));
+      BOOST_TEST(next.body == "two");
+    }
+  }
+}
+
+// An overloaded server refuses often; its connections stay in use.
+BOOST_AUTO_TEST_CASE(RefusalsWithIdsRarelyCostAConnection)
+{
+  ClientFixture fixture;
+  for (int i = 1; i <= 64; ++i) {
+    fixture.m_server.m_scripts.push_back(
+      { Refusal(std::to_string(i)), "", "", false, false });
+  }
+  for (int i = 1; i <= 64; ++i) {
+    BOOST_TEST(
+      (fixture.Send(std::to_string(i)).outcome == AttemptOutcome::kShed));
+  }
+  BOOST_TEST(fixture.m_server.m_connections <= 4U);
+}
+
+// Servers of an API without ids: a copy of a refusal cannot be told from one.
+BOOST_AUTO_TEST_CASE(ARefusalOfAnApiWithoutIdsEndsItsConnection)
+{
+  ClientFixture fixture;
+  fixture.m_hasIds = false;
+  fixture.m_server.m_scripts = {
+    { Response("1", "one"), "", "", false, false },
+    { Refusal(), "", "", false, false },
+    { Response("3", "three"), "", "", false, false }
+  };
+  fixture.m_server.m_copiesOnUse = Refusal();
+  BOOST_TEST(fixture.Send("1").body == "one");
+  BOOST_TEST((fixture.Send("2").outcome == AttemptOutcome::kShed));
+  const auto next = fixture.Send("3");
+  BOOST_TEST((next.outcome == AttemptOutcome::kSuccess));
+  BOOST_TEST(next.body == "three");
+  BOOST_TEST(fixture.m_server.m_connections == 2U);
+}
+
 } // namespace fuchsiaramp
--- a/packages/routing/service_router.h
+++ b/packages/routing/service_router.h
@@ -46,7 +46,7 @@
   kNothingWritten, // the connection failed before a byte was written
   kBroken,         // the connection broke after bytes were written
   kTimeout,        // no complete response in time
-  kSilent,         // no byte in time on a reused connection
+  kSilent,         // a reused connection brought no response to the request
   kCancelled,      // cancelled for another reason
 };
 
