Show that a response that is cut at any byte is never whole

Reported by other operators: a target stopped in the middle of a response's head and closed, and callers got a 200 with an empty or short body.

It can't happen here for a response that starts the read: cut at every byte of the head, of a body with a length, of chunk headers, chunks and trailers, with an orderly close and with a reset, on new and reused connections, after a skipped response to another request, in one write and byte by byte, the attempt ends as broken (or silent on a reused connection) and nothing of the response is used. The parser ends a head only at its empty line. A head with other line ends is broken as well.

--- a/packages/net/backend_client_test.cc
+++ b/packages/net/backend_client_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -29,11 +31,12 @@
 // What a scripted server does after it received a request.
 struct Script
 {
-  std::string bytes;         // sent at once
-  std::string endless;       // sent again and again after that, if not empty
-  std::string afterResponse; // sent 30 ms later
-  bool closes = false;       // in order
+  std::string bytes;           // sent at once
+  std::string endless{};       // sent again and again after that, if not empty
+  std::string afterResponse{}; // sent 30 ms later
+  bool closes = false;         // in order
   bool resets = false;
+  bool bytewise = false; // one byte a write
 };
 
 // A server on loopback that plays one script for each request, on as many
@@ -102,6 +105,10 @@
 
   void Play(const SocketPtr& aSocket, const Script& aScript)
   {
+    if (aScript.bytewise) {
+      PlayBytewise(aSocket, aScript, 0);
+      return;
+    }
     boost::system::error_code error;
     asio::write(*aSocket, asio::buffer(aScript.bytes), error);
     if (!aScript.endless.empty()) {
@@ -116,6 +123,12 @@
         asio::write(*aSocket, asio::buffer(bytes), ignored);
       });
     }
+    End(aSocket, aScript);
+  }
+
+  static void End(const SocketPtr& aSocket, const Script& aScript)
+  {
+    boost::system::error_code error;
     if (aScript.resets) {
       aSocket->set_option(asio::socket_base::linger(true, 0), error);
     }
@@ -124,6 +137,19 @@
     }
   }
 
+  void PlayBytewise(const SocketPtr& aSocket, Script aScript, std::size_t aAt)
+  {
+    if (aAt >= aScript.bytes.size()) {
+      End(aSocket, aScript);
+      return;
+    }
+    boost::system::error_code error;
+    asio::write(*aSocket, asio::buffer(&aScript.bytes[aAt], 1), error);
+    asio::post(m_io, [this, aSocket, script = std::move(aScript), aAt] {
+      PlayBytewise(aSocket, script, aAt + 1);
+    });
+  }
+
   void SendEndless(const SocketPtr& aSocket,
                    const std::shared_ptr<std::string>& aBytes)
   {
@@ -199,6 +225,7 @@
     start.id = AttemptId(++m_lastAttempt);
     start.address = m_address;
     start.callerRequestId = aId;
+    start.forwards = m_forwards;
     m_startedAt = MonotonicNow();
     start.deadline = m_startedAt + std::chrono::seconds(2);
     start.requiresNewConnection = aNewConnection;
@@ -213,8 +240,9 @@
   Ended Send(const std::string& aId, bool aNewConnection = false)
   {
     const ConnectionKind connection = Start(aId, aNewConnection);
-    for (int i = 0; i < 300 && !m_ended; ++i) {
-      m_io.run_for(std::chrono::milliseconds(10));
+    const TimePoint until = MonotonicNow() + std::chrono::seconds(3);
+    while (!m_ended && MonotonicNow() < until) {
+      m_io.run_one_for(std::chrono::milliseconds(10));
     }
     BOOST_REQUIRE(m_ended);
     m_ended->connection = connection;
@@ -250,6 +278,7 @@
   ScriptedServer m_server;
   std::string m_address; // to which requests are sent
   bool m_hasIds = true;  // whether responses have ids
+  bool m_forwards = false;
   std::unique_ptr<BackendClient> m_client;
   std::optional<Ended> m_ended;
   TimePoint m_startedAt;
@@ -613,4 +642,155 @@
   BOOST_TEST(fixture.m_server.m_connections == 2U);
 }
 
+// How the cut responses below end.
+enum class Framing
+{
+  kLength,
+  kChunks,
+  kClose, // of the connection
+};
+
+static const std::string kWholeBody = "the whole body";
+
+static std::string
+WholeResponse(const std::string& aId, Framing aFraming)
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nX-Id: " + aId + "\r\nContent-Type: text/plain\r\n";
+  switch (aFraming) {
+    case Framing::kLength:
+      return head + "Content-Length: 14\r\n\r\n" + kWholeBody;
+    case Framing::kChunks:
+      return head + "Transfer-Encoding: chunked\r\n\r\n"
+                    "4;a=b\r\nthe \r\n0a\r\nwhole body\r\n"
+                    "0\r\nX-Sum: 1\r\n\r\n";
+    case Framing::kClose:
+      break;
+  }
+  return head + "\r\n" + kWholeBody;
+}
+
+struct CutCase
+{
+  std::string before; // on the connection, ahead of the response
+  Framing framing = Framing::kLength;
+  bool reused = false;
+  bool forwards = false;
+  bool bytewise = false;
+};
+
+static std::ostream&
+operator<<(std::ostream& aStream, const CutCase& aCase)
+{
+  return aStream << "framing " << static_cast<int>(aCase.framing)
+                 << (aCase.reused ? " reused" : "")
+                 << (aCase.forwards ? " forwards" : "")
+                 << (aCase.bytewise ? " bytewise" : "") << " after '"
+                 << aCase.before << "'";
+}
+
+// Sends the first aCount bytes of the response.
+static ClientFixture::Ended
+SendCut(const CutCase& aCase, std::size_t aCount, bool aResets)
+{
+  ClientFixture fixture;
+  fixture.m_forwards = aCase.forwards;
+  const std::string whole = WholeResponse("1", aCase.framing);
+  const Script cut{ aCase.before + whole.substr(0, aCount),
+                    "",
+                    "",
+                    !aResets,
+                    aResets,
+                    aCase.bytewise };
+  if (aCase.reused) {
+    fixture.m_server.m_scripts = { { Response("0", "zero") }, cut };
+    BOOST_REQUIRE(fixture.Send("0").body == "zero");
+  } else {
+    fixture.m_server.m_scripts = { cut };
+  }
+  ClientFixture::Ended ended = fixture.Send("1");
+  BOOST_REQUIRE((ended.connection == ConnectionKind::kReused) == aCase.reused);
+  return ended;
+}
+
+// A response without a length that ends with its connection can't be told from
+// a whole one once its head is complete, unless the connection is reset.
+static void
+ExpectOnlyWholeResponses(const CutCase& aCase)
+{
+  const std::string whole = WholeResponse("1", aCase.framing);
+  const std::size_t head = whole.find("\r\n\r\n") + 4;
+  for (const bool resets : { false, true }) {
+    const bool endsWithConnection =
+      aCase.framing == Framing::kClose && !resets && !aCase.forwards;
+    const std::size_t cuts = endsWithConnection ? head : whole.size();
+    for (std::size_t count = 0; count < cuts; ++count) {
+      const auto ended = SendCut(aCase, count, resets);
+      BOOST_TEST_CONTEXT(aCase << (resets ? " reset" : " closed") << " after "
+                               << count << " bytes")
+      {
+        BOOST_TEST((ended.outcome == AttemptOutcome::kBroken ||
+                    ended.outcome == AttemptOutcome::kSilent));
+        BOOST_TEST(ended.body.empty());
+      }
+    }
+  }
+  // The same response in full is used.
+  if (aCase.framing != Framing::kClose || !aCase.forwards) {
+    BOOST_TEST_CONTEXT(aCase)
+    BOOST_TEST(SendCut(aCase, whole.size(), false).body == kWholeBody);
+  }
+}
+
+static void
+ExpectOnlyWholeResponsesAfter(const std::string& aBefore)
+{
+  for (const Framing framing :
+       { Framing::kLength, Framing::kChunks, Framing::kClose }) {
+    for (const bool reused : { false, true }) {
+      for (const bool bytewise : { false, true }) {
+        ExpectOnlyWholeResponses({ aBefore, framing, reused, false, bytewise });
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AResponseThatIsCutAtAnyByteIsNotWhole)
+{
+  ExpectOnlyWholeResponsesAfter("");
+}
+
+BOOST_AUTO_TEST_CASE(AResponseThatIsCutAfterOneToAnotherRequestIsNotWhole)
+{
+  ExpectOnlyWholeResponsesAfter(WholeResponse("other", Framing::kLength));
+  ExpectOnlyWholeResponsesAfter(WholeResponse("other", Framing::kChunks));
+}
+
+BOOST_AUTO_TEST_CASE(AHeadWithoutItsLineEndsIsBroken)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1";
+  const std::vector<std::string> responses = {
+    "HTTP/1.1 200 OK\nX-Id: 1\n\nbody",
+    head + "\n\nbody",
+    head + "\r\n\nbody",
+    head + "\r\n\rbody",
+    head + "\r\r\nbody",
+    head + "\n\r\nbody",
+    head + "\r\n",
+    head + "\r\nX-More\r\n\r\nbody",
+    "HTTP/1.1 200\r\n\r\nbody",
+    "HTTP/1.1 200 OK\r\n: 1\r\n\r\n",
+  };
+  for (const std::string& response : responses) {
+    for (const bool bytewise : { false, true }) {
+      ClientFixture fixture;
+      fixture.m_server.m_scripts = {
+        { response, "", "", true, false, bytewise }
+      };
+      BOOST_TEST_CONTEXT(response)
+      BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kBroken));
+    }
+  }
+}
+
 } // namespace fuchsiaramp
