Skip interim responses of backend servers

A server that sends 100, 102 or 103 before its response had that taken for the response: over the native API callers got a response with status 100 and an empty body, on the platform, where it lacks the signature, the attempt ended as broken, the server was blamed, and two such servers had the request refused with 422.

Cause: the parser ends a 1xx response at its head, and BackendClient classified it like any other. It now reads on, up to 8 of them; 101 ends the attempt as broken, since no request asks for another protocol. InterimResponsesWithoutEnd holds as before.

--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -36,6 +36,8 @@
 static constexpr std::uint64_t kFramingFactor = 2;
 // Late responses to earlier requests that one attempt skips.
 static constexpr int kMaxOtherResponses = 8;
+// Interim responses (1xx) that one attempt skips.
+static constexpr int kMaxInterimResponses = 8;
 // Failed requests that a connection remembers; it is not reused after more.
 static constexpr std::size_t kMaxFailedRequests = 32;
 
@@ -88,6 +90,7 @@
     m_wrote = false;
     m_received = false;
     m_otherResponses = 0;
+    m_interimResponses = 0;
     ResetParser();
     if (aKind == ConnectionKind::kReused) {
       Write();
@@ -247,6 +250,18 @@
   void OnComplete()
   {
     BackendResponse& response = m_parser->get();
+    if (http::to_status_class(response.result_int()) ==
+        http::status_class::informational) {
+      // No request asks for another protocol.
+      if (response.result() == http::status::switching_protocols ||
+          ++m_interimResponses > kMaxInterimResponses) {
+        End(AttemptOutcome::kBroken, false);
+        return;
+      }
+      ResetParser();
+      ReadHeader();
+      return;
+    }
     m_classified = m_owner.m_classifyResponse(response, m_request);
     if (m_classified.isForOtherRequest) {
       // A late response to an earlier request on this connection.
@@ -353,6 +368,7 @@
   Duration m_idleLifetime{};
   ClassifiedResponse m_classified;
   int m_otherResponses = 0;          // to other requests, skipped
+  int m_interimResponses = 0;        // skipped
   std::uint64_t m_receivedBytes = 0; // of the body of this response
   ConnectionKind m_kind = ConnectionKind::kNew;
   bool m_wrote = false;
--- a/packages/net/backend_client_test.cc
+++ b/packages/net/backend_client_test.cc
@@ -766,6 +766,31 @@
   ExpectOnlyWholeResponsesAfter(WholeResponse("other", Framing::kChunks));
 }
 
+BOOST_AUTO_TEST_CASE(AResponseThatIsCutAfterAnInterimOneIsNotWhole)
+{
+  ExpectOnlyWholeResponsesAfter("HTTP/1.1 100 Continue\r\n\r\n");
+  ExpectOnlyWholeResponsesAfter("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+                                "HTTP/1.1 102 Processing\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(AnInterimResponseIsNotTheResponse)
+{
+  for (const bool hasIds : { false, true }) {
+    ClientFixture fixture;
+    fixture.m_hasIds = hasIds;
+    fixture.m_server.m_scripts = {
+      { "HTTP/1.1 100 Continue\r\n\r\n" + Response("1", "one") },
+      { "HTTP/1.1 103 Early Hints\r\n\r\n", "", Response("2", "two") },
+      { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" +
+        Response("3", "three") }
+    };
+    BOOST_TEST(fixture.Send("1").body == "one");
+    BOOST_TEST(fixture.Send("2").body == "two");
+    BOOST_TEST(fixture.m_server.m_connections == 1U);
+    BOOST_TEST((fixture.Send("3").outcome == AttemptOutcome::kBroken));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AHeadWithoutItsLineEndsIsBroken)
 {
   const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1";
