Don't relay a response whose transfer coding isn't chunks

A response with 'Transfer-Encoding: gzip' and a length, or with gzip before chunks, was relayed without the header, so that callers got the coded bytes as the whole body; one with an unknown or repeated coding ended with its connection.

The parser knows chunks only, takes other codings for none, and the header applies to one connection, so it isn't forwarded. Such a response is now broken. Conflicting or repeated lengths, and a length beside chunks, were errors of the parser already.

--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -41,6 +41,16 @@
 // Failed requests that a connection remembers; it is not reused after more.
 static constexpr std::size_t kMaxFailedRequests = 32;
 
+// Another transfer coding than chunks can't be passed on without its header.
+static bool
+HasSupportedFraming(const BackendResponse& aResponse)
+{
+  const std::size_t codings = aResponse.count(http::field::transfer_encoding);
+  return codings == 0 ||
+         (codings == 1 &&
+          beast::iequals(aResponse[http::field::transfer_encoding], "chunked"));
+}
+
 // One connection to a backend server, which carries one attempt at a time.
 class BackendClient::Connection
   : public std::enable_shared_from_this<BackendClient::Connection>
@@ -191,6 +201,10 @@
     const auto& message = m_parser->get();
     const bool bounded =
       m_parser->is_done() || message.chunked() || message.has_content_length();
+    if (!HasSupportedFraming(message)) {
+      End(AttemptOutcome::kBroken, false);
+      return;
+    }
     if (!bounded && !m_owner.m_options.acceptsUnframedResponses) {
       // Only the end of the connection would delimit the response.
       End(AttemptOutcome::kBroken, false);
--- a/packages/net/backend_client_test.cc
+++ b/packages/net/backend_client_test.cc
@@ -791,6 +791,45 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AResponseWithUnclearFramingIsBroken)
+{
+  const std::vector<std::string> framings = {
+    "Content-Length: 5\r\nContent-Length: 6\r\n",
+    "Content-Length: 5, 6\r\n",
+    "Content-Length: 5x\r\n",
+    "Content-Length: +5\r\n",
+    "Content-Length: -5\r\n",
+    "Content-Length: 0x5\r\n",
+    "Content-Length: 5 5\r\n",
+    "Content-Length:\r\n",
+    "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked, chunked\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n",
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: identity\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+    "Transfer-Encoding:\r\n",
+  };
+  for (const std::string& framing : framings) {
+    for (const char* body : { "1\r\nx\r\n0\r\n\r\n", "12345" }) {
+      ClientFixture fixture;
+      fixture.m_server.m_scripts = { { "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" +
+                                         framing + "\r\n" + body,
+                                       "",
+                                       "",
+                                       true,
+                                       false } };
+      BOOST_TEST_CONTEXT(framing << body)
+      BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kBroken));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AHeadWithoutItsLineEndsIsBroken)
 {
   const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1";
