--- a/packages/net/backend_client_test.cc
+++ b/packages/net/backend_client_test.cc
@@ -4,12 +4,15 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <ostream>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -28,11 +31,12 @@
 // What a scripted server does after it received a request.
 struct Script
 {
-  std::string bytes;         // sent at once
-  std::string endless;       // sent again and again after that, if not empty
-  std::string afterResponse; // sent 30 ms later
-  bool closes = false;       // in order
+  std::string bytes;           // sent at once
+  std::string endless{};       // sent again and again after that, if not empty
+  std::string afterResponse{}; // sent 30 ms later
+  bool closes = false;         // in order
   bool resets = false;
+  bool bytewise = false; // one byte a write
 };
 
 // A server on loopback that plays one script for each request, on as many
@@ -56,6 +60,9 @@
   std::size_t m_requests = 0;
   std::size_t m_connections = 0;
   std::size_t m_endlessBytes = 0; // taken by the client's side
+  // Written before what a script says, on connections on which a script has
+  // written exactly this.
+  std::string m_copiesOnUse;
 
 private:
   using SocketPtr = std::shared_ptr<tcp::socket>;
@@ -83,13 +90,25 @@
         if (aError || m_requests >= m_scripts.size()) {
           return;
         }
-        Play(aSocket, m_scripts[m_requests++]);
+        const Script& script = m_scripts[m_requests++];
+        if (m_copying.count(aSocket) != 0) {
+          boost::system::error_code ignored;
+          asio::write(*aSocket, asio::buffer(m_copiesOnUse), ignored);
+        }
+        if (!m_copiesOnUse.empty() && script.bytes == m_copiesOnUse) {
+          m_copying.insert(aSocket);
+        }
+        Play(aSocket, script);
         Read(aSocket);
       });
   }
 
   void Play(const SocketPtr& aSocket, const Script& aScript)
   {
+    if (aScript.bytewise) {
+      PlayBytewise(aSocket, aScript, 0);
+      return;
+    }
     boost::system::error_code error;
     asio::write(*aSocket, asio::buffer(aScript.bytes), error);
     if (!aScript.endless.empty()) {
@@ -104,6 +123,12 @@
         asio::write(*aSocket, asio::buffer(bytes), ignored);
       });
     }
+    End(aSocket, aScript);
+  }
+
+  static void End(const SocketPtr& aSocket, const Script& aScript)
+  {
+    boost::system::error_code error;
     if (aScript.resets) {
       aSocket->set_option(asio::socket_base::linger(true, 0), error);
     }
@@ -112,6 +137,19 @@
     }
   }
 
+  void PlayBytewise(const SocketPtr& aSocket, Script aScript, std::size_t aAt)
+  {
+    if (aAt >= aScript.bytes.size()) {
+      End(aSocket, aScript);
+      return;
+    }
+    boost::system::error_code error;
+    asio::write(*aSocket, asio::buffer(&aScript.bytes[aAt], 1), error);
+    asio::post(m_io, [this, aSocket, script = std::move(aScript), aAt] {
+      PlayBytewise(aSocket, script, aAt + 1);
+    });
+  }
+
   void SendEndless(const SocketPtr& aSocket,
                    const std::shared_ptr<std::string>& aBytes)
   {
@@ -129,6 +167,7 @@
 
   asio::io_context& m_io;
   tcp::acceptor m_acceptor;
+  std::set<SocketPtr> m_copying;
 };
 
 static std::string
@@ -139,6 +178,15 @@
          aBody;
 }
 
+// A refusal. Without an id, it has no header that names its request.
+static std::string
+Refusal(const std::string& aId = "", int aStatus = 503)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " Refused\r\n" +
+         (aId.empty() ? "" : "X-Id: " + aId + "\r\n") +
+         "Content-Length: 0\r\n\r\n";
+}
+
 class ClientFixture
 {
 public:
@@ -147,10 +195,12 @@
     AttemptOutcome outcome = AttemptOutcome::kCancelled;
     std::string body;
     Duration after{};
+    ConnectionKind connection = ConnectionKind::kNew;
   };
 
   ClientFixture()
     : m_server(m_io)
+    , m_address(m_server.Address())
   {
     BackendClientOptions options;
     options.maxResponseBytes = kMaxResponseBytes;
@@ -158,24 +208,24 @@
     m_client = std::make_unique<BackendClient>(
       m_io,
       options,
-      [](const BackendResponse& aResponse, const BackendRequest& aRequest) {
-        ClassifiedResponse classified;
-        classified.isForOtherRequest = aResponse["X-Id"] != aRequest["X-Id"];
-        return classified;
+      [this](const BackendResponse& aResponse, const BackendRequest& aRequest) {
+        return Classify(aResponse, aRequest);
       },
       [this](const AttemptEnd& aEnd, BackendResponse* aResponse) {
         m_ended = Ended{ aEnd.outcome,
                          aResponse == nullptr ? "" : aResponse->body(),
-                         MonotonicNow() - m_startedAt };
+                         MonotonicNow() - m_startedAt,
+                         ConnectionKind::kNew };
       });
   }
 
-  // Sends a request with this id and returns how it ended.
-  Ended Send(const std::string& aId, bool aNewConnection = false)
+  ConnectionKind Start(const std::string& aId, bool aNewConnection = false)
   {
     AttemptStart start;
     start.id = AttemptId(++m_lastAttempt);
-    start.address = m_server.Address();
+    start.address = m_address;
+    start.callerRequestId = aId;
+    start.forwards = m_forwards;
     m_startedAt = MonotonicNow();
     start.deadline = m_startedAt + std::chrono::seconds(2);
     start.requiresNewConnection = aNewConnection;
@@ -183,14 +233,42 @@
     request.set(http::field::host, "service");
     request.set("X-Id", aId);
     m_ended.reset();
-    m_client->Start(start, request);
-    for (int i = 0; i < 300 && !m_ended; ++i) {
-      m_io.run_for(std::chrono::milliseconds(10));
+    return m_client->Start(start, request);
+  }
+
+  // Sends a request with this id and returns how it ended.
+  Ended Send(const std::string& aId, bool aNewConnection = false)
+  {
+    const ConnectionKind connection = Start(aId, aNewConnection);
+    const TimePoint until = MonotonicNow() + std::chrono::seconds(3);
+    while (!m_ended && MonotonicNow() < until) {
+      m_io.run_one_for(std::chrono::milliseconds(10));
     }
     BOOST_REQUIRE(m_ended);
+    m_ended->connection = connection;
     return *m_ended;
   }
 
+  ClassifiedResponse Classify(const BackendResponse& aResponse,
+                              const BackendRequest& aRequest) const
+  {
+    ClassifiedResponse classified;
+    if (aResponse.result_int() == 503) {
+      classified.outcome = AttemptOutcome::kShed;
+    } else if (aResponse.result_int() == 421) {
+      classified.outcome = AttemptOutcome::kOtherServer;
+    } else if (aResponse.result_int() >= 500) {
+      classified.outcome = AttemptOutcome::kServerError;
+    }
+    if (m_hasIds) {
+      const auto id = aResponse["X-Id"];
+      classified.lacksRequestId = id.empty();
+      classified.hasRequestId = id == aRequest["X-Id"];
+      classified.isForOtherRequest = !id.empty() && !classified.hasRequestId;
+    }
+    return classified;
+  }
+
   void Wait(int aMilliseconds)
   {
     m_io.run_for(std::chrono::milliseconds(aMilliseconds));
@@ -198,6 +276,9 @@
 
   asio::io_context m_io;
   ScriptedServer m_server;
+  std::string m_address; // to which requests are sent
+  bool m_hasIds = true;  // whether responses have ids
+  bool m_forwards = false;
   std::unique_ptr<BackendClient> m_client;
   std::optional<Ended> m_ended;
   TimePoint m_startedAt;
@@ -384,4 +465,396 @@
   BOOST_TEST(fixture.m_client->IdleCount() == 0U);
 }
 
+// An address with a host name was connected to as 0.0.0.0, thus as this host.
+BOOST_AUTO_TEST_CASE(AnAddressThatCannotBeParsedIsNotConnectedTo)
+{
+  ClientFixture fixture;
+  const std::string port = fixture.m_server.Address().substr(10);
+  const std::vector<std::string> addresses = { "",
+                                               ":" + port,
+                                               "localhost:" + port,
+                                               "127.0.0.1",
+                                               "127.0.0.1:",
+                                               "127.0.0.1:65536",
+                                               "127.0.0.1:-1",
+                                               "127.0.0.1:" + port + "x",
+                                               port };
+  for (const std::string& address : addresses) {
+    fixture.m_server.m_scripts = {
+      { Response("1", "one"), "", "", true, false }
+    };
+    fixture.m_server.m_requests = 0;
+    fixture.m_address = address;
+    BOOST_TEST_CONTEXT("address '" << address << "'")
+    {
+      BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kRefused));
+      BOOST_TEST(fixture.m_server.m_connections == 0U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAttemptAtAnAddressThatCannotBeParsedCanBeCancelled)
+{
+  ClientFixture fixture;
+  fixture.m_address = "nowhere";
+  fixture.Start("1");
+  fixture.m_client->Cancel(AttemptId(1));
+  fixture.Wait(20);
+  BOOST_TEST(!fixture.m_ended.has_value());
+  BOOST_TEST(fixture.m_client->Running() == 0U);
+}
+
+static bool
+ProvesNotRun(AttemptOutcome aOutcome)
+{
+  return aOutcome == AttemptOutcome::kShed ||
+         aOutcome == AttemptOutcome::kOtherServer;
+}
+
+// A refusal is written once more; the server runs the next request.
+BOOST_AUTO_TEST_CASE(ARefusalWithoutIdOnAReusedConnectionProvesNothing)
+{
+  for (const int status : { 503, 421 }) {
+    for (const bool late : { false, true }) {
+      ClientFixture fixture;
+      const std::string copy = Refusal("", status);
+      const std::string own = Response("2", "two");
+      fixture.m_server.m_scripts = {
+        { Response("1", "one"), "", "", false, false },
+        { late ? "" : copy + own, "", late ? copy + own : "", false, false },
+        { Response("3", "three"), "", "", false, false }
+      };
+      BOOST_TEST(fixture.Send("1").body == "one");
+      const auto ended = fixture.Send("2");
+      BOOST_TEST_CONTEXT("status " << status << (late ? " late" : ""))
+      {
+        BOOST_TEST((ended.connection == ConnectionKind::kReused));
+        BOOST_TEST((ended.outcome == AttemptOutcome::kSilent));
+        BOOST_TEST(fixture.Send("3").body == "three");
+        BOOST_TEST(fixture.m_server.m_connections == 2U);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalWithoutIdOnANewConnectionIsOfTheRequest)
+{
+  for (const int status : { 503, 421 }) {
+    ClientFixture fixture;
+    fixture.m_server.m_scripts = {
+      { Refusal("", status), "", "", false, false },
+      { Response("2", "two"), "", "", false, false }
+    };
+    BOOST_TEST(ProvesNotRun(fixture.Send("1").outcome));
+    BOOST_TEST((fixture.Send("2").connection == ConnectionKind::kNew));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalWithoutIdAfterAnotherResponseProvesNothing)
+{
+  ClientFixture fixture;
+  fixture.m_server.m_scripts = {
+    { Response("other", "x") + Refusal(), "", "", false, false },
+  };
+  BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kBroken));
+}
+
+// The same request is sent again to the server, which runs it and writes its
+// earlier refusal once more.
+BOOST_AUTO_TEST_CASE(ARefusedRequestIsNotSentOnTheSameConnectionAgain)
+{
+  for (const bool late : { false, true }) {
+    ClientFixture fixture;
+    const std::string copy = Refusal("1");
+    const std::string own = Response("1", "one");
+    fixture.m_server.m_scripts = {
+      { copy, "", "", false, false },
+      { late ? "" : own, "", late ? own : "", false, false },
+      { Response("2", "two"), "", "", false, false }
+    };
+    fixture.m_server.m_copiesOnUse = copy;
+    BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kShed));
+    const auto again = fixture.Send("1");
+    BOOST_TEST((again.outcome == AttemptOutcome::kSuccess));
+    BOOST_TEST(again.body == "one");
+    // Another request tells the copy from its own response.
+    BOOST_TEST(fixture.Send("2").body == "two");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnyTimeOfACopyOfARefusalLeavesTheNextResponseWhole)
+{
+  const std::string copy = Refusal("1");
+  const std::string own = Response("2", "two");
+  const std::vector<std::pair<Script, Script>> cases = {
+    // with the refusal, in one segment
+    { { copy + copy, "", "", false, false }, { own, "", "", false, false } },
+    // while the connection is idle
+    { { copy, "", copy, false, false }, { own, "", "", false, false } },
+    // after the next request was written
+    { { copy, "", "", false, false }, { copy + own, "", "", false, false } },
+    { { copy, "", "", false, false }, { copy, "", own, false, false } },
+  };
+  for (const auto& [first, second] : cases) {
+    for (const int pause : { 0, 60 }) {
+      ClientFixture fixture;
+      fixture.m_server.m_scripts = { first, second };
+      BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kShed));
+      fixture.Wait(pause);
+      const auto next = fixture.Send("2");
+      BOOST_TEST((next.outcome == AttemptOutcome::kSuccess));
+      BOOST_TEST(next.body == "two");
+    }
+  }
+}
+
+// An overloaded server refuses often; its connections stay in use.
+BOOST_AUTO_TEST_CASE(RefusalsWithIdsRarelyCostAConnection)
+{
+  ClientFixture fixture;
+  for (int i = 1; i <= 64; ++i) {
+    fixture.m_server.m_scripts.push_back(
+      { Refusal(std::to_string(i)), "", "", false, false });
+  }
+  for (int i = 1; i <= 64; ++i) {
+    BOOST_TEST(
+      (fixture.Send(std::to_string(i)).outcome == AttemptOutcome::kShed));
+  }
+  BOOST_TEST(fixture.m_server.m_connections <= 4U);
+}
+
+// Servers of an API without ids: a copy of a refusal cannot be told from one.
+BOOST_AUTO_TEST_CASE(ARefusalOfAnApiWithoutIdsEndsItsConnection)
+{
+  ClientFixture fixture;
+  fixture.m_hasIds = false;
+  fixture.m_server.m_scripts = {
+    { Response("1", "one"), "", "", false, false },
+    { Refusal(), "", "", false, false },
+    { Response("3", "three"), "", "", false, false }
+  };
+  fixture.m_server.m_copiesOnUse = Refusal();
+  BOOST_TEST(fixture.Send("1").body == "one");
+  BOOST_TEST((fixture.Send("2").outcome == AttemptOutcome::kShed));
+  const auto next = fixture.Send("3");
+  BOOST_TEST((next.outcome == AttemptOutcome::kSuccess));
+  BOOST_TEST(next.body == "three");
+  BOOST_TEST(fixture.m_server.m_connections == 2U);
+}
+
+// How the cut responses below end.
+enum class Framing
+{
+  kLength,
+  kChunks,
+  kClose, // of the connection
+};
+
+static const std::string kWholeBody = "the whole body";
+
+static std::string
+WholeResponse(const std::string& aId, Framing aFraming)
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nX-Id: " + aId + "\r\nContent-Type: text/plain\r\n";
+  switch (aFraming) {
+    case Framing::kLength:
+      return head + "Content-Length: 14\r\n\r\n" + kWholeBody;
+    case Framing::kChunks:
+      return head + "Transfer-Encoding: chunked\r\n\r\n"
+                    "4;a=b\r\nthe \r\n0a\r\nwhole body\r\n"
+                    "0\r\nX-Sum: 1\r\n\r\n";
+    case Framing::kClose:
+      break;
+  }
+  return head + "\r\n" + kWholeBody;
+}
+
+struct CutCase
+{
+  std::string before; // on the connection, ahead of the response
+  Framing framing = Framing::kLength;
+  bool reused = false;
+  bool forwards = false;
+  bool bytewise = false;
+};
+
+static std::ostream&
+operator<<(std::ostream& aStream, const CutCase& aCase)
+{
+  return aStream << "framing " << static_cast<int>(aCase.framing)
+                 << (aCase.reused ? " reused" : "")
+                 << (aCase.forwards ? " forwards" : "")
+                 << (aCase.bytewise ? " bytewise" : "") << " after '"
+                 << aCase.before << "'";
+}
+
+// Sends the first aCount bytes of the response.
+static ClientFixture::Ended
+SendCut(const CutCase& aCase, std::size_t aCount, bool aResets)
+{
+  ClientFixture fixture;
+  fixture.m_forwards = aCase.forwards;
+  const std::string whole = WholeResponse("1", aCase.framing);
+  const Script cut{ aCase.before + whole.substr(0, aCount),
+                    "",
+                    "",
+                    !aResets,
+                    aResets,
+                    aCase.bytewise };
+  if (aCase.reused) {
+    fixture.m_server.m_scripts = { { Response("0", "zero") }, cut };
+    BOOST_REQUIRE(fixture.Send("0").body == "zero");
+  } else {
+    fixture.m_server.m_scripts = { cut };
+  }
+  ClientFixture::Ended ended = fixture.Send("1");
+  BOOST_REQUIRE((ended.connection == ConnectionKind::kReused) == aCase.reused);
+  return ended;
+}
+
+// A response without a length that ends with its connection can't be told from
+// a whole one once its head is complete, unless the connection is reset.
+static void
+ExpectOnlyWholeResponses(const CutCase& aCase)
+{
+  const std::string whole = WholeResponse("1", aCase.framing);
+  const std::size_t head = whole.find("\r\n\r\n") + 4;
+  for (const bool resets : { false, true }) {
+    const bool endsWithConnection =
+      aCase.framing == Framing::kClose && !resets && !aCase.forwards;
+    const std::size_t cuts = endsWithConnection ? head : whole.size();
+    for (std::size_t count = 0; count < cuts; ++count) {
+      const auto ended = SendCut(aCase, count, resets);
+      BOOST_TEST_CONTEXT(aCase << (resets ? " reset" : " closed") << " after "
+                               << count << " bytes")
+      {
+        BOOST_TEST((ended.outcome == AttemptOutcome::kBroken ||
+                    ended.outcome == AttemptOutcome::kSilent));
+        BOOST_TEST(ended.body.empty());
+      }
+    }
+  }
+  // The same response in full is used.
+  if (aCase.framing != Framing::kClose || !aCase.forwards) {
+    BOOST_TEST_CONTEXT(aCase)
+    BOOST_TEST(SendCut(aCase, whole.size(), false).body == kWholeBody);
+  }
+}
+
+static void
+ExpectOnlyWholeResponsesAfter(const std::string& aBefore)
+{
+  for (const Framing framing :
+       { Framing::kLength, Framing::kChunks, Framing::kClose }) {
+    for (const bool reused : { false, true }) {
+      for (const bool bytewise : { false, true }) {
+        ExpectOnlyWholeResponses({ aBefore, framing, reused, false, bytewise });
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AResponseThatIsCutAtAnyByteIsNotWhole)
+{
+  ExpectOnlyWholeResponsesAfter("");
+}
+
+BOOST_AUTO_TEST_CASE(AResponseThatIsCutAfterOneToAnotherRequestIsNotWhole)
+{
+  ExpectOnlyWholeResponsesAfter(WholeResponse("other", Framing::kLength));
+  ExpectOnlyWholeResponsesAfter(WholeResponse("other", Framing::kChunks));
+}
+
+BOOST_AUTO_TEST_CASE(AResponseThatIsCutAfterAnInterimOneIsNotWhole)
+{
+  ExpectOnlyWholeResponsesAfter("HTTP/1.1 100 Continue\r\n\r\n");
+  ExpectOnlyWholeResponsesAfter("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+                                "HTTP/1.1 102 Processing\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(AnInterimResponseIsNotTheResponse)
+{
+  for (const bool hasIds : { false, true }) {
+    ClientFixture fixture;
+    fixture.m_hasIds = hasIds;
+    fixture.m_server.m_scripts = {
+      { "HTTP/1.1 100 Continue\r\n\r\n" + Response("1", "one") },
+      { "HTTP/1.1 103 Early Hints\r\n\r\n", "", Response("2", "two") },
+      { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" +
+        Response("3", "three") }
+    };
+    BOOST_TEST(fixture.Send("1").body == "one");
+    BOOST_TEST(fixture.Send("2").body == "two");
+    BOOST_TEST(fixture.m_server.m_connections == 1U);
+    BOOST_TEST((fixture.Send("3").outcome == AttemptOutcome::kBroken));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AResponseWithUnclearFramingIsBroken)
+{
+  const std::vector<std::string> framings = {
+    "Content-Length: 5\r\nContent-Length: 6\r\n",
+    "Content-Length: 5, 6\r\n",
+    "Content-Length: 5x\r\n",
+    "Content-Length: +5\r\n",
+    "Content-Length: -5\r\n",
+    "Content-Length: 0x5\r\n",
+    "Content-Length: 5 5\r\n",
+    "Content-Length:\r\n",
+    "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked, chunked\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n",
+    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n",
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: identity\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+    "Transfer-Encoding:\r\n",
+  };
+  for (const std::string& framing : framings) {
+    for (const char* body : { "1\r\nx\r\n0\r\n\r\n", "12345" }) {
+      ClientFixture fixture;
+      fixture.m_server.m_scripts = { { "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" +
+                                         framing + "\r\n" + body,
+                                       "",
+                                       "",
+                                       true,
+                                       false } };
+      BOOST_TEST_CONTEXT(framing << body)
+      BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kBroken));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AHeadWithoutItsLineEndsIsBroken)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1";
+  const std::vector<std::string> responses = {
+    "HTTP/1.1 200 OK\nX-Id: 1\n\nbody",
+    head + "\n\nbody",
+    head + "\r\n\nbody",
+    head + "\r\n\rbody",
+    head + "\r\r\nbody",
+    head + "\n\r\nbody",
+    head + "\r\n",
+    head + "\r\nX-More\r\n\r\nbody",
+    "HTTP/1.1 200\r\n\r\nbody",
+    "HTTP/1.1 200 OK\r\n: 1\r\n\r\n",
+  };
+  for (const std::string& response : responses) {
+    for (const bool bytewise : { false, true }) {
+      ClientFixture fixture;
+      fixture.m_server.m_scripts = {
+        { response, "", "", true, false, bytewise }
+      };
+      BOOST_TEST_CONTEXT(response)
+      BOOST_TEST((fixture.Send("1").outcome == AttemptOutcome::kBroken));
+    }
+  }
+}
+
 } // namespace fuchsiaramp
