Never wait for the reader of the log

While the process that reads the log of an entry host stood still, the entry host stood still as well: some seconds after the stop no request was answered any more, not even a second after its route's timeout. Log lines were written by a console appender in the thread of the event loop, and a write to a full pipe blocks. A reader that ended took the daemon with it by SIGPIPE.

LogOutput writes what the descriptor takes at once and keeps the rest, up to 256 KiB, for the next line or tick. Beyond that the newest line replaces the one before it, so that the last line of a process is never the one that is missing. Dropped lines are counted in the metric log_lines_dropped_total and in the field dropped_lines of the next line that gets through. The inherited descriptor stays blocking, because a shell may share it: pipes and terminals are opened a second time, sockets are asked with each call, and a pipe that can't be opened again is polled and gets at most PIPE_BUF bytes, which then never blocks. At the end of the process, after a violated invariant and after std::terminate there is a wait of at most 150 ms, less than the quarter of a second by which entry hosts exit before the end of their grace period.

Standard error takes the same way: findings of invalid settings at a reload, errors at start and stop, violated invariants, messages of protobuf. If it is the same pipe or file as standard output, both share one LogOutput, so that a line that was taken in part isn't followed by another one. Lines of glibc and ZeroMQ just before they abort the process still go to descriptor 2 directly.

A thread that writes was ruled out, since it adds a switch of threads to each line; O_NONBLOCK on descriptor 1, since it changes the descriptor of others.

--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -209,6 +209,7 @@
         return;
       }
       m_loop.OnTick(MonotonicNow());
+      m_log.Flush();
       m_transport.Poll();
       if (IsDue(m_nextTrafficLogAt, MonotonicNow())) {
         m_nextTrafficLogAt = MonotonicNow() + kTrafficLogInterval;
@@ -395,7 +396,7 @@
 
   void AddMetrics()
   {
-    AddProcessMetrics(m_metrics, m_transport, m_loop);
+    AddProcessMetrics(m_metrics, m_transport, m_loop, m_log);
     m_metrics.Gauge("evidence_dropped_total", [this] {
       return static_cast<double>(m_node->DroppedEvidence());
     });
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -207,6 +207,7 @@
         return;
       }
       m_loop.OnTick(MonotonicNow());
+      m_log.Flush();
       m_transport.Poll();
       if (IsDue(m_nextConnectionCheckAt, MonotonicNow())) {
         m_nextConnectionCheckAt = MonotonicNow() + kConnectionCheckInterval;
@@ -571,7 +572,7 @@
     m_metrics.Gauge("limited_servers", [this] {
       return static_cast<double>(m_node->LimitedServers());
     });
-    AddProcessMetrics(m_metrics, m_transport, m_loop);
+    AddProcessMetrics(m_metrics, m_transport, m_loop, m_log);
     m_metrics.Gauge("lists_confirmed_age_seconds", [this] {
       return ToSeconds(m_node->ListsInForce()
                          .ConfirmedAge(MonotonicNow())
--- a/packages/net/service_common.cc
+++ b/packages/net/service_common.cc
@@ -37,12 +37,15 @@
 void
 AddProcessMetrics(Metrics& aMetrics,
                   const MessageTransport& aTransport,
-                  const LoopMonitor& aLoop)
+                  const LoopMonitor& aLoop,
+                  const EventLog& aLog)
 {
   aMetrics.Gauge("loop_delay_seconds",
                  [&aLoop] { return ToSeconds(aLoop.Last()); });
   aMetrics.Gauge("cpu_seconds", ProcessCpuSeconds);
   aMetrics.Gauge("resident_bytes", ProcessResidentBytes);
+  aMetrics.Gauge("log_lines_dropped_total",
+                 [&aLog] { return static_cast<double>(aLog.Dropped()); });
   const auto counter = [&](const char* aName,
                            std::uint64_t TransportCounters::*aField) {
     aMetrics.Gauge(aName, [&aTransport, aField] {
--- a/packages/net/service_common.h
+++ b/packages/net/service_common.h
@@ -28,12 +28,14 @@
 Event
 TrafficEvent(const TransportCounters& aCounters, LoopMonitor& aLoop);
 
-// Adds CPU time, memory, message traffic and the delay of the event loop of
-// this process. aTransport and aLoop must outlive aMetrics.
+// Adds CPU time, memory, message traffic, the delay of the event loop and the
+// dropped log lines of this process. aTransport, aLoop and aLog must outlive
+// aMetrics.
 void
 AddProcessMetrics(Metrics& aMetrics,
                   const MessageTransport& aTransport,
-                  const LoopMonitor& aLoop);
+                  const LoopMonitor& aLoop,
+                  const EventLog& aLog);
 
 // Returns a hook that logs rejected requests. aLog must outlive the server.
 HttpRejectHook
--- a/packages/observe/event_log.cc
+++ b/packages/observe/event_log.cc
@@ -1,11 +1,9 @@
 #include "observe/event_log.h"
 
-#include <memory>
+#include <sstream>
 #include <utility>
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/layout.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
 
 namespace fuchsiaramp {
 
@@ -31,20 +29,16 @@
                    std::uint64_t aIncarnation,
                    const std::string& aLevel,
                    CausalClock& aClock,
-                   std::function<TimePoint()> aNow)
-  : m_logger(log4cplus::Logger::getInstance("fuchsiaramp"))
+                   std::function<TimePoint()> aNow,
+                   LogOutput& aOutput)
+  : m_layout("time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p %m%n")
+  , m_level(log4cplus::getLogLevelManager().fromString(aLevel))
   , m_host(aHost.Value())
   , m_incarnation(aIncarnation)
   , m_clock(aClock)
   , m_now(std::move(aNow))
+  , m_output(aOutput)
 {
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(false, true));
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-    "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p %m%n"));
-  m_logger.removeAllAppenders();
-  m_logger.addAppender(appender);
-  m_logger.setLogLevel(log4cplus::getLogLevelManager().fromString(aLevel));
 }
 
 void
@@ -52,7 +46,7 @@
 {
   const log4cplus::LogLevel level =
     aEvent.IsDebug() ? log4cplus::DEBUG_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL;
-  if (!m_logger.isEnabledFor(level)) {
+  if (level < m_level) {
     return;
   }
   const auto suppressed = m_rateLimiter.TryTake(aEvent.Name(), m_now());
@@ -70,7 +64,16 @@
   if (*suppressed > 0) {
     line += " left_out=" + std::to_string(*suppressed);
   }
-  m_logger.log(level, line);
+  m_output.Flush();
+  const std::uint64_t dropped = m_output.UnreportedBeforeNext();
+  if (dropped > 0) {
+    line += " dropped_lines=" + std::to_string(dropped);
+  }
+  std::ostringstream text;
+  m_layout.formatAndAppend(text,
+                           log4cplus::spi::InternalLoggingEvent(
+                             "fuchsiaramp", level, line, __FILE__, __LINE__));
+  m_output.Write(text.str(), dropped);
 }
 
 } // namespace fuchsiaramp
--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -6,10 +6,10 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <functional>
-#include <iostream>
 #include <iterator>
 #include <optional>
 #include <string>
@@ -19,12 +19,18 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <google/protobuf/stubs/logging.h>
 #include <tclap/CmdLine.h>
 
 #include "base/findings.h"
+#include "base/invariant.h"
 #include "net/control_service.h"
 #include "net/entry_service.h"
+#include "net/monotonic.h"
 #include "net/native_api.h"
+#include "observe/event_log.h"
+#include "observe/log_output.h"
+#include "observe/log_rate_limiter.h"
 #include "platform_api.h"
 #include "settings/settings.h"
 
@@ -34,6 +40,13 @@
 static constexpr int kExitUsage = 2;
 static constexpr auto kSettingsPollInterval = std::chrono::seconds(2);
 
+// Writes a text that ends with a line break to standard error.
+static void
+WriteError(std::string aText)
+{
+  StandardError().Write(std::move(aText));
+}
+
 static bool
 ReadFile(const std::string& aPath, std::string& aText)
 {
@@ -62,13 +75,13 @@
 {
   std::string text;
   if (!ReadFile(aFile, text)) {
-    std::cerr << aFile << ": cannot be read\n";
+    WriteError(aFile + ": cannot be read\n");
     return std::nullopt;
   }
   Findings findings(aFile);
   Settings settings = ReadSettings(text, findings);
   if (!findings.IsEmpty()) {
-    std::cerr << findings.Text();
+    WriteError(findings.Text());
     return std::nullopt;
   }
   return settings;
@@ -166,8 +179,7 @@
 [[noreturn]] static void
 EndProcess(int aExitCode)
 {
-  std::cout.flush();
-  std::cerr.flush();
+  DrainStandardStreams();
   std::_Exit(aExitCode);
 }
 
@@ -201,16 +213,17 @@
   ControlService service(
     aIo, aSettings, aSecretKey, MakeExternalApi(aSettings).control, error);
   if (error) {
-    std::cerr << "event=start_failed data_folder=" << aSettings.dataFolder
-              << " error=\"" << error.message()
-              << "\" action=\"empty the data folder; the host then rejoins as "
-                 "a new member\"\n";
+    WriteError("event=start_failed " +
+               FormatField("data_folder", aSettings.dataFolder) + ' ' +
+               FormatField("error", error.message()) +
+               " action=\"empty the data folder; the host then rejoins as a "
+               "new member\"\n");
     return kExitFailed;
   }
   RunUntilStopped(aIo, service, aSettingsFile);
   if (service.FatalError()) {
-    std::cerr << "event=storage_failed error=\""
-              << service.FatalError().message() << "\"\n";
+    WriteError("event=storage_failed " +
+               FormatField("error", service.FatalError().message()) + '\n');
     EndProcess(kExitFailed);
   }
   EndProcess(0);
@@ -226,10 +239,10 @@
   const Settings& settings = *loaded;
   std::string secretKey;
   if (!ReadSecretKey(settings, secretKey)) {
-    std::cerr
-      << settings.keys.secretKeyFile
-      << ": must contain a secret key of 40 characters; generate one with "
-         "'fuchsiaramp keys'\n";
+    WriteError(
+      settings.keys.secretKeyFile +
+      ": must contain a secret key of 40 characters; generate one with "
+      "'fuchsiaramp keys'\n");
     return kExitUsage;
   }
   boost::asio::io_context io(1);
@@ -238,20 +251,74 @@
              ? RunEntry(io, settings, aSettingsFile, secretKey)
              : RunControl(io, settings, aSettingsFile, secretKey);
   } catch (const std::exception& error) {
-    std::cerr << "event=start_failed caller_address=" << settings.callerAddress
-              << " message_address=" << settings.messageAddress << " error=\""
-              << error.what() << "\"\n";
+    WriteError("event=start_failed " +
+               FormatField("caller_address", settings.callerAddress) + ' ' +
+               FormatField("message_address", settings.messageAddress) + ' ' +
+               FormatField("error", error.what()) + '\n');
     return kExitFailed;
   }
 }
 
+[[noreturn]] static void
+Abort(const std::string& aText)
+{
+  WriteError(aText + '\n');
+  DrainStandardStreams();
+  std::abort();
+}
+
+[[noreturn]] static void
+OnTerminate()
+{
+  std::string cause = "none";
+  try {
+    if (const auto exception = std::current_exception()) {
+      std::rethrow_exception(exception);
+    }
+  } catch (const std::exception& error) {
+    cause = error.what();
+  } catch (...) {
+    cause = "unknown";
+  }
+  Abort("event=terminated " + FormatField("exception", cause));
+}
+
+static void
+OnProtobufMessage(google::protobuf::LogLevel aLevel,
+                  const char* /*aFile*/,
+                  int /*aLine*/,
+                  const std::string& aText)
+{
+  static LogRateLimiter limiter{ LogRateLimiterOptions() };
+  if (aLevel >= google::protobuf::LOGLEVEL_WARNING &&
+      limiter.TryTake("protobuf_message", MonotonicNow())) {
+    WriteError("event=protobuf_message " + FormatField("text", aText) + '\n');
+  }
+}
+
+// What the program and its libraries print never waits for its reader.
+static void
+InstallHandlers()
+{
+  // Before other files are opened, which would get the number of a standard
+  // descriptor that isn't open.
+  StandardError();
+  std::signal(SIGPIPE, SIG_IGN);
+  // Until the settings are watched, a request to reload them has no effect.
+  std::signal(SIGHUP, SIG_IGN);
+  SetInvariantHandler([](const std::string& aText) {
+    Abort("event=invariant_violated text=\"" + aText + '"');
+  });
+  std::set_terminate(OnTerminate);
+  google::protobuf::SetLogHandler(OnProtobufMessage);
+}
+
 } // namespace fuchsiaramp
 
 int
 main(int aCount, char** aArguments)
 {
-  // Until the settings are watched, a request to reload them has no effect.
-  std::signal(SIGHUP, SIG_IGN);
+  fuchsiaramp::InstallHandlers();
   std::string settingsFile;
   try {
     TCLAP::CmdLine line("The fuchsiaramp daemon.", ' ', "0.1.0");
@@ -261,10 +328,10 @@
     line.parse(aCount, aArguments);
     settingsFile = file.getValue();
   } catch (const TCLAP::ArgException& error) {
-    std::cerr << error.error() << ' ' << error.argId() << '\n';
-    return fuchsiaramp::kExitUsage;
+    fuchsiaramp::WriteError(error.error() + ' ' + error.argId() + '\n');
+    fuchsiaramp::EndProcess(fuchsiaramp::kExitUsage);
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   }
-  return fuchsiaramp::Run(settingsFile);
+  fuchsiaramp::EndProcess(fuchsiaramp::Run(settingsFile));
 }
