Answer what a leaving control host has in hand before it ends

Callers saw: a control host that gets SIGTERM cuts calls that it has read. A change or deregistration may be cut after it took effect, and a caller learns nothing for as long as it waits.

Cause: the process ended at the first tick at which it led no group, whatever it had in hand, or after 1.5 s. A leader with a logged command that was not acknowledged yet found no member that was up to date and did not hand over. The last messages to other hosts could be lost with the process.

Change: ControlShutdown decides by deadlines that follow from grace_period and are known when the stop begins. It hands over a group once the commands that it logged are applied. With nothing in hand and no group led, it closes the listener and idle connections, and ends 100 ms later, when its last messages have left and its connections are closed. What has no outcome half a second before the end of the grace period is answered 503, outcome unknown. A group without another member that can lead is left after 1.5 s, as before. A response to a heartbeat no longer names a host that leaves. leaving, server_closed and stopped say what is held.

Hosts of earlier versions are sent NOT_LEADER by a host that leaves, as by one that hands over.

--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -104,6 +104,8 @@
   // Transfers leadership to an up-to-date voter before a graceful shutdown.
   void TransferLeadership(TimePoint aNow);
 
+  // Whether this leader has logged proposals that are not applied yet.
+  bool HasPendingProposals() const { return !m_pending.empty(); }
   bool IsLeader() const { return m_role == NodeRole::kLeader; }
   bool HasEmptyDisk() const { return m_hardState.cluster_id() == 0; }
   // Whether a read of the applied state at aNow is linearizable.
--- a/packages/consensus/node_election.cc
+++ b/packages/consensus/node_election.cc
@@ -212,7 +212,7 @@
 void
 Node::TransferLeadership(TimePoint aNow)
 {
-  if (!IsLeader()) {
+  if (!IsLeader() || m_transferring) {
     return;
   }
   const MemberId* target = nullptr;
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -184,7 +184,8 @@
   m_commands.Tick(aNow);
   m_reports.Poll(aNow);
   ShareFleetView(aNow);
-  if (IsDue(m_nextExpiryAt, aNow)) {
+  HandOver(aNow);
+  if (!m_leaving && IsDue(m_nextExpiryAt, aNow)) {
     m_nextExpiryAt = aNow + kExpiryInterval;
     ExpireServers(aNow);
   }
@@ -264,8 +265,42 @@
 void
 ControlNode::Leave(TimePoint aNow)
 {
+  m_leaving = true;
+  HandOver(aNow);
+}
+
+// A leader that steps down loses the outcome of the commands that it has not
+// applied.
+void
+ControlNode::HandOver(TimePoint aNow)
+{
+  if (!m_leaving) {
+    return;
+  }
   for (const auto& group : m_groups) {
-    group->node->TransferLeadership(aNow);
+    if (!group->node->HasPendingProposals()) {
+      group->node->TransferLeadership(aNow);
+    }
+  }
+}
+
+std::size_t
+ControlNode::InHand() const
+{
+  return m_pendingProposals.size() + m_reports.PendingCount() +
+         m_commands.PendingCount();
+}
+
+void
+ControlNode::GiveUp()
+{
+  m_reports.GiveUp();
+  std::map<ProposalId, ResultHook> proposals;
+  proposals.swap(m_pendingProposals);
+  for (const auto& [id, done] : proposals) {
+    wire::CommandResult result;
+    result.set_code(CodeOf(ProposalOutcome::kUnknown, result));
+    done(ProposalOutcome::kUnknown, result);
   }
 }
 
@@ -294,22 +329,31 @@
   if (group >= m_groups.size() || !accepted) {
     return;
   }
-  const std::uint64_t requestId = aRequest.request_id();
+  const auto reply = [this, aFrom, group, id = aRequest.request_id()](
+                       const wire::CommandResult& aResult) {
+    wire::Envelope envelope;
+    wire::ControlReply* message = envelope.mutable_control_reply();
+    message->set_request_id(id);
+    message->set_group(group);
+    message->set_leader(m_groups[group]->node->Leader().Value());
+    *message->mutable_result() = aResult;
+    m_hooks.send(aFrom, envelope);
+  };
+  if (m_leaving) {
+    wire::CommandResult result;
+    result.set_code(wire::CommandResult::NOT_LEADER);
+    reply(result);
+    return;
+  }
   Propose(group,
-          aRequest.command(),
-          [this, aFrom, group, requestId, command](
-            ProposalOutcome, const wire::CommandResult& aResult) {
-            wire::Envelope envelope;
-            wire::ControlReply* reply = envelope.mutable_control_reply();
-            reply->set_request_id(requestId);
-            reply->set_group(group);
-            reply->set_leader(m_groups[group]->node->Leader().Value());
-            *reply->mutable_result() = aResult;
+          command,
+          [this, command, reply](ProposalOutcome,
+                                 const wire::CommandResult& aResult) {
+            wire::CommandResult result = aResult;
             if (EndsNothing(command, aResult)) {
-              reply->mutable_result()->set_code(
-                wire::CommandResult::RESULT_UNKNOWN);
+              result.set_code(wire::CommandResult::RESULT_UNKNOWN);
             }
-            m_hooks.send(aFrom, envelope);
+            reply(result);
           });
 }
 
@@ -460,6 +504,10 @@
                           TimePoint aNow,
                           const std::function<void(bool)>& aReply)
 {
+  if (m_leaving) {
+    aReply(false);
+    return;
+  }
   wire::BackendServerRecord record = aRecord;
   record.set_watcher(m_options.self.Value());
   if (record.state() != wire::BackendServerRecord::GONE) {
@@ -622,7 +670,7 @@
     aReply(reply);
     return;
   }
-  if (!group.node->HasLease(aNow)) {
+  if (m_leaving || !group.node->HasLease(aNow)) {
     reply.result.set_code(wire::CommandResult::NOT_LEADER);
     reply.result.set_text(group.node->Leader().Value());
     aReply(reply);
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -128,8 +128,14 @@
                  TimePoint aNow);
   void Tick(TimePoint aNow);
   void Flush(TimePoint aNow);
-  // Starts to transfer the leadership of every group that this host leads.
+  // Takes no new work from now on. Transfers the leadership of every group that
+  // this host leads once the commands that it has logged are applied.
   void Leave(TimePoint aNow);
+  bool IsLeaving() const { return m_leaving; }
+  // The number of commands and reports whose outcome is awaited.
+  std::size_t InHand() const;
+  // Replies to all of them that the outcome is unknown.
+  void GiveUp();
 
   // Calls aReply once the change is committed, refused, or has an unknown
   // outcome.
@@ -201,6 +207,7 @@
                    const wire::CommandResult& aResult) const;
   void ExpireServers(TimePoint aNow);
   void UpdateLeaders();
+  void HandOver(TimePoint aNow);
 
   const ControlOptions m_options;
   const ControlHooks m_hooks;
@@ -217,6 +224,7 @@
   std::map<HostId, wire::HostRecord> m_controlHostLocations;
   std::set<HostId> m_discoveredHosts; // passed to hostDiscovered
   TimePoint m_nextExpiryAt;
+  bool m_leaving = false;
 };
 
 // Returns the result code that an entry host or operator receives for an
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -676,4 +676,82 @@
   BOOST_TEST(report(4));
 }
 
+static ListsChange
+ChangeOf(const std::string& aDocument, const std::string& aId)
+{
+  return { aDocument, 0, aId, "op" };
+}
+
+BOOST_AUTO_TEST_CASE(ALeaderThatLeavesAnswersAChangeInHandBeforeItHandsOver)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  ControlNode* leader = group.Leader(0);
+  std::optional<wire::CommandResult::Code> code;
+  leader->ChangeLists(
+    ChangeOf(kDocument, "change-a"),
+    group.m_now,
+    [&](const ListsChangeReply& aReply) { code = aReply.result.code(); });
+  leader->Leave(group.m_now);
+  BOOST_TEST(leader->InHand() == 1u);
+  group.Run(std::chrono::milliseconds(300));
+  BOOST_TEST((code == wire::CommandResult::OK));
+  BOOST_TEST(leader->InHand() == 0u);
+  BOOST_TEST(!leader->GroupNode(0).IsLeader());
+  BOOST_REQUIRE(group.Leader(0) != nullptr);
+  BOOST_TEST(
+    group.Leader(0)->State(0).ListsPart().Current().Version().Value() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AHostThatLeavesTakesNoNewWork)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
+  ControlNode* leader = group.Leader(0);
+  const HostId host = leader->GroupNode(0).Self().host;
+  // The group does not commit what the leader has in hand.
+  group.m_isolated = host;
+  leader->ChangeLists(
+    ChangeOf(kDocument, "change-a"), group.m_now, [](const auto&) {});
+  leader->Leave(group.m_now);
+  bool refused = false;
+  leader->ReportServer(ServerReport(5, 2), group.m_now, [&](bool aDurable) {
+    refused = !aDurable;
+  });
+  BOOST_TEST(refused);
+  std::optional<wire::CommandResult::Code> code;
+  leader->ChangeLists(
+    ChangeOf(kOther, "change-b"),
+    group.m_now,
+    [&](const ListsChangeReply& aReply) { code = aReply.result.code(); });
+  BOOST_TEST((code == wire::CommandResult::NOT_LEADER));
+  wire::Envelope request;
+  *request.mutable_control_request()->mutable_command()->mutable_server() =
+    ServerReport(6, 1);
+  leader->OnMessage(HostId("control-x"), request, group.m_now);
+  BOOST_TEST(leader->InHand() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(WorkThatALeavingHostGivesUpHasAnUnknownOutcome)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  ControlNode* leader = group.Leader(0);
+  group.m_isolated = leader->GroupNode(0).Self().host;
+  std::optional<wire::CommandResult::Code> code;
+  leader->ChangeLists(
+    ChangeOf(kDocument, "change-a"),
+    group.m_now,
+    [&](const ListsChangeReply& aReply) { code = aReply.result.code(); });
+  std::optional<bool> durable;
+  leader->ReportServer(ServerReport(5, 1), group.m_now, [&](bool aDurable) {
+    durable = aDurable;
+  });
+  leader->Leave(group.m_now);
+  leader->GiveUp();
+  BOOST_TEST((code == wire::CommandResult::RESULT_UNKNOWN));
+  BOOST_TEST((durable == false));
+}
+
 } // namespace fuchsiaramp
--- a/packages/control/server_reports.cc
+++ b/packages/control/server_reports.cc
@@ -61,6 +61,14 @@
   }
 }
 
+void
+ServerReports::GiveUp()
+{
+  while (!m_pending.empty()) {
+    Finish(m_pending.begin()->first, false);
+  }
+}
+
 // Reports of an incarnation may overtake each other. One that the incarnation
 // leaves holds whatever was reported later, so it takes over the latest
 // number.
--- a/packages/control/server_reports.h
+++ b/packages/control/server_reports.h
@@ -62,6 +62,8 @@
               ReplyHook aReply);
   // Continues the reports that wait for the table, or for their deadline.
   void Poll(TimePoint aNow);
+  // Replies to all reports that they are not confirmed.
+  void GiveUp();
   // The number of reports without a reply.
   std::size_t PendingCount() const { return m_pending.size(); }
 
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -12,6 +12,7 @@
 #include "base/digest.h"
 #include "base/error.h"
 #include "control/control_node.h"
+#include "control/control_shutdown.h"
 #include "disk/posix_files.h"
 #include "disk/segment_log.h"
 #include "net/http_responses.h"
@@ -30,7 +31,6 @@
 
 static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 static constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
-static constexpr Duration kHandoverTimeout = std::chrono::milliseconds(1500);
 static constexpr std::uint64_t kMaxDocumentBytes = 256 << 20;
 static constexpr std::uint64_t kSegmentSlackBytes = 256 << 20;
 
@@ -60,6 +60,7 @@
                   })
     , m_timer(aIo)
     , m_loop([this](const Event& aEvent) { m_log.Write(aEvent); })
+    , m_shutdown(aSettings.gracePeriod)
   {
     for (const PeerSettings& peer : m_settings.controlHosts) {
       if (peer.host != m_settings.host) {
@@ -104,12 +105,13 @@
 
   void Leave()
   {
-    if (m_leaving) {
+    if (m_shutdown.HasBegun()) {
       return;
     }
-    m_leaving = true;
-    m_exitDeadline = MonotonicNow() + kHandoverTimeout;
-    m_log.Write(Event("leaving"));
+    m_shutdown.Begin(MonotonicNow());
+    m_log.Write(HeldWork(Event("leaving")));
+    // Callers do not send their next request to this host.
+    m_server->CloseAfterResponses();
     m_node->Leave(MonotonicNow());
     ScheduleFlush();
   }
@@ -216,24 +218,60 @@
       }
       m_node->Tick(MonotonicNow());
       m_node->Flush(MonotonicNow());
-      if (m_leaving &&
-          (IsDue(m_exitDeadline, MonotonicNow()) || !LeadsAnyGroup())) {
-        m_log.Write(Event("stopped"));
-        m_io.stop();
+      if (m_shutdown.HasBegun() && ContinueShutdown(MonotonicNow())) {
         return;
       }
       ScheduleTick();
     });
   }
 
-  bool LeadsAnyGroup() const
+  // Returns whether the process ends.
+  bool ContinueShutdown(TimePoint aNow)
   {
+    if (m_shutdown.GivesUp(aNow)) {
+      m_node->GiveUp();
+    }
+    m_shutdown.Update(Held(), aNow);
+    if (m_shutdown.IsClosed() && !m_serverClosed) {
+      m_serverClosed = true;
+      m_log.Write(HeldWork(Event("server_closed")));
+      m_server->StopAccepting();
+      m_server->CloseIdleConnections();
+    }
+    if (m_shutdown.MayExit()) {
+      m_log.Write(HeldWork(Event("stopped")));
+      m_io.stop();
+    }
+    return m_shutdown.MayExit();
+  }
+
+  ControlHeldWork Held() const
+  {
+    const ConnectionCounts connections = m_server->Connections();
+    ControlHeldWork held;
+    held.commands = m_node->InHand();
+    held.requests = connections.handling + connections.responding;
+    held.connections =
+      connections.idle + connections.receiving + connections.closing;
     for (std::size_t i = 0; i < m_node->GroupCount(); ++i) {
-      if (m_node->GroupNode(i).IsLeader()) {
-        return true;
-      }
+      held.ledGroups += m_node->GroupNode(i).IsLeader() ? 1 : 0;
     }
-    return false;
+    return held;
+  }
+
+  // Adds what a process that ends now would cut off.
+  Event HeldWork(Event aEvent) const
+  {
+    const ControlHeldWork held = Held();
+    const ConnectionCounts connections = m_server->Connections();
+    aEvent.Add("held", held.commands);
+    aEvent.Add("led_groups", held.ledGroups);
+    aEvent.Add("idle", connections.idle);
+    aEvent.Add("receiving", connections.receiving);
+    aEvent.Add("handling", connections.handling);
+    aEvent.Add("responding", connections.responding);
+    aEvent.Add("closing", connections.closing);
+    return aEvent;
   }
 
   void OnExchange(const HttpExchangePtr& aExchange)
@@ -293,7 +331,8 @@
   {
     m_node->ReportServer(
       aRequest.record, MonotonicNow(), [this, aExchange](bool aStored) {
-        aExchange->Respond(m_api.writeAnnouncementResult(aStored));
+        aExchange->Respond(
+          m_api.writeAnnouncementResult(aStored, !m_node->IsLeaving()));
       });
     ScheduleFlush();
   }
@@ -421,8 +460,8 @@
   std::optional<HttpServer> m_server;
   std::unique_ptr<HttpServer> m_metricsServer;
   bool m_flushScheduled = false;
-  bool m_leaving = false;
-  TimePoint m_exitDeadline;
+  ControlShutdown m_shutdown;
+  bool m_serverClosed = false;
   std::error_code m_fatal;
 };
 
--- a/packages/net/control_service.h
+++ b/packages/net/control_service.h
@@ -31,7 +31,8 @@
   ControlService(const ControlService&) = delete;
   ControlService& operator=(const ControlService&) = delete;
 
-  // Transfers leadership, then stops the io context.
+  // Answers what is in hand and transfers leadership, then stops the io
+  // context.
   void Leave();
   // Applies the settings that may change at run time: the control hosts.
   void Reload(const Settings& aSettings);
--- a/packages/net/external_api.h
+++ b/packages/net/external_api.h
@@ -142,7 +142,9 @@
   std::function<HttpResponse(const HostId& aLeader, std::string_view aTarget)>
     writeNotLeader;
   // aStored: whether the table of servers durably holds the announcement.
-  std::function<HttpResponse(bool aStored)> writeAnnouncementResult;
+  // aStays: whether this host receives later ones, too.
+  std::function<HttpResponse(bool aStored, bool aStays)>
+    writeAnnouncementResult;
 };
 
 struct ExternalApi
--- a/packages/net/native_api.cc
+++ b/packages/net/native_api.cc
@@ -341,7 +341,7 @@
   control.writeLists = ListsResponse;
   control.writeChange = WriteChange;
   control.writeNotLeader = WriteNotLeader;
-  control.writeAnnouncementResult = [aSettings](bool aStored) {
+  control.writeAnnouncementResult = [aSettings](bool aStored, bool) {
     return WriteAnnouncementResult(aSettings, aStored);
   };
   return api;
