--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -97,6 +97,7 @@
     m_deadline = aStart.deadline;
     m_request = aRequest;
     m_kind = aKind;
+    m_forwards = aStart.forwards;
     m_wrote = false;
     m_received = false;
     m_otherResponses = 0;
@@ -205,7 +206,9 @@
       End(AttemptOutcome::kBroken, false);
       return;
     }
-    if (!bounded && !m_owner.m_options.acceptsUnframedResponses) {
+    const bool acceptsUnframed =
+      m_owner.m_options.acceptsUnframedResponses && !m_forwards;
+    if (!bounded && !acceptsUnframed) {
       // Only the end of the connection would delimit the response.
       End(AttemptOutcome::kBroken, false);
       return;
@@ -385,6 +388,7 @@
   int m_interimResponses = 0;        // skipped
   std::uint64_t m_receivedBytes = 0; // of the body of this response
   ConnectionKind m_kind = ConnectionKind::kNew;
+  bool m_forwards = false; // to an entry host, which frames each response
   bool m_wrote = false;
   bool m_received = false;
   bool m_closed = false;
--- a/packages/net/backend_client_test.cc
+++ b/packages/net/backend_client_test.cc
@@ -773,6 +773,17 @@
                                 "HTTP/1.1 102 Processing\r\n\r\n");
 }
 
+// Peers give the length of each response.
+BOOST_AUTO_TEST_CASE(AResponseOfAPeerThatIsCutAtAnyByteIsNotWhole)
+{
+  for (const Framing framing :
+       { Framing::kLength, Framing::kChunks, Framing::kClose }) {
+    for (const bool reused : { false, true }) {
+      ExpectOnlyWholeResponses({ "", framing, reused, true, false });
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnInterimResponseIsNotTheResponse)
 {
   for (const bool hasIds : { false, true }) {
