Wait for a leader in the test of failures of control hosts

The test asked for the leader of a group at moments at which its group may have none, and stopped with a syntax error ("% 3 + 1"). find_leader asks again for up to 30 s, the bound that the test had for a leader already, and fails without one.

It also waited for the replacement of one disk of the emptied host only, of the two that it has, one a group. With the other one still a voter, the kill that follows takes two of three voters, and "a lists change was not accepted". Now both disks must be gone, as the leaders of both groups see it. The checks are otherwise the same.

--- a/tests/process/control_failures.sh
+++ b/tests/process/control_failures.sh
@@ -11,14 +11,13 @@
 wait_until 20 test -s "$FLEET/runs.log"
 
 echo "== kill the leader of the ledger"
-killed=$(leader_of 1)
+killed=$(find_leader 1)
 end_process control-$killed
 wait_until 30 leader_of 1
 start_control $killed
 
 echo "== stop the leader of the lists, change the lists, resume it"
-wait_until 30 leader_of 0
-frozen=$(leader_of 0)
+frozen=$(find_leader 0)
 signal_process control-$frozen STOP
 put_lists samples/demo-lists-2.yaml 1 || fail "a lists change was not accepted while the old leader was stopped"
 wait_until 30 has_version 1 2
@@ -30,21 +29,29 @@
 
 echo "== empty a data folder, then kill another host right after the recovery"
 all_voters() {
-  [ "$(status_of "$(control_address $(leader_of 0))" | grep -o '"voter":true' | wc -l)" -eq 6 ]
+  local leader
+  leader=$(leader_of 0) || return 1
+  [ "$(status_of "$(control_address $leader)" | grep -o '"voter":true' | wc -l)" -eq 6 ]
 }
 wait_until 30 all_voters
-emptied=$(( $(leader_of 1) % 3 + 1 ))
-old_disk=$(status_of "$(control_address 1)" | grep -o "\"host\":\"control-$emptied\",\"disk\":\"[0-9]*\"" | sort -u | head -1)
+leader=$(find_leader 1)
+emptied=$((leader % 3 + 1))
+# One disk a group.
+status_of "$(control_address 1)" | grep -o "\"host\":\"control-$emptied\",\"disk\":\"[0-9]*\"" >"$FLEET/old_disks"
+[ "$(wc -l <"$FLEET/old_disks")" -eq 2 ] || fail "control-$emptied is not a member of both groups"
 end_process control-$emptied
 rm -rf "$FLEET/data/control-$emptied"
 start_control $emptied
 replaced() {
-  local status
-  status=$(status_of "$(control_address $(leader_of 1))")
-  ! echo "$status" | grep -q "$old_disk" && all_voters
+  local group leader
+  for group in 0 1; do
+    leader=$(leader_of $group) || return 1
+    ! status_of "$(control_address $leader)" | grep -qFf "$FLEET/old_disks" || return 1
+  done
+  all_voters
 }
 wait_until 60 replaced
-second=$(leader_of 1)
+second=$(find_leader 1)
 end_process control-$second
 put_lists samples/demo-lists.yaml 2 || fail "a lists change was not accepted: the emptied host did not become a voter again"
 start_control $second
--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -153,6 +153,17 @@
   done
   return 1
 }
+find_leader() { # GROUP: waits for a leader, prints its number
+  local tries=150
+  until leader_of "$1"; do
+    tries=$((tries - 1))
+    if [ $tries -le 0 ]; then
+      echo "group $1 has no leader" >&2
+      return 1
+    fi
+    sleep 0.2
+  done
+}
 
 call() { # ENTRY METHOD PATH [CURL ARGUMENT...]
   local entry=$1 method=$2 path=$3
