Start daemons again that SIGHUP ended before they had started, as a supervisor does

The soak sent SIGHUP to a daemon that it had started a moment before. Until main runs, the default action of the signal ends the process, and the script stopped at its next signal to it: "Hangup", "No such process". The program can't close that window, which lies in the dynamic loader. On the platform SIGHUP says that the settings file has changed, and a process that ends is started again with the settings in effect; so does the soak now. It counts and prints such ends, and accepts them only if the daemon had not logged `started` since its last start. To start daemons with SIGHUP ignored, as nohup does, was ruled out: it would hide what happens under a supervisor that doesn't.

The soak is stricter otherwise: a daemon that ends by itself at any other moment fails it at once (up to now only if it was missed at the end), and so does a graceful stop with another status than 0. SIGTERM before `started` is accepted in the same way.

A signal that reaches a child of the script before it has become the daemon made that child execute the EXIT trap of the script, which killed all processes of the soak. fleet_stop now acts only in the script itself.

--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -104,6 +104,9 @@
 
 fleet_stop() {
   local name
+  # A child that is ended by a signal before it has become the program that it is
+  # to run executes the EXIT trap of its parent.
+  [ "$BASHPID" = $$ ] || return 0
   for name in "${!FLEET_PID[@]}"; do
     kill -CONT "${FLEET_PID[$name]}" 2>/dev/null || true
     end_process "$name"
--- a/tests/process/soak.sh
+++ b/tests/process/soak.sh
@@ -4,7 +4,7 @@
 # start again, settings are reloaded, lists change, connections are delayed,
 # reset, silenced and cut one way; all of it overlaps. Callers must get true
 # responses throughout, no key may run twice, and once the faults end every
-# request must be answered.
+# request must be answered. No daemon may end by itself.
 #
 #   bash tests/process/soak.sh [SEED [SECONDS [FIRST_PORT]]]
 set -eu
@@ -19,6 +19,12 @@
   start_process proxy-$1 "$FLEET_BIN"/tests/support/faulty_proxy \
     --listen "$(proxy_address $1)" --to "$2" --mode-file "$FLEET/proxy-$1.mode"
 }
+declare -A LOG_SIZE=() # of a daemon, at its last start
+start_soak_daemon() { # NAME
+  LOG_SIZE[$1]=$(stat -c %s "$FLEET/logs/$1.log" 2>/dev/null || echo 0)
+  start_daemon $1
+}
+has_started() { tail -c +$((LOG_SIZE[$1] + 1)) "$FLEET/logs/$1.log" | grep -q 'event=started '; }
 start_soak_backend() { start_backend $1 profile --announce "$(proxy_address $1)"; }
 
 # Entry hosts 1 and 2 reach control hosts 1 and 2 through proxies 11 and 12.
@@ -28,8 +34,7 @@
 trap 'echo "seed $SEED"; fleet_stop' EXIT
 start_proxy 11 "$(message_address control 1)"
 start_proxy 12 "$(message_address control 2)"
-for i in 1 2 3; do start_control $i; done
-for i in 1 2 3 4; do start_entry $i; done
+for name in $(fleet_hosts); do start_soak_daemon $name; done
 for i in $(seq $BACKENDS); do start_proxy $i "$(backend_address $i)"; start_soak_backend $i; done
 put_lists samples/demo-lists.yaml 0 || fail "the lists were not accepted"
 wait_version 1
@@ -47,11 +52,37 @@
 now_ms() { date +%s%3N; }
 start_named() {
   case $1 in
-    entry-* | control-*) start_daemon $1 ;;
+    entry-* | control-*) start_soak_daemon $1 ;;
     backend-*) start_soak_backend "${1#backend-}" ;;
   esac
 }
 ended() { ! kill -0 "${FLEET_PID[$1]}" 2>/dev/null; }
+exit_status() { # NAME: sets STATUS to that of a process that has ended
+  STATUS=0
+  wait "${FLEET_PID[$1]}" || STATUS=$?
+}
+# A signal that arrives before a process can have changed its action ends it; a
+# supervisor then starts it again. Once it has started, this is a failure.
+HUP_STATUS=$((128 + $(kill -l HUP))) TERM_STATUS=$((128 + $(kill -l TERM)))
+ENDED_BY_HUP=0
+supervise() {
+  local name
+  for name in $(fleet_hosts); do
+    [ -z "${FAULT[$name]:-}" ] && ended $name || continue
+    exit_status $name
+    [ $STATUS -eq $HUP_STATUS ] && ! has_started $name || fail "$name ended by itself with status $STATUS"
+    ENDED_BY_HUP=$((ENDED_BY_HUP + 1))
+    echo "$(now_ms) $name ended by SIGHUP before it had started" | tee -a "$FLEET/faults.log"
+    start_soak_daemon $name
+  done
+}
+pause_script() { # TENTHS OF A SECOND
+  local i
+  for i in $(seq "$1"); do
+    sleep 0.1
+    supervise
+  done
+}
 bring_back() { # NAME
   local name=$1
   case ${FAULT[$name]} in
@@ -63,7 +94,13 @@
         BACK_AT[$name]=$(($(now_ms) + 300))
         return
       fi
-      wait "${FLEET_PID[$name]}" || true
+      exit_status $name
+      case $name in
+        entry-* | control-*)
+          [ $STATUS -eq 0 ] || { [ $STATUS -eq $TERM_STATUS ] && ! has_started $name; } ||
+            fail "$name was stopped and ended with status $STATUS"
+          ;;
+      esac
       start_named $name
       ;;
     proxy) rm -f "$FLEET/$name.mode" ;;
@@ -117,18 +154,18 @@
       inject $name proxy $span
       [ "${FAULT[$name]}" != proxy ] || echo "$mode" >"$FLEET/$name.mode"
       ;;
-    11) [ -n "${FAULT[$entry]:-}" ] || signal_process $entry HUP ;;
+    11) [ -n "${FAULT[$entry]:-}" ] || signal_process $entry HUP || true ;;
   esac
   draw 20; [ $DRAWN != 0 ] || change_lists
   draw 8
-  sleep "0.$((DRAWN + 1))"
+  pause_script $((DRAWN + 1))
   for name in "${!BACK_AT[@]}"; do
     [ "$(now_ms)" -lt "${BACK_AT[$name]}" ] || bring_back $name
   done
 done
 while [ ${#BACK_AT[@]} -gt 0 ]; do
   for name in "${!BACK_AT[@]}"; do bring_back $name; done
-  sleep 0.2
+  pause_script 2
 done
 wait "$LOAD" || fail "a caller received a wrong response: $(cat "$FLEET/load.txt")"
 check_load "$FLEET/load.txt"
@@ -137,9 +174,10 @@
 wait_until 60 leader_of 0
 wait_until 60 leader_of 1
 # Ejected servers come back after 8 s and a ramp.
-sleep 2
+pause_script 20
 load 5 0.3 --list-keys --key-prefix after- >"$FLEET/after.txt" 2>&1 || fail "a caller received a wrong response: $(cat "$FLEET/after.txt")"
 check_load "$FLEET/after.txt"
 grep -q '^answered=[1-9][0-9]* not_run=0 unknown=0 unanswered=0 ' "$FLEET/after.txt" ||
   fail "requests were not answered after the faults: $(head -1 "$FLEET/after.txt")"
-echo "PASSED seed $SEED"
+supervise
+echo "PASSED seed $SEED, $ENDED_BY_HUP daemons ended by SIGHUP before they had started"
