--- a/tests/process/fleet.sh
+++ b/tests/process/fleet.sh
@@ -104,6 +104,9 @@
 
 fleet_stop() {
   local name
+  # A child that is ended by a signal before it has become the program that it is
+  # to run executes the EXIT trap of its parent.
+  [ "$BASHPID" = $$ ] || return 0
   for name in "${!FLEET_PID[@]}"; do
     kill -CONT "${FLEET_PID[$name]}" 2>/dev/null || true
     end_process "$name"
@@ -153,6 +156,17 @@
   done
   return 1
 }
+find_leader() { # GROUP: waits for a leader, prints its number
+  local tries=150
+  until leader_of "$1"; do
+    tries=$((tries - 1))
+    if [ $tries -le 0 ]; then
+      echo "group $1 has no leader" >&2
+      return 1
+    fi
+    sleep 0.2
+  done
+}
 
 call() { # ENTRY METHOD PATH [CURL ARGUMENT...]
   local entry=$1 method=$2 path=$3
