Look up no route that a name used twice has left behind

An entry host ended with std::out_of_range from the lookup of a route when its lists held one name for two routes of different hosts and a later change removed or replaced that name: the entry of the former host stayed in the index.

Documents with such names are refused, so only lists that another writer or an earlier build stored can hold them. The replicated content is the same as before; only the index differs.

Before: ANameOfTwoRoutesLeavesNoEntryBehind ended by 'std::out_of_range: map::at'. After: it passes. RefusesDeeplyNestedDocuments passes before and after: the YAML parser bounds the depth and aliases are not expanded.

--- a/packages/state/lists.cc
+++ b/packages/state/lists.cc
@@ -61,6 +61,8 @@
     RemoveOpenRoute(route.name());
   }
   for (const wire::Route& route : aDelta.open_routes()) {
+    // A name that occurs twice must leave no entry of its former host.
+    RemoveOpenRoute(route.name());
     m_openRoutes[route.name()] = route;
     m_openRoutesByHost[route.host()][route.path_prefix()] = route.name();
   }
--- a/packages/state/lists_document_test.cc
+++ b/packages/state/lists_document_test.cc
@@ -55,6 +55,51 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(RefusesDeeplyNestedDocuments)
+{
+  std::string blocks;
+  for (int i = 0; i < 20'000; ++i) {
+    blocks += "- ";
+  }
+  std::string maps = "plans: ";
+  for (int i = 0; i < 20'000; ++i) {
+    maps += "{a: ";
+  }
+  const std::string anchors = "plans: &a [*a]\ncustomers: &b {x: *b}\n";
+  for (const std::string& text : { std::string(100'000, '['),
+                                   "plans: " + std::string(100'000, '['),
+                                   blocks,
+                                   maps,
+                                   anchors }) {
+    Findings findings("lists.yaml");
+    ReadLists(text, findings);
+    BOOST_TEST(!findings.IsEmpty(), text.substr(0, 20));
+  }
+}
+
+// Stored lists may hold what no check refused. The route was looked up by its
+// former host, and the lookup threw.
+BOOST_AUTO_TEST_CASE(ANameOfTwoRoutesLeavesNoEntryBehind)
+{
+  wire::ListsDelta delta;
+  delta.set_to_version(1);
+  for (const char* host : { "a.example", "b.example" }) {
+    wire::Route* route = delta.add_open_routes();
+    route->set_name("twice");
+    route->set_host(host);
+    route->set_path_prefix("/");
+  }
+  Lists lists;
+  BOOST_TEST(lists.Apply(delta));
+  wire::ListsDelta removal;
+  removal.set_from_version(1);
+  removal.set_to_version(2);
+  removal.add_removed_open_routes("twice");
+  BOOST_TEST(lists.Apply(removal));
+  BOOST_TEST(lists.FindOpenRoute("a.example", "/") == nullptr);
+  BOOST_TEST(lists.FindOpenRoute("b.example", "/") == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(DifferenceRemovesMissingPlansAndCustomers)
 {
   Findings findings("lists.yaml");
