Leave out odd records of servers, hosts and routes where they are used

Other operators reported that one odd entry among those of the targets ended the machines that read the list, or kept them from following it. Records are replicated and stored as they came; what an earlier build or another writer put there was used without a check:

- a server in a state that isn't named was taken as up, one with an address that can't be parsed was connected to as 0.0.0.0 or port 0, and a span of 2^63 - 1 us was added to time points;
- a split whose weights add up to 0 ended the host by the invariant 'a split has a weight above 0' with the first request;
- a false record of a host with the largest incarnation or revision was overridden by the next number, 0, and the host was dead for all others from then on;
- an id that is no UTF-8 made every gossip message with it unreadable.

FindProblem names what makes a record unusable. Followers of control and hosts that gossip leave such a record out, log it once and count it (LeftOut); the others hold, and a server whose record becomes odd is not used any more. Nothing changes in what is replicated, so that old and new builds agree, nor in the records that gossip passes on, whose digests must agree. Addresses with a leading zero are refused, since Asio and ZeroMQ don't parse them. The servers of the model have addresses now.

Before: AnOddServerIsLeftOutOnceLoggedAndTheOthersStayInUse had 7 servers in use where 2 are valid; AServerWhoseRecordBecomesOddIsNotInUseUntilItIsValidAgain, AnOddRouteIsLeftOutAndTheOthersStayInForce, OddServersOfAnotherWriterAreUsedBy- NoHostAndTheOthersAreByAll, AFalseRecordWithTheLargestCountersDoesNotOutdoAHost (incarnation 0, not alive), RefusesTextThatNoMessageCanCarry and ValidatesAddresses failed. AnAgeOfAConfirmationOutOfRangeIsBounded passed, by undefined behaviour.

--- /dev/null
+++ b/packages/base/text.h
@@ -0,0 +1,15 @@
+// Checks of text that comes from outside.
+//
+//   if (!IsPrintable(name)) { ... refuse it ... }
+#pragma once
+
+#include <string_view>
+
+namespace fuchsiaramp {
+
+// Whether the text is valid UTF-8 without control characters. Messages cannot
+// carry other text; control characters would end a header or a line of a log.
+bool
+IsPrintable(std::string_view aText);
+
+} // namespace fuchsiaramp
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "base/invariant.h"
+#include "membership/record_check.h"
+#include "state/route_check.h"
 
 namespace fuchsiaramp {
 
@@ -36,6 +38,7 @@
 // age where no message is lost.
 static constexpr Duration kUnknownConfirmationAge =
   std::chrono::milliseconds(700);
+static constexpr Duration kMaxConfirmationAge = std::chrono::hours(1);
 // A response that takes longer confirms nothing of use.
 static constexpr Duration kSentPullLifetime = std::chrono::seconds(3);
 static constexpr Duration kOverdueConfirmation =
@@ -433,7 +436,9 @@
     return;
   }
   const Duration age = aPush.has_confirmed_age_us()
-                         ? Duration(aPush.confirmed_age_us())
+                         ? std::clamp(Duration(aPush.confirmed_age_us()),
+                                      Duration::zero(),
+                                      kMaxConfirmationAge)
                          : kUnknownConfirmationAge;
   const TimePoint before = FreshSince();
   m_currentAsOf = std::max(m_currentAsOf, sent->second.sentAt - age);
@@ -459,11 +464,13 @@
 void
 ListsFollower::ApplyLists(const wire::ListsPush& aPush)
 {
-  for (const wire::ListsDelta& delta : aPush.deltas()) {
+  for (const wire::ListsDelta& received : aPush.deltas()) {
     const std::uint64_t before = m_lists.Version().Value();
-    if (!m_lists.Apply(delta)) {
+    if (!m_lists.CanApply(received)) {
       continue;
     }
+    const wire::ListsDelta delta = WithoutOddRoutes(received);
+    m_lists.Apply(delta);
     CheckInvariant(m_lists.Version().Value() > before,
                    "an entry host never goes back to an older version");
     if (delta.full()) {
@@ -478,6 +485,29 @@
   }
 }
 
+// Control may hold routes that an earlier build accepted. One that serves
+// nothing is left out, and the version that it replaces is removed.
+wire::ListsDelta
+ListsFollower::WithoutOddRoutes(const wire::ListsDelta& aDelta)
+{
+  wire::ListsDelta delta = aDelta;
+  auto* routes = delta.mutable_open_routes();
+  for (auto it = routes->begin(); it != routes->end();) {
+    const std::string problem = FindProblem(*it);
+    if (problem.empty()) {
+      ++it;
+      continue;
+    }
+    ++m_leftOut;
+    m_hooks.record(Event("route_left_out")
+                     .With("route", it->name())
+                     .With("reason", problem));
+    delta.add_removed_open_routes(it->name());
+    it = routes->erase(it);
+  }
+  return delta;
+}
+
 void
 ListsFollower::ApplyServers(const wire::ServersDelta& aDelta)
 {
@@ -492,13 +522,9 @@
     missing.swap(m_servers);
   }
   for (const wire::BackendServerRecord& record : aDelta.servers()) {
-    missing.erase(record.id());
-    if (record.state() == wire::BackendServerRecord::GONE) {
-      m_servers.erase(record.id());
-    } else {
-      m_servers[record.id()] = record;
+    if (ApplyServer(record)) {
+      missing.erase(record.id());
     }
-    m_hooks.serverChanged(record);
   }
   for (auto& [id, record] : missing) {
     record.set_state(wire::BackendServerRecord::GONE);
@@ -507,6 +533,38 @@
   }
 }
 
+// Another writer or an earlier build may have stored a record that cannot be
+// used. Its server is not in use then, and the others stay.
+bool
+ListsFollower::ApplyServer(const wire::BackendServerRecord& aRecord)
+{
+  const std::string problem = FindProblem(aRecord);
+  if (problem.empty()) {
+    m_oddServers.erase(aRecord.id());
+    if (aRecord.state() == wire::BackendServerRecord::GONE) {
+      m_servers.erase(aRecord.id());
+    } else {
+      m_servers[aRecord.id()] = aRecord;
+    }
+    m_hooks.serverChanged(aRecord);
+    return true;
+  }
+  ++m_leftOut;
+  if (m_oddServers.insert(aRecord.id()).second) {
+    m_hooks.record(Event("server_left_out")
+                     .With("server", aRecord.id())
+                     .With("reason", problem));
+  }
+  const auto former = m_servers.extract(aRecord.id());
+  if (!former.empty()) {
+    wire::BackendServerRecord gone = former.mapped();
+    gone.set_state(wire::BackendServerRecord::GONE);
+    gone.set_lapsed(true);
+    m_hooks.serverChanged(gone);
+  }
+  return false;
+}
+
 void
 ListsFollower::StartServing(const char* aConfirmedBy, TimePoint aNow)
 {
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,8 @@
   // The control host that this host pulls from; empty until this host serves
   // and one has confirmed its lists.
   const HostId& CurrentControlHost() const { return m_currentControlHost; }
+  // Records of servers and routes that were left out since the start.
+  std::uint64_t LeftOut() const { return m_leftOut; }
   // How long ago everything that was acknowledged by then was surely in force
   // here; empty if control never confirmed it.
   std::optional<Duration> ConfirmedAge(TimePoint aNow) const;
@@ -140,6 +143,9 @@
   };
 
   void ApplyServers(const wire::ServersDelta& aDelta);
+  // Applies the record of one server; returns whether it can be used.
+  bool ApplyServer(const wire::BackendServerRecord& aRecord);
+  wire::ListsDelta WithoutOddRoutes(const wire::ListsDelta& aDelta);
   void UpdateControlHosts(const wire::ListsPush& aPush);
   void UpdateDomainSizes(const wire::ListsPush& aPush);
   void OnControlResponse(const HostId& aFrom,
@@ -187,6 +193,8 @@
   std::map<HostId, ControlHost> m_controlHosts;
   std::uint64_t m_serversVersion = 0;
   std::map<std::string, wire::BackendServerRecord> m_servers; // excludes GONE
+  std::set<std::string> m_oddServers; // left out and logged
+  std::uint64_t m_leftOut = 0;
   HostId m_currentControlHost;
   std::size_t m_nextControlIndex = 0;
   std::uint64_t m_nextPull = 1;
--- a/packages/entry/lists_follower_test.cc
+++ b/packages/entry/lists_follower_test.cc
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE lists_follower
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -53,6 +56,9 @@
     push.set_confirmed(m_stale.count(aHost) == 0);
     const std::uint64_t version = push.confirmed() ? m_version : 1;
     push.set_current_version(version);
+    if (m_ageOfConfirmations) {
+      push.set_confirmed_age_us(*m_ageOfConfirmations);
+    }
     if (aPull.have_version() < version) {
       wire::ListsDelta* delta = push.add_deltas();
       delta->set_full(true);
@@ -96,7 +102,13 @@
     };
     hooks.receivesOutcomes = [] { return true; };
     hooks.ownRecord = [] { return std::optional<wire::HostRecord>(); };
-    hooks.serverChanged = [](const wire::BackendServerRecord&) {};
+    hooks.serverChanged = [this](const wire::BackendServerRecord& aRecord) {
+      if (aRecord.state() == wire::BackendServerRecord::GONE) {
+        m_serversInUse.erase(aRecord.id());
+      } else {
+        m_serversInUse.insert(aRecord.id());
+      }
+    };
     hooks.record = [this](const Event& aEvent) {
       m_events.push_back(aEvent.Name());
     };
@@ -112,6 +124,8 @@
   std::map<HostId, int> m_pullCounts;
   std::map<HostId, int> m_serverPullCounts; // of those that ask for servers
   int m_hostUpdates = 0;
+  std::set<std::string> m_serversInUse;
+  std::optional<std::int64_t> m_ageOfConfirmations; // microseconds
   std::vector<std::string> m_events;
   std::vector<std::size_t> m_domainSizes;
   std::vector<std::pair<HostId, wire::ListsPull>> m_pulls;
@@ -258,6 +272,106 @@
              boost::test_tools::per_element());
 }
 
+static wire::BackendServerRecord
+ServerRecord(const std::string& aId, const std::string& aAddress)
+{
+  wire::BackendServerRecord record;
+  record.set_id(aId);
+  record.set_service("profile");
+  record.set_address(aAddress);
+  record.set_incarnation(1);
+  return record;
+}
+
+BOOST_AUTO_TEST_CASE(AnOddServerIsLeftOutOnceLoggedAndTheOthersStayInUse)
+{
+  FollowerTest test;
+  wire::ListsPush push;
+  wire::ServersDelta& servers = *push.mutable_servers();
+  servers.set_full(true);
+  for (std::uint64_t version = 1; version <= 3; ++version) {
+    servers.clear_servers();
+    servers.set_to_version(version);
+    *servers.add_servers() = ServerRecord("port", "10.0.0.1:99999");
+    *servers.add_servers() = ServerRecord("a", "10.0.0.2:80");
+    *servers.add_servers() = ServerRecord("", "10.0.0.3:80");
+    servers.add_servers()->set_id("empty");
+    *servers.add_servers() = ServerRecord("state", "10.0.0.4:80");
+    servers.mutable_servers(4)->set_state(
+      static_cast<wire::BackendServerRecord::State>(7));
+    *servers.add_servers() = ServerRecord("cold", "10.0.0.5:80");
+    servers.mutable_servers(5)->set_cold_us(INT64_MAX);
+    *servers.add_servers() = ServerRecord("b", "10.0.0.6:80");
+    test.m_follower.OnPush(kDomainControl, push, test.m_now);
+  }
+  BOOST_TEST(test.m_serversInUse == std::set<std::string>({ "a", "b" }),
+             boost::test_tools::per_element());
+  BOOST_TEST(test.m_follower.ServersVersion() == 3u);
+  BOOST_TEST(test.m_follower.LeftOut() == 15u);
+  BOOST_TEST(std::count(test.m_events.begin(),
+                        test.m_events.end(),
+                        "server_left_out") == 5);
+}
+
+BOOST_AUTO_TEST_CASE(AServerWhoseRecordBecomesOddIsNotInUseUntilItIsValidAgain)
+{
+  FollowerTest test;
+  wire::ListsPush push;
+  wire::ServersDelta& servers = *push.mutable_servers();
+  const auto send = [&](const std::string& aAddress) {
+    servers.set_from_version(servers.to_version());
+    servers.set_to_version(servers.to_version() + 1);
+    servers.clear_servers();
+    *servers.add_servers() = ServerRecord("a", aAddress);
+    test.m_follower.OnPush(kDomainControl, push, test.m_now);
+    return test.m_serversInUse.count("a") == 1;
+  };
+  BOOST_TEST(send("10.0.0.1:80"));
+  BOOST_TEST(!send("10.0.0.1"));
+  BOOST_TEST(!send("10.0.0.1:0"));
+  BOOST_TEST(send("10.0.0.1:80"));
+}
+
+// A split without a weight above 0 ended the host with the first request.
+BOOST_AUTO_TEST_CASE(AnOddRouteIsLeftOutAndTheOthersStayInForce)
+{
+  FollowerTest test;
+  wire::ListsPush push;
+  for (std::uint64_t version = 1; version <= 2; ++version) {
+    push.clear_deltas();
+    wire::ListsDelta& delta = *push.add_deltas();
+    delta.set_from_version(version - 1);
+    delta.set_to_version(version);
+    for (const char* name : { "one", "two" }) {
+      wire::Route* route = delta.add_open_routes();
+      route->set_name(name);
+      route->set_host("x.example");
+      route->set_path_prefix(std::string("/") + name + "/");
+      route->set_timeout_us(1'000'000);
+      route->add_split()->set_weight(version == 2 && name[0] == 't' ? 0 : 1);
+    }
+    test.m_follower.OnPush(kDomainControl, push, test.m_now);
+  }
+  const Lists& lists = test.m_follower.Current();
+  BOOST_TEST(lists.Version().Value() == 2u);
+  BOOST_TEST(lists.FindOpenRoute("x.example", "/one/a") != nullptr);
+  BOOST_TEST(lists.FindOpenRoute("x.example", "/two/a") == nullptr);
+  BOOST_TEST(test.m_follower.LeftOut() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AnAgeOfAConfirmationOutOfRangeIsBounded)
+{
+  for (const std::int64_t age : { INT64_MIN, INT64_MAX }) {
+    FollowerTest test;
+    test.m_ageOfConfirmations = age;
+    test.RunFor(std::chrono::seconds(3));
+    BOOST_TEST(test.m_follower.IsServing());
+    const Duration confirmedAge =
+      test.m_follower.ConfirmedAge(test.m_now).value_or(Duration());
+    BOOST_TEST(confirmedAge.count() >= 0);
+  }
+}
+
 // Control confirms empty lists until the operators' first change. No request
 // can be judged by them.
 BOOST_AUTO_TEST_CASE(DoesNotServeBeforeTheFirstLists)
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "membership/record_check.h"
+
 namespace fuchsiaramp {
 
 static constexpr int kSyncRecordsPerMessage = 400;
@@ -268,6 +270,10 @@
 bool
 Membership::MergeHost(const wire::HostRecord& aRecord, TimePoint aNow)
 {
+  if (!FindProblem(aRecord).empty()) {
+    ++m_leftOut;
+    return false;
+  }
   const bool self = aRecord.host() == m_options.self.host();
   if (self && (aRecord.incarnation() > m_options.self.incarnation() ||
                aRecord.state() == wire::HostRecord::SUSPECT ||
@@ -324,11 +330,34 @@
 void
 Membership::MergeServer(const wire::BackendServerRecord& aRecord)
 {
+  const std::string key = RecordTable::KeyOf(aRecord);
+  const auto existing = m_table.Servers().find(key);
+  const bool existed = existing != m_table.Servers().end();
+  const wire::BackendServerRecord former =
+    existed ? existing->second : wire::BackendServerRecord();
   if (!m_table.Merge(aRecord)) {
     return;
   }
-  m_serverUpdates[RecordTable::KeyOf(aRecord)] = {};
-  m_hooks.serverChanged(aRecord);
+  m_serverUpdates[key] = {};
+  const std::string problem = FindProblem(aRecord);
+  if (problem.empty()) {
+    m_hooks.serverChanged(aRecord);
+    return;
+  }
+  // The table holds the record as it is, so that the digests of all hosts
+  // agree; only its use is refused.
+  ++m_leftOut;
+  if (!existed || FindProblem(former).empty()) {
+    m_hooks.record(Event("server_left_out")
+                     .With("server", aRecord.id())
+                     .With("watcher", aRecord.watcher())
+                     .With("reason", problem));
+  }
+  if (existed && FindProblem(former).empty()) {
+    wire::BackendServerRecord gone = former;
+    gone.set_state(wire::BackendServerRecord::GONE);
+    m_hooks.serverChanged(gone);
+  }
 }
 
 void
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -87,6 +87,8 @@
   std::vector<HostId> AliveHosts() const;
   bool IsAlive(const HostId& aHost) const;
   const RecordTable& Table() const { return m_table; }
+  // Records of servers and hosts that were left out since the start.
+  std::uint64_t LeftOut() const { return m_leftOut; }
   const wire::HostRecord& Self() const { return m_options.self; }
 
 private:
@@ -142,6 +144,7 @@
   std::map<std::uint64_t, Probe> m_pendingProbes;
   std::vector<HostId> m_probeOrder;
   std::uint64_t m_nextProbe = 1;
+  std::uint64_t m_leftOut = 0;
   std::uint64_t m_nextRevision = 1;
   TimePoint m_nextProbeAt;
   TimePoint m_nextGossipAt;
--- a/packages/membership/membership_test.cc
+++ b/packages/membership/membership_test.cc
@@ -1,7 +1,10 @@
 #define BOOST_TEST_MODULE membership
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <set>
 
 #include "membership/membership.h"
 #include "testing/fake_network.h"
@@ -28,7 +31,14 @@
         m_network.Send(host, aTo, aMessage, m_now);
       };
       hooks.hostChanged = [](const wire::HostRecord&) {};
-      hooks.serverChanged = [](const wire::BackendServerRecord&) {};
+      hooks.serverChanged = [this,
+                             host](const wire::BackendServerRecord& aRecord) {
+        if (aRecord.state() == wire::BackendServerRecord::GONE) {
+          m_serversInUse[host].erase(aRecord.id());
+        } else {
+          m_serversInUse[host].insert(aRecord.id());
+        }
+      };
       hooks.listsVersion = [] { return 0; };
       hooks.peerListsVersion = [](const HostId&, std::uint64_t) {};
       hooks.record = [](const Event&) {};
@@ -90,6 +100,8 @@
     return true;
   }
 
+  std::map<HostId, std::set<std::string>> m_serversInUse;
+
 private:
   FakeNetwork<wire::Gossip> m_network;
   TimePoint m_now;
@@ -150,4 +162,69 @@
   BOOST_TEST(fleet.RunUntil([&] { return fleet.AllHostsSee(8); }, kMinute));
 }
 
+static wire::BackendServerRecord
+Announcement(const std::string& aId, const std::string& aAddress)
+{
+  wire::BackendServerRecord announcement;
+  announcement.set_incarnation(1);
+  announcement.set_service("profile");
+  announcement.set_id(aId);
+  announcement.set_address(aAddress);
+  return announcement;
+}
+
+BOOST_AUTO_TEST_CASE(
+  OddServersOfAnotherWriterAreUsedByNoHostAndTheOthersAreByAll)
+{
+  Fleet fleet(4, 1);
+  BOOST_TEST(
+    fleet.RunUntil([&] { return fleet.Node(3).AliveHosts().size() == 4; },
+                   std::chrono::seconds(20)));
+  fleet.Node(1).Watch(Announcement("port", "10.0.0.1:65536"), fleet.Now());
+  fleet.Node(1).Watch(Announcement("a", "10.0.0.2:80"), fleet.Now());
+  fleet.Node(1).Watch(Announcement("", "10.0.0.3:80"), fleet.Now());
+  wire::BackendServerRecord state = Announcement("state", "10.0.0.4:80");
+  state.set_state(static_cast<wire::BackendServerRecord::State>(7));
+  fleet.Node(1).Watch(state, fleet.Now());
+  const std::set<std::string> valid = { "a" };
+  BOOST_TEST(fleet.RunUntil(
+    [&] {
+      return fleet.m_serversInUse[Fleet::Host(0)] == valid &&
+             fleet.m_serversInUse[Fleet::Host(3)] == valid;
+    },
+    std::chrono::milliseconds(1500)));
+  // All hosts hold the same records, so they need no further synchronisation.
+  BOOST_TEST(fleet.RunUntil(
+    [&] {
+      return fleet.Node(0).Table().TotalDigest() ==
+             fleet.Node(3).Table().TotalDigest();
+    },
+    std::chrono::seconds(5)));
+}
+
+// The host took on an incarnation of 0 and could not be heard of again.
+BOOST_AUTO_TEST_CASE(AFalseRecordWithTheLargestCountersDoesNotOutdoAHost)
+{
+  for (const bool incarnation : { true, false }) {
+    Fleet fleet(3, 1);
+    BOOST_TEST(
+      fleet.RunUntil([&] { return fleet.Node(2).AliveHosts().size() == 3; },
+                     std::chrono::seconds(20)));
+    wire::Gossip gossip;
+    gossip.set_kind(wire::Gossip::SYNC);
+    wire::HostRecord* odd = gossip.add_hosts();
+    odd->set_host(Fleet::Host(1).Value());
+    odd->set_state(wire::HostRecord::DEAD);
+    odd->set_incarnation(incarnation ? UINT64_MAX : 1);
+    odd->set_revision(UINT64_MAX);
+    for (const std::size_t receiver : { 1, 2 }) {
+      fleet.Node(receiver).OnGossip(Fleet::Host(0), gossip, fleet.Now());
+    }
+    fleet.RunUntil([] { return false; }, std::chrono::seconds(10));
+    BOOST_TEST(fleet.Node(0).IsAlive(Fleet::Host(1)));
+    BOOST_TEST(fleet.Node(2).IsAlive(Fleet::Host(1)));
+    BOOST_TEST(fleet.Node(1).Self().incarnation() >= 1u);
+  }
+}
+
 } // namespace fuchsiaramp
--- /dev/null
+++ b/packages/membership/record_check.h
@@ -0,0 +1,25 @@
+// Checks records of backend servers and hosts before they are used.
+//
+// Records are replicated and stored as they come, also those that another
+// program or an earlier build wrote. Whoever uses one checks it first; a record
+// with a problem names nothing that can be used.
+//
+//   const std::string problem = FindProblem(record);
+//   if (!problem.empty()) { ... leave the record out ... }
+#pragma once
+
+#include <string>
+
+#include "wire/messages.h"
+
+namespace fuchsiaramp {
+
+// Why the record cannot be used; empty if it can. A record of a server that is
+// gone needs only an id.
+std::string
+FindProblem(const wire::BackendServerRecord& aRecord);
+
+std::string
+FindProblem(const wire::HostRecord& aRecord);
+
+} // namespace fuchsiaramp
--- a/packages/net/announcement.cc
+++ b/packages/net/announcement.cc
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include "membership/record_check.h"
 #include "settings/settings.h"
 
 namespace fuchsiaramp {
@@ -68,6 +69,9 @@
   if (aId.empty() || aId.size() > kMaxNameBytes) {
     aProblem += "the id must have 1 to 200 bytes; ";
   }
+  if (aProblem.empty()) {
+    aProblem = FindProblem(record);
+  }
   if (!aProblem.empty()) {
     return std::nullopt;
   }
--- a/packages/net/announcement_test.cc
+++ b/packages/net/announcement_test.cc
@@ -35,4 +35,21 @@
   BOOST_TEST(!ParseAnnouncement("s", "[1]", problem));
 }
 
+// Gossip that carries a text that is no UTF-8 is refused as a whole by its
+// receivers.
+BOOST_AUTO_TEST_CASE(RefusesTextThatNoMessageCanCarry)
+{
+  const std::string body =
+    R"({"service":"p","address":"127.0.0.1:1","region":"r",
+        "failure_domain":"d","slots":2,"incarnation":5,"state":"up"})";
+  for (const char* id : { "\xff", "a\xc3", "a\r\nb", "" }) {
+    std::string problem;
+    BOOST_TEST(!ParseAnnouncement(id, body, problem), id);
+    BOOST_TEST(problem != "");
+  }
+  std::string problem;
+  BOOST_TEST(
+    !ParseAnnouncement("s", std::string(100'000, '['), problem).has_value());
+}
+
 } // namespace fuchsiaramp
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -326,7 +326,8 @@
   while (cursor != stop) {
     unsigned part = 0;
     const auto read = std::from_chars(cursor, stop, part);
-    if (read.ec != std::errc() || part > 255) {
+    const bool leadingZero = read.ptr - cursor > 1 && *cursor == '0';
+    if (read.ec != std::errc() || part > 255 || leadingZero) {
       return false;
     }
     ++parts;
--- a/packages/state/lists_document.cc
+++ b/packages/state/lists_document.cc
@@ -5,6 +5,7 @@
 
 #include "base/digest.h"
 #include "settings/yaml_reader.h"
+#include "state/route_check.h"
 
 namespace fuchsiaramp {
 namespace internal {
@@ -187,11 +188,11 @@
   if (aRoute.host().empty()) {
     aAdd("an open route needs a host");
   }
-  if (aRoute.timeout_us() <= 0) {
-    aAdd("the timeout must be above 0");
-  }
-  if (aRoute.latency_objective_us() >=
-      aRoute.timeout_us() + kMaxObjectiveAboveTimeoutUs) {
+  const std::string problem = FindProblem(aRoute);
+  if (!problem.empty()) {
+    aAdd(problem);
+  } else if (aRoute.latency_objective_us() >=
+             aRoute.timeout_us() + kMaxObjectiveAboveTimeoutUs) {
     aAdd("the latency objective is a minute or more above the timeout");
   }
   if (aRoute.max_servers() == 0) {
@@ -201,19 +202,11 @@
   if (single == aRoute.service().empty()) {
     aAdd("an open route needs either a service or a split");
   }
-  double weight = 0.0;
   for (const wire::ServiceShare& share : aRoute.split()) {
-    weight += share.weight();
-    if (share.weight() < 0.0) {
-      aAdd("a weight must not be below 0");
-    }
     if (aServices.count(share.service()) == 0) {
       aAdd("unknown service '" + share.service() + "'");
     }
   }
-  if (!single && weight <= 0.0) {
-    aAdd("the weights of the split add up to 0");
-  }
   if (!aRoute.service().empty() && aServices.count(aRoute.service()) == 0) {
     aAdd("unknown service '" + aRoute.service() + "'");
   }
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -20,6 +20,7 @@
 static constexpr char kToken[] = "token";
 static constexpr char kService[] = "profile";
 static constexpr char kControlHost[] = "control-1";
+static const std::string kServerAddress = "10.0.0.1:";
 
 Deployment
 AdzoaProfile()
@@ -183,8 +184,9 @@
   hooks.cancelAttempt = [this, aHost](AttemptId aAttempt) {
     CancelAttempt(aHost, aAttempt);
   };
-  hooks.startProbe = [this, aHost](ProbeId aProbe, const std::string& aServer) {
-    StartProbe(aHost, aProbe, aServer);
+  hooks.startProbe = [this, aHost](ProbeId aProbe,
+                                   const std::string& aAddress) {
+    StartProbe(aHost, aProbe, aAddress);
   };
   hooks.answer = [this, aHost](const FinalResponse& aResponse) {
     OnResponse(aHost, aResponse);
@@ -305,7 +307,7 @@
   wire::BackendServerRecord record;
   record.set_id(server.Options().id.Value());
   record.set_service(kService);
-  record.set_address(server.Options().id.Value());
+  record.set_address(AddressOf(aServer));
   record.set_region(server.Options().region.Value());
   record.set_failure_domain(server.Options().failureDomain.Value());
   record.set_slots(server.Options().slots);
@@ -388,6 +390,19 @@
   return m_serverIndex.at(aServer);
 }
 
+// The port of a server's address is one above its index.
+std::string
+EntryFleet::AddressOf(std::size_t aServer)
+{
+  return kServerAddress + std::to_string(aServer + 1);
+}
+
+std::size_t
+EntryFleet::IndexAtAddress(const std::string& aAddress)
+{
+  return std::stoul(aAddress.substr(kServerAddress.size())) - 1;
+}
+
 ConnectionKind
 EntryFleet::StartAttempt(std::size_t aHost, const AttemptStart& aStart)
 {
@@ -503,9 +518,9 @@
 void
 EntryFleet::StartProbe(std::size_t aHost,
                        ProbeId aProbe,
-                       const std::string& aServer)
+                       const std::string& aAddress)
 {
-  const std::size_t server = IndexOf(BackendServerId(aServer));
+  const std::size_t server = IndexAtAddress(aAddress);
   const bool cut = m_cutPaths.count({ aHost, server }) != 0;
   const bool connected = !cut && !m_servers[server]->Faults().down;
   const Duration span =
--- a/packages/testing/entry_fleet.h
+++ b/packages/testing/entry_fleet.h
@@ -202,7 +202,7 @@
   void EndForward(const ForwardOrigin& aOrigin, AttemptEnd aEnd);
   void StartProbe(std::size_t aHost,
                   ProbeId aProbe,
-                  const std::string& aServer);
+                  const std::string& aAddress);
   void DeliverRequest(std::size_t aHost, AttemptId aAttempt, bool aPoison);
   void EndAttempt(std::size_t aHost,
                   AttemptId aAttempt,
@@ -214,6 +214,8 @@
   EntryOptions OptionsOf(std::size_t aHost) const;
   Duration DelayTo(const HostState& aHost, const FakeServer& aServer) const;
   std::size_t IndexOf(const BackendServerId& aServer) const;
+  static std::string AddressOf(std::size_t aServer);
+  static std::size_t IndexAtAddress(const std::string& aAddress);
 
   Deployment m_deployment;
   FleetOptions m_options;
--- a/packages/testing/load_model.cc
+++ b/packages/testing/load_model.cc
@@ -310,7 +310,8 @@
       wire::BackendServerRecord* record = push.mutable_servers()->add_servers();
       record->set_id(options.id.Value());
       record->set_service(kService);
-      record->set_address(options.id.Value());
+      record->set_address("10.0.0.1:" +
+                          std::to_string(push.servers().servers_size()));
       record->set_region(options.region.Value());
       record->set_failure_domain(options.failureDomain.Value());
       record->set_slots(options.slots);
