--- a/packages/net/native_api.cc
+++ b/packages/net/native_api.cc
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 
+#include "base/text.h"
 #include "net/announcement.h"
 #include "net/forwarding.h"
 #include "net/http_responses.h"
@@ -200,6 +201,11 @@
   const std::string expected = QueryValue(aQuery, "expected-version");
   const auto parsed = std::from_chars(
     expected.data(), expected.data() + expected.size(), change.expectedVersion);
+  // The log stores both texts, and a snapshot with other bytes could not be
+  // read again.
+  if (!IsPrintable(change.changeId) || !IsPrintable(change.operatorName)) {
+    return Reject(400, "change-id and operator must be printable UTF-8 text");
+  }
   if (change.changeId.empty() || expected.empty() || parsed.ec != std::errc()) {
     return Reject(
       400, "the query must have change-id=ID and expected-version=NUMBER");
