--- a/packages/net/request_limits.cc
+++ b/packages/net/request_limits.cc
@@ -4,6 +4,9 @@
 
 namespace fuchsiaramp {
 
+// Any longer one could overflow the nanoseconds of a timer.
+static constexpr Duration kMaxTimeout = std::chrono::hours(24);
+
 static std::uint64_t
 CappedBySettings(std::uint64_t aSettings, std::uint64_t aLists)
 {
@@ -13,7 +16,8 @@
 static Duration
 ListsOrSettings(Duration aSettings, std::int64_t aListsMicros)
 {
-  return aListsMicros <= 0 ? aSettings : Duration(aListsMicros);
+  return aListsMicros <= 0 ? aSettings
+                           : std::min(Duration(aListsMicros), kMaxTimeout);
 }
 
 HttpLimits
--- a/packages/net/request_limits_test.cc
+++ b/packages/net/request_limits_test.cc
@@ -25,6 +25,16 @@
   BOOST_TEST(ToSeconds(limits.idleTimeout) == 15.0);
 }
 
+BOOST_AUTO_TEST_CASE(TimeoutsOfTheListsFitATimer)
+{
+  wire::RequestLimits lists;
+  lists.set_header_timeout_us(INT64_MAX);
+  lists.set_idle_timeout_us(INT64_MIN);
+  const HttpLimits limits = EffectiveLimits(Settings64K(), lists);
+  BOOST_TEST(ToSeconds(limits.headerTimeout) == 86'400.0);
+  BOOST_TEST(ToSeconds(limits.idleTimeout) == 15.0);
+}
+
 BOOST_AUTO_TEST_CASE(ListsCanLowerSizesAndSetTimeouts)
 {
   wire::RequestLimits lists;
