Bound the counts and spans that evidence of other hosts names

A report that counted 2^32 - 1 outcomes of a server kept an entry host busy: each outcome is handled by itself. A quarantine or verdict of 2^63 - 1 us overflowed the time point and was over at once.

Counts are bounded to 1000 outcomes of a server in a report, spans to 10 minutes; hosts send less.

--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -21,6 +21,17 @@
 // detector.
 static constexpr Duration kFallbackAfter = std::chrono::seconds(4);
 
+// Messages of other hosts name spans and counts. These bounds are above what a
+// host sends, so that an odd number neither overflows nor takes long.
+static constexpr Duration kMaxSpan = std::chrono::minutes(10);
+static constexpr std::uint32_t kMaxOutcomes = 1000; // of a server, in a report
+
+static Duration
+ToSpan(std::int64_t aMicros)
+{
+  return std::clamp(Duration(aMicros), Duration::zero(), kMaxSpan);
+}
+
 static wire::ServerVerdict::State
 ToWire(HealthState aState)
 {
@@ -443,10 +454,12 @@
   }
   for (const wire::ServerCounts& item : aReport.counts()) {
     const BackendServerId server(item.server());
-    for (std::uint32_t i = 0; i < item.failures(); ++i) {
+    const std::uint32_t failures = std::min(item.failures(), kMaxOutcomes);
+    const std::uint32_t successes = std::min(item.successes(), kMaxOutcomes);
+    for (std::uint32_t i = 0; i < failures; ++i) {
       router->OnSharedOutcome(server, item.incarnation(), false, aNow);
     }
-    for (std::uint32_t i = 0; i < item.successes(); ++i) {
+    for (std::uint32_t i = 0; i < successes; ++i) {
       router->OnSharedOutcome(server, item.incarnation(), true, aNow);
     }
   }
@@ -615,7 +628,7 @@
     health.push_back(item);
   }
   service.router->SetRestrictions(
-    health, aVerdict.reporters(), aNow + Duration(aVerdict.lifetime_us()));
+    health, aVerdict.reporters(), aNow + ToSpan(aVerdict.lifetime_us()));
 }
 
 bool
@@ -703,7 +716,7 @@
     return;
   }
   const bool wasQuarantined = m_quarantine.IsQuarantined(fingerprint, aNow);
-  m_quarantine.Adopt(fingerprint, aNow + Duration(aNotice.remaining_us()));
+  m_quarantine.Adopt(fingerprint, aNow + ToSpan(aNotice.remaining_us()));
   if (arbiter && !wasQuarantined && aFrom != m_options.self) {
     SendQuarantineNotice(service, fingerprint, aNow);
   }
--- a/packages/entry/service_plane_test.cc
+++ b/packages/entry/service_plane_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE service_plane
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <vector>
@@ -125,4 +126,42 @@
   }
 }
 
+// Each outcome is handled by itself, so a count near 2^32 held the processor.
+BOOST_AUTO_TEST_CASE(AnOddNumberOfOutcomesTakesNoTime,
+                     *boost::unit_test::timeout(20))
+{
+  SharingHosts hosts(2);
+  wire::Evidence evidence;
+  wire::EvidenceReport* report = evidence.add_reports();
+  report->set_service(kService.Value());
+  wire::ServerCounts* counts = report->add_counts();
+  counts->set_server("a");
+  counts->set_incarnation(1);
+  counts->set_failures(UINT32_MAX);
+  counts->set_successes(UINT32_MAX);
+  for (int i = 0; i < 100; ++i) {
+    hosts.m_planes[0]->OnEvidence(HostId("control"), evidence, hosts.m_now);
+  }
+  BOOST_TEST(hosts.m_planes[0]->Find(kService)->TotalSlots() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(AQuarantineOfAnOddLengthEnds)
+{
+  for (const std::int64_t remaining : { INT64_MAX, INT64_MIN }) {
+    SharingHosts hosts(1);
+    wire::Evidence evidence;
+    wire::PoisonNotice* notice = evidence.add_poison();
+    notice->set_service(kService.Value());
+    notice->set_fingerprint(7);
+    notice->set_remaining_us(remaining);
+    ServicePlane& plane = *hosts.m_planes[0];
+    plane.OnEvidence(HostId("control"), evidence, hosts.m_now);
+    const Quarantine& quarantine = plane.RequestQuarantine();
+    BOOST_TEST(quarantine.IsQuarantined(Fingerprint(7), hosts.m_now) ==
+               (remaining > 0));
+    BOOST_TEST(!quarantine.IsQuarantined(Fingerprint(7),
+                                         hosts.m_now + std::chrono::hours(1)));
+  }
+}
+
 } // namespace fuchsiaramp
