--- a/tests/randomised/mutation_test.cc
+++ b/tests/randomised/mutation_test.cc
@@ -3,7 +3,13 @@
 #define BOOST_TEST_MODULE mutation
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
+#include <functional>
+#include <iterator>
+#include <memory>
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 #include "base/invariant.h"
 #include "base/random.h"
@@ -177,6 +183,266 @@
   }
 }
 
+// A control host and an entry host that follows it. Messages between them are
+// encoded and decoded.
+class OddRecordRun
+{
+public:
+  explicit OddRecordRun(std::uint64_t aSeed)
+    : m_random(aSeed)
+    , m_now(FromMicros(1'000'000))
+  {
+    StartControl();
+    StartEntry();
+    RunFor(std::chrono::seconds(3));
+    ListsChange change;
+    change.changeId = "first";
+    change.content = wire::ListsDelta();
+    change.content->set_full(true);
+    change.content->add_services()->set_name("profile");
+    wire::Route* route = change.content->add_open_routes();
+    route->set_name("route");
+    route->set_host("x.example");
+    route->set_path_prefix("/");
+    route->set_service("profile");
+    route->set_timeout_us(1'000'000);
+    route->set_max_servers(2);
+    m_control->ChangeLists(change, m_now, [](const ListsChangeReply&) {});
+    m_control->ReportServer(Valid("good", 1), m_now, [](bool) {});
+    RunFor(std::chrono::seconds(3));
+  }
+
+  void StartControl()
+  {
+    std::vector<GroupStorage> storage(1);
+    storage[0].stored.hardState.set_disk_id(7);
+    storage[0].hooks.append = [](const auto&, const auto&) {
+      return std::error_code();
+    };
+    storage[0].hooks.saveSnapshot =
+      [](const auto&, const auto&, const auto&, const auto&) {
+        return std::error_code();
+      };
+    ControlHooks hooks;
+    hooks.send = [this](const HostId& aTo, const wire::Envelope& aMessage) {
+      if (aTo == kEntry) {
+        m_toEntry.push_back(aMessage.SerializeAsString());
+      }
+    };
+    hooks.wallClock = [this] { return ToMicros(m_now); };
+    hooks.fatal = [](std::error_code) {};
+    hooks.record = [](const Event&) {};
+    ControlOptions options;
+    options.self = kControl;
+    options.hosts = { kControl };
+    options.consensus.mayBootstrap = true;
+    m_control = std::make_unique<ControlNode>(
+      options, std::move(storage), hooks, Random(m_random.Bits()), m_now);
+  }
+
+  void StartEntry()
+  {
+    m_attempts.clear();
+    EntryHooks hooks;
+    hooks.send = [this](const HostId& aTo, const wire::Envelope& aMessage) {
+      if (aTo == kControl) {
+        m_toControl.push_back(aMessage.SerializeAsString());
+      }
+    };
+    hooks.startAttempt = [this](const AttemptStart& aStart) {
+      BOOST_TEST(IsAddress(aStart.address), aStart.address);
+      m_attempts.push_back(aStart.id);
+      return ConnectionKind::kNew;
+    };
+    hooks.cancelAttempt = [this](AttemptId aId) {
+      std::erase(m_attempts, aId);
+    };
+    hooks.startProbe = [](ProbeId, const std::string& aAddress) {
+      BOOST_TEST(IsAddress(aAddress), aAddress);
+    };
+    hooks.answer = [](const FinalResponse&) {};
+    hooks.hostChanged = [](const wire::HostRecord&) {};
+    hooks.record = [](const Event&) {};
+    EntryOptions options;
+    options.settings = EntrySettings();
+    options.settings.membershipByControl = true;
+    m_entry = std::make_unique<EntryNode>(
+      options, hooks, Random(m_random.Bits()), m_now);
+  }
+
+  void RunFor(Duration aSpan)
+  {
+    const TimePoint end = m_now + aSpan;
+    while (m_now < end) {
+      m_now += std::chrono::milliseconds(20);
+      m_control->Tick(m_now);
+      m_control->Flush(m_now);
+      m_entry->Tick(m_now);
+      for (const std::string& message : std::exchange(m_toControl, {})) {
+        m_control->OnMessage(kEntry, Decoded(message), m_now);
+      }
+      for (const std::string& message : std::exchange(m_toEntry, {})) {
+        m_entry->OnMessage(kControl, Decoded(message), m_now);
+      }
+      EndAttempts();
+    }
+  }
+
+  void SendRequest()
+  {
+    RequestHead head;
+    head.id = RequestId(++m_lastRequest);
+    head.host = "x.example";
+    head.path = "/a";
+    head.tokenless = true;
+    head.deadline = m_now + std::chrono::seconds(1);
+    m_entry->OnRequest(head, m_now);
+  }
+
+  static wire::BackendServerRecord Valid(const std::string& aId, int aPort)
+  {
+    wire::BackendServerRecord record;
+    record.set_id(aId);
+    record.set_service("profile");
+    record.set_address("10.0.0.1:" + std::to_string(aPort));
+    record.set_failure_domain("a");
+    record.set_slots(4);
+    record.set_incarnation(5);
+    record.set_cold_us(0);
+    return record;
+  }
+
+  // A record as another writer could have stored it: each field is valid or
+  // odd.
+  wire::BackendServerRecord Odd()
+  {
+    const auto text = [this] {
+      static const std::string kTexts[] = {
+        "",
+        "x",
+        "a\r\nb",
+        std::string(1, '\0'),
+        "10.0.0.2",
+        "10.0.0.2:0",
+        "10.0.0.2:65536",
+        "10.0.0.2:99999999999999999999",
+        "0.0.0.0:80",
+        "*:*",
+        "profile",
+        std::string(70'000, '['),
+      };
+      return kTexts[m_random.Below(std::size(kTexts))];
+    };
+    const auto number = [this] {
+      static const std::uint64_t kNumbers[] = {
+        0, 1, 6, UINT32_MAX, 1ULL << 32U, INT64_MAX, 1ULL << 63U, UINT64_MAX,
+      };
+      return kNumbers[m_random.Below(std::size(kNumbers))];
+    };
+    const int server = static_cast<int>(m_random.Below(5));
+    wire::BackendServerRecord record =
+      Valid("odd-" + std::to_string(server), 100 + server);
+    using State = wire::BackendServerRecord::State;
+    const std::function<void()> changes[] = {
+      [&] { record.set_id(text()); },
+      [&] { record.set_service(text()); },
+      [&] { record.set_address(text()); },
+      [&] { record.set_failure_domain(text()); },
+      [&] { record.set_slots(static_cast<std::uint32_t>(number())); },
+      [&] { record.set_incarnation(number()); },
+      [&] { record.set_cold_us(static_cast<std::int64_t>(number())); },
+      [&] { record.set_revision(number()); },
+      [&] { record.set_state(static_cast<State>(m_random.Below(5))); },
+    };
+    const std::uint64_t count = m_random.Below(4);
+    for (std::uint64_t i = 0; i < count; ++i) {
+      changes[m_random.Below(std::size(changes))]();
+    }
+    return record;
+  }
+
+  // A snapshot restores the state, and a second one is the same.
+  void CheckSnapshot() const
+  {
+    const std::string snapshot = m_control->State(kListsGroup).Snapshot();
+    GroupState restored{ LedgerOptions() };
+    restored.Restore(snapshot);
+    BOOST_TEST((restored.Snapshot() == snapshot));
+  }
+
+  void CheckServers() const
+  {
+    BOOST_TEST(m_entry->ListsInForce().IsServing());
+    BOOST_TEST(m_entry->Servers().Find(BackendServerId("good")) != nullptr);
+    for (const auto& [id, server] : m_entry->Servers().All()) {
+      BOOST_TEST(IsAddress(server.address), server.address);
+      BOOST_TEST(!server.service.IsEmpty());
+    }
+  }
+
+  Random m_random;
+  TimePoint m_now;
+  std::unique_ptr<ControlNode> m_control;
+  std::unique_ptr<EntryNode> m_entry;
+
+private:
+  static wire::Envelope Decoded(const std::string& aMessage)
+  {
+    wire::Envelope envelope;
+    BOOST_TEST(envelope.ParseFromString(aMessage));
+    return envelope;
+  }
+
+  void EndAttempts()
+  {
+    for (const AttemptId id : std::exchange(m_attempts, {})) {
+      AttemptEnd end;
+      end.id = id;
+      end.status = 200;
+      m_entry->OnAttemptEnd(end, m_now);
+    }
+  }
+
+  inline static const HostId kControl{ "control-1" };
+  inline static const HostId kEntry{ "entry-1" };
+  std::vector<std::string> m_toControl;
+  std::vector<std::string> m_toEntry;
+  std::vector<AttemptId> m_attempts;
+  std::uint64_t m_lastRequest = 0;
+};
+
+// Other operators: machines that read one odd entry ended, or followed the list
+// no longer.
+BOOST_AUTO_TEST_CASE(OddRecordsOfServersLeaveTheOthersInUse)
+{
+  ThrowOnInvariantViolation();
+  const SeedRange seeds = SeedRangeFromEnvironment(40);
+  std::uint64_t leftOut = 0;
+  std::uint64_t answered = 0;
+  for (std::uint64_t i = 0; i < seeds.count; ++i) {
+    OddRecordRun run(seeds.first + i);
+    run.CheckServers();
+    for (int step = 0; step < 60; ++step) {
+      run.m_control->ReportServer(run.Odd(), run.m_now, [](bool) {});
+      run.SendRequest();
+      run.RunFor(std::chrono::milliseconds(100));
+      if (run.m_random.Chance(0.05)) {
+        run.CheckSnapshot();
+        run.StartEntry();
+      }
+      run.m_control->ReportServer(
+        OddRecordRun::Valid("good", 1), run.m_now, [](bool) {});
+    }
+    run.RunFor(std::chrono::seconds(3));
+    run.CheckSnapshot();
+    run.CheckServers();
+    leftOut += run.m_entry->ListsInForce().LeftOut();
+    answered += run.m_entry->Counters().answered;
+  }
+  BOOST_TEST(leftOut >= seeds.count);
+  BOOST_TEST(answered >= seeds.count);
+}
+
 BOOST_AUTO_TEST_CASE(ReadersSurviveMutatedDocuments)
 {
   const std::string lists =
