--- a/tests/support/load_caller.cc
+++ b/tests/support/load_caller.cc
@@ -3,6 +3,10 @@
 // and checks every response. When a request gets no response, the caller
 // queries the addresses again.
 //
+// With --keep-connections, each caller instead sends to one entry host on a
+// connection that it keeps until the entry host ends it, and connects again
+// until its process is gone.
+//
 // Prints one line of counts. The exit code is 1 when a response was wrong:
 // truncated, of another request, or without an outcome. Whether a request with
 // the outcome not-run was executed is checked with the run log.
@@ -16,7 +20,9 @@
 #include <tclap/CmdLine.h>
 
 #include "base/random.h"
+#include "kept_connection.h"
 #include "net/http_client.h"
+#include "net/monotonic.h"
 
 namespace fuchsiaramp {
 
@@ -32,6 +38,16 @@
   double keyed = 0.2; // share of requests with an idempotency key
   std::size_t callers = 8;
   std::size_t bodyBytes = 200;
+  bool keepsConnections = false;
+};
+
+// A request whose kept connection ended without its whole response.
+struct LostRequest
+{
+  std::string address;
+  std::string name;
+  std::int64_t sentAtMs = 0;
+  std::int64_t endedAtMs = 0;
 };
 
 struct LoadCounts
@@ -45,6 +61,7 @@
   std::vector<std::string> keysNotRun; // keys with the outcome not-run
   std::vector<std::string> keysAnswered;
   std::vector<double> latenciesMs;
+  std::vector<LostRequest> lost;
 };
 
 class Caller
@@ -55,6 +72,7 @@
     , m_counts(aCounts)
     , m_number(aNumber)
     , m_random(aNumber * 7919 + 1)
+    , m_kept(aOptions.entryHosts[aNumber % aOptions.entryHosts.size()])
   {
   }
 
@@ -103,11 +121,15 @@
 
   void Send(std::uint64_t aIndex)
   {
+    if (m_options.keepsConnections &&
+        !m_kept.Connect(std::chrono::milliseconds(500))) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      return;
+    }
     const bool keyed = m_random.Chance(m_options.keyed);
     const std::string name = m_options.keyPrefix + std::to_string(m_number) +
                              '-' + std::to_string(aIndex);
     HttpCallRequest request;
-    request.address = ChooseAddress();
     request.timeout = std::chrono::seconds(15);
     request.headers["Host"] = m_options.service;
     request.headers["Authorization"] = "Bearer " + m_options.token;
@@ -121,9 +143,12 @@
     }
     const auto start = Clock::now();
     std::error_code error;
-    const HttpCallResponse reply = HttpCall(request, error);
+    const HttpCallResponse reply = Call(request, error);
     if (error) {
       ++m_counts.unanswered;
+      if (m_options.keepsConnections) {
+        RecordLoss(name);
+      }
       m_addresses.clear();
       return;
     }
@@ -132,6 +157,25 @@
     RecordResponse(request, reply, name, keyed, latencyMs);
   }
 
+  HttpCallResponse Call(HttpCallRequest& aRequest, std::error_code& aError)
+  {
+    if (m_options.keepsConnections) {
+      return m_kept.Call(aRequest, aError);
+    }
+    aRequest.address = ChooseAddress();
+    return HttpCall(aRequest, aError);
+  }
+
+  void RecordLoss(const std::string& aName)
+  {
+    static constexpr std::int64_t kMicrosPerMs = 1000;
+    const std::lock_guard<std::mutex> guard(m_counts.lock);
+    m_counts.lost.push_back({ m_kept.Address(),
+                              aName,
+                              m_kept.SentAtMs(),
+                              WallClockMicros() / kMicrosPerMs });
+  }
+
   void RecordResponse(const HttpCallRequest& aRequest,
                       const HttpCallResponse& aResponse,
                       const std::string& aName,
@@ -181,6 +225,7 @@
   Random m_random;
   std::vector<std::string> m_addresses;
   Clock::time_point m_refreshAt;
+  KeptConnection m_kept;
 };
 
 static double
@@ -219,6 +264,10 @@
     for (const std::string& key : counts.keysAnswered) {
       std::cout << "key_answered=" << key << '\n';
     }
+    for (const LostRequest& lost : counts.lost) {
+      std::cout << "key_lost=" << lost.address << ' ' << lost.name << ' '
+                << lost.sentAtMs << ' ' << lost.endedAtMs << '\n';
+    }
   }
   return counts.wrong == 0 ? 0 : 1;
 }
@@ -254,6 +303,8 @@
   TCLAP::ValueArg<std::size_t> callers(
     "", "callers", "Callers.", false, 8, "N", line);
   TCLAP::SwitchArg list("", "list-keys", "Print keys by outcome.", line);
+  TCLAP::SwitchArg keep(
+    "", "keep-connections", "Keep sending on open connections.", line);
   line.parse(aCount, aArguments);
   fuchsiaramp::LoadOptions options;
   options.entryHosts = entry.getValue();
@@ -263,5 +314,6 @@
   options.seconds = seconds.getValue();
   options.keyed = keyed.getValue();
   options.callers = callers.getValue();
+  options.keepsConnections = keep.getValue();
   return fuchsiaramp::RunLoad(options, list.getValue());
 }
