Count a request as read by the soak only if its connection was not reset

The rule is about requests that a process has read as a whole.

A process that ends with unread bytes resets the connection; after a request that was read, with no other one behind it, the connection ends without a reset. So a reset before the first byte of a response no longer counts as read, unless the request ran. All other conditions stay.

--- a/tests/support/kept_connection.cc
+++ b/tests/support/kept_connection.cc
@@ -3,6 +3,7 @@
 #include <cctype>
 #include <utility>
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -82,6 +83,9 @@
   m_io.run();
   HttpCallResponse response;
   if (error) {
+    const bool isReset = error == boost::asio::error::connection_reset ||
+                         error == boost::asio::error::broken_pipe;
+    m_wasReset = isReset && !parser.got_some();
     aError = error;
     Close();
     return response;
--- a/tests/support/kept_connection.h
+++ b/tests/support/kept_connection.h
@@ -36,6 +36,10 @@
   // When the last byte of the request was sent, in ms since 1970.
   std::int64_t SentAtMs() const { return m_sentAtMs; }
 
+  // Whether the last call ended by a reset before a byte of its response: a
+  // process that ends without having read the whole request causes one.
+  bool WasReset() const { return m_wasReset; }
+
 private:
   void Close();
 
@@ -45,6 +49,7 @@
   boost::beast::flat_buffer m_buffer; // may hold bytes after a response
   bool m_isOpen = false;
   std::int64_t m_sentAtMs = 0;
+  bool m_wasReset = false;
 };
 
 } // namespace fuchsiaramp
