--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -98,6 +99,20 @@
     return socket;
   }
   void RunFor(Duration aSpan) { m_io.run_for(aSpan); }
+  // Runs until the condition holds, for 5 s of the server's time at most.
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    static constexpr int kTurns = 1000;
+    for (int i = 0; i < kTurns && !aCondition(); ++i) {
+      m_io.run_for(std::chrono::milliseconds(5));
+    }
+    return aCondition();
+  }
+  // Whether this many connections are in the given state.
+  bool Reaches(std::size_t ConnectionCounts::*aState, std::size_t aCount)
+  {
+    return RunUntil([&] { return m_server->Connections().*aState == aCount; });
+  }
   void SetBody(const std::string& aBody) { m_body = aBody; }
   HttpServer& Server() { return *m_server; }
 
@@ -238,9 +253,8 @@
   static constexpr int kReceiveBuffer = 4 << 10;
   const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
   tcp::socket socket = server.Connect(request + request, kReceiveBuffer);
-  server.RunFor(std::chrono::milliseconds(20));
+  BOOST_TEST(server.RunUntil([&] { return !server.Paths().empty(); }));
   asio::write(socket, asio::buffer(request));
-  server.RunFor(std::chrono::milliseconds(20));
   const std::string response = server.ReadFrom(socket);
   BOOST_TEST(response.size() > 300'000u);
   BOOST_TEST(server.Paths().size() == 1u);
@@ -251,8 +265,7 @@
   TestServer server;
   tcp::socket idle = server.Connect("");
   tcp::socket busy = server.Connect("");
-  server.RunFor(std::chrono::milliseconds(5));
-  BOOST_TEST(server.Server().Connections().idle == 2u);
+  BOOST_TEST(server.Reaches(&ConnectionCounts::idle, 2));
   server.Server().CloseAfterResponses();
   asio::write(busy,
               asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n"
@@ -270,10 +283,9 @@
   server.Server().CloseAfterResponses();
   const tcp::socket socket =
     server.Connect("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
-  server.RunFor(std::chrono::milliseconds(20));
-  BOOST_TEST(server.Server().Connections().closing == 1u);
-  server.RunFor(std::chrono::milliseconds(2200));
-  BOOST_TEST(server.Server().ConnectionCount() == 0u);
+  BOOST_TEST(server.Reaches(&ConnectionCounts::closing, 1));
+  BOOST_TEST(
+    server.RunUntil([&] { return server.Server().ConnectionCount() == 0; }));
 }
 
 BOOST_AUTO_TEST_CASE(AConnectionThatWasAnnouncedAsKeptIsKept)
@@ -283,8 +295,7 @@
   static constexpr int kReceiveBuffer = 4 << 10;
   const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
   tcp::socket socket = server.Connect(request, kReceiveBuffer);
-  server.RunFor(std::chrono::milliseconds(20));
-  BOOST_TEST(server.Server().Connections().responding == 1u);
+  BOOST_TEST(server.Reaches(&ConnectionCounts::responding, 1));
   server.Server().CloseAfterResponses();
   socket.non_blocking(true);
   std::string response;
@@ -337,8 +348,7 @@
   const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
   const tcp::socket first = server.Connect(request);
   const tcp::socket second = server.Connect(request);
-  server.RunFor(std::chrono::milliseconds(20));
-  BOOST_TEST(server.Server().Connections().closing == 2u);
+  BOOST_TEST(server.Reaches(&ConnectionCounts::closing, 2));
   BOOST_TEST(StatusOf(server.Exchange(request)) == "HTTP/1.1 200");
 }
 
