Quarantine a request only on evidence that servers did not crash by themselves

Callers got 422 on all entry hosts for 60 s for all requests of one method, path and body after two servers had crashed while they ran some of them, although the other servers went on serving them (DENIED). Quarantine took two broken servers for proof, and counted successes only of requests that had been broken before.

A request is quarantined now by three crashes, on two servers or more, with no success of its fingerprint meanwhile. A success, at any host, counts against all attempts that had begun by then; so crashes of many servers at once blame no request that others serve. The host that reported a crash, or that holds more evidence, tells all others of the next success; a host that saw one refutes the quarantine of another. A success ends a quarantine. One more crash after it renews it.

A crash on a reused connection was not counted. Such a run counts now if the connection was closed before the deadline and the server then refuses the next one within 2 s, so that the third crash is seen.

What is refused before an attempt is answered with 503 and the remaining time instead of 422: it did not run, may be proper, and its caller may come back. A request that was sent is not retried once it is quarantined, and gets 502; an attempt of it that still runs may end. Queued ones are refused, not started.

PoisonNotice has two optional fields. Older builds take the notice of a success for a quarantine that has ended; their own notices count as before.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -64,6 +64,7 @@
   attempt.service = aRequest.head.service;
   attempt.server = aServer;
   attempt.startedAt = aNow;
+  attempt.deadline = start.deadline;
   aRequest.stage = Stage::kAttempting;
   aRequest.excludedServers.insert(aServer);
   aRequest.runningAttempts.push_back(start.id);
@@ -183,9 +184,7 @@
   for (const BackendServerId& server : aRequest.brokenServers) {
     router->RecordBrokenConnection(server);
   }
-  if (!aRequest.brokenServers.empty()) {
-    m_services->RequestQuarantine().OnSuccess(aRequest.head.fingerprint);
-  }
+  m_services->OnServed(aRequest.head.service, aRequest.head.fingerprint, aNow);
   aRequest.mayHaveRun = true;
   if (!aRequest.claimAttempt.empty()) {
     ReportFinished(aRequest, aEnd, wire::LedgerRecord::FINISHED, aNow);
@@ -229,10 +228,7 @@
     aRequest.forceNewConnection = true;
     aRequest.excludedServers.erase(aAttempt.server);
   }
-  if (aEnd.outcome == AttemptOutcome::kBroken &&
-      OnBrokenConnection(aRequest, aAttempt, aNow)) {
-    return;
-  }
+  RecordCrashEvidence(aRequest, aAttempt, aEnd.outcome, aNow);
   if (!aRequest.runningAttempts.empty()) {
     // Another attempt of the request is still running. A hedge that was shed is
     // not counted, so that a later delay may start another.
@@ -253,30 +249,40 @@
               aNow);
 }
 
-// Returns whether the request has its final response.
-bool
-EntryNode::OnBrokenConnection(Request& aRequest,
-                              const Attempt& aAttempt,
-                              TimePoint aNow)
+// An attempt that its connection's end broke may have crashed its server. On a
+// reused connection that ends without a response, only a server that refuses
+// the next connection is held to have crashed.
+void
+EntryNode::RecordCrashEvidence(Request& aRequest,
+                               const Attempt& aAttempt,
+                               AttemptOutcome aOutcome,
+                               TimePoint aNow)
 {
-  aRequest.brokenServers.push_back(aAttempt.server);
-  const bool quarantined = m_services->OnBroken(
-    aRequest.head.service, aRequest.head.fingerprint, aAttempt.server, aNow);
-  if (!quarantined) {
-    return false;
+  const RequestHead& head = aRequest.head;
+  switch (aOutcome) {
+    case AttemptOutcome::kBroken:
+      aRequest.brokenServers.push_back(aAttempt.server);
+      m_services->OnBroken(head.service,
+                           head.fingerprint,
+                           aAttempt.server,
+                           aAttempt.startedAt,
+                           aNow);
+      break;
+    case AttemptOutcome::kSilent:
+      if (!IsDue(aAttempt.deadline, aNow)) {
+        m_services->OnClosed(head.service,
+                             head.fingerprint,
+                             aAttempt.server,
+                             aAttempt.startedAt,
+                             aNow);
+      }
+      break;
+    case AttemptOutcome::kRefused:
+      m_services->OnRefused(aAttempt.server, aNow);
+      break;
+    default:
+      break;
   }
-  if (!aRequest.claimAttempt.empty()) {
-    ReportFinished(aRequest, {}, wire::LedgerRecord::UNKNOWN, aNow);
-  }
-  Refuse(aRequest,
-         CallerOutcome::kUnknown,
-         422,
-         "this request broke the connection of every backend server that ran "
-         "it; change it before sending it again",
-         m_services->RequestQuarantine().Until(aRequest.head.fingerprint) -
-           aNow,
-         aNow);
-  return true;
 }
 
 bool
@@ -288,7 +294,8 @@
                              : aRequest.attemptsStarted - aRequest.attemptsShed;
   if (serversTried >= aRequest.maxServers ||
       IsDue(aRequest.head.deadline, aNow) || aRequest.callerDisconnected ||
-      !m_shutdown.EndsInTime(aRequest.head.deadline)) {
+      !m_shutdown.EndsInTime(aRequest.head.deadline) ||
+      IsQuarantined(aRequest, aNow)) {
     return false;
   }
   // Attempts that did not run put no load on the service, so a retry after them
@@ -468,7 +475,7 @@
 EntryNode::Hedge(Request& aRequest, const Attempt& aLate, TimePoint aNow)
 {
   if (!aRequest.repeatable || aRequest.hedges >= kMaxHedgesPerRequest ||
-      aRequest.callerDisconnected) {
+      aRequest.callerDisconnected || IsQuarantined(aRequest, aNow)) {
     return;
   }
   const bool allReached =
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -221,20 +221,34 @@
 EntryNode::FilterResult
 EntryNode::CheckQuarantine(Request& aRequest, TimePoint aNow)
 {
-  Quarantine& quarantine = m_services->RequestQuarantine();
-  if (!quarantine.IsQuarantined(aRequest.head.fingerprint, aNow)) {
+  if (!IsQuarantined(aRequest, aNow)) {
     return FilterResult::kContinue;
   }
-  Refuse(aRequest,
-         CallerOutcome::kNotRun,
-         422,
-         "this request broke the connection of every backend server that ran "
-         "it; change it before sending it again",
-         quarantine.Until(aRequest.head.fingerprint) - aNow,
-         aNow);
+  RefuseQuarantined(aRequest, aNow);
   return FilterResult::kDone;
 }
 
+bool
+EntryNode::IsQuarantined(const Request& aRequest, TimePoint aNow) const
+{
+  return m_services->RequestQuarantine().IsQuarantined(
+    aRequest.head.fingerprint, aNow);
+}
+
+// The request may be a proper one whose servers crashed for other reasons, so
+// its caller is told that it did not run and when to come back.
+void
+EntryNode::RefuseQuarantined(Request& aRequest, TimePoint aNow)
+{
+  FailRequest(aRequest,
+              nullptr,
+              "this request broke the connection of every backend server that "
+              "ran it",
+              m_services->RequestQuarantine().Until(aRequest.head.fingerprint) -
+                aNow,
+              aNow);
+}
+
 EntryNode::FilterResult
 EntryNode::CheckService(Request& aRequest, TimePoint aNow)
 {
@@ -427,6 +441,10 @@
          static_cast<double>(router->Outstanding()) < admission.limit.Limit()) {
     const RequestId id = admission.queue.Pop(aNow)->request;
     Request& request = m_requests.at(id);
+    if (IsQuarantined(request, aNow)) {
+      RefuseQuarantined(request, aNow);
+      continue;
+    }
     const bool localOnly = !IsDue(request.localOnlyUntil, aNow);
     const auto server = router->Choose(
       { request.repeatable, request.excludedServers, localOnly }, aNow);
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -204,6 +204,7 @@
     BackendServerId server;
     bool forwards = false; // to an entry host; server is empty
     TimePoint startedAt;
+    TimePoint deadline;
     ConnectionKind connection = ConnectionKind::kNew;
     // When the attempt is next counted as overdue; the interval doubles each
     // time.
@@ -307,9 +308,12 @@
   void DeferRetry(Request& aRequest, TimePoint aNow);
   void ReleaseDeferredRetries(TimePoint aNow);
   bool Requeue(Request& aRequest, TimePoint aNow);
-  bool OnBrokenConnection(Request& aRequest,
-                          const Attempt& aAttempt,
-                          TimePoint aNow);
+  void RecordCrashEvidence(Request& aRequest,
+                           const Attempt& aAttempt,
+                           AttemptOutcome aOutcome,
+                           TimePoint aNow);
+  bool IsQuarantined(const Request& aRequest, TimePoint aNow) const;
+  void RefuseQuarantined(Request& aRequest, TimePoint aNow);
   void FailRequest(Request& aRequest,
                    const AttemptEnd* aEnd,
                    const std::string& aReason,
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -618,63 +618,113 @@
     health, aVerdict.reporters(), aNow + Duration(aVerdict.lifetime_us()));
 }
 
-bool
+void
 ServicePlane::OnBroken(const ServiceName& aService,
                        Fingerprint aFingerprint,
                        const BackendServerId& aServer,
+                       TimePoint aStartedAt,
                        TimePoint aNow)
 {
-  const bool quarantined = m_quarantine.OnBroken(aFingerprint, aServer, aNow);
-  if (quarantined) {
+  if (!m_quarantine.IsEvidence(aFingerprint, aStartedAt)) {
+    return;
+  }
+  const BrokenRun run{ aServer, aStartedAt, true };
+  if (m_quarantine.OnBroken(aFingerprint, run, aNow)) {
     m_hooks.record(Event("request_quarantined")
                      .With("service", aService)
                      .With("fingerprint", aFingerprint));
-    SendQuarantineNotice(aService, aFingerprint, aNow);
-    return true;
+    SendQuarantine(aService, aFingerprint, aNow);
+    return;
   }
-  if (m_options.routing.sharesOutcomes) {
-    wire::Evidence evidence;
-    wire::PoisonNotice* notice = evidence.add_poison();
-    notice->set_fingerprint(aFingerprint.Value());
-    notice->set_broken_server(aServer.Value());
-    notice->set_service(aService.Value());
-    m_hooks.broadcast(evidence);
-    return m_quarantine.IsQuarantined(aFingerprint, aNow);
+  if (ArbitratesRequestsOf(aService)) {
+    return;
   }
-  const auto it = m_services.find(aService);
-  if (it != m_services.end() && it->second.arbiter != m_options.self &&
-      !it->second.arbiter.IsEmpty()) {
-    wire::Evidence evidence;
-    wire::PoisonNotice* notice = evidence.add_poison();
-    notice->set_fingerprint(aFingerprint.Value());
-    notice->set_broken_server(aServer.Value());
-    notice->set_service(aService.Value());
-    m_hooks.send(it->second.arbiter, evidence);
+  wire::PoisonNotice notice;
+  notice.set_fingerprint(aFingerprint.Value());
+  notice.set_broken_server(aServer.Value());
+  notice.set_began_us_ago((aNow - aStartedAt).count());
+  SendNotice(std::move(notice), aService);
+}
+
+void
+ServicePlane::OnClosed(const ServiceName& aService,
+                       Fingerprint aFingerprint,
+                       const BackendServerId& aServer,
+                       TimePoint aStartedAt,
+                       TimePoint aNow)
+{
+  m_quarantine.OnClosed({ aService, aFingerprint, { aServer, aStartedAt } },
+                        aNow);
+}
+
+void
+ServicePlane::OnRefused(const BackendServerId& aServer, TimePoint aNow)
+{
+  for (const SuspectedRun& closed : m_quarantine.TakeClosed(aServer, aNow)) {
+    OnBroken(
+      closed.service, closed.fingerprint, aServer, closed.run.startedAt, aNow);
   }
-  return m_quarantine.IsQuarantined(aFingerprint, aNow);
 }
 
-// The arbiter forwards the notice to all hosts that report on the service.
 void
-ServicePlane::SendQuarantineNotice(const ServiceName& aService,
-                                   Fingerprint aFingerprint,
-                                   TimePoint aNow)
+ServicePlane::OnServed(const ServiceName& aService,
+                       Fingerprint aFingerprint,
+                       TimePoint aNow)
+{
+  if (m_quarantine.OnSuccess(aFingerprint, aNow)) {
+    SendSuccess(aService, aFingerprint);
+  }
+}
+
+bool
+ServicePlane::ArbitratesRequestsOf(const ServiceName& aService) const
+{
+  const auto it = m_services.find(aService);
+  return it != m_services.end() && it->second.arbiter == m_options.self;
+}
+
+void
+ServicePlane::SendQuarantine(const ServiceName& aService,
+                             Fingerprint aFingerprint,
+                             TimePoint aNow)
+{
+  wire::PoisonNotice notice;
+  notice.set_fingerprint(aFingerprint.Value());
+  notice.set_remaining_us((m_quarantine.Until(aFingerprint) - aNow).count());
+  notice.set_began_us_ago((aNow - m_quarantine.BeganAt(aFingerprint)).count());
+  SendNotice(std::move(notice), aService);
+}
+
+// Hosts that do not know the field take it for a quarantine that has ended.
+void
+ServicePlane::SendSuccess(const ServiceName& aService, Fingerprint aFingerprint)
+{
+  wire::PoisonNotice notice;
+  notice.set_fingerprint(aFingerprint.Value());
+  notice.set_succeeded(true);
+  SendNotice(std::move(notice), aService);
+}
+
+// The arbiter forwards notices to all hosts that report on the service.
+void
+ServicePlane::SendNotice(wire::PoisonNotice aNotice,
+                         const ServiceName& aService)
 {
   const auto it = m_services.find(aService);
   if (it == m_services.end()) {
     return;
   }
+  aNotice.set_service(aService.Value());
   wire::Evidence evidence;
-  wire::PoisonNotice* notice = evidence.add_poison();
-  notice->set_fingerprint(aFingerprint.Value());
-  notice->set_service(aService.Value());
-  notice->set_remaining_us((m_quarantine.Until(aFingerprint) - aNow).count());
+  *evidence.add_poison() = std::move(aNotice);
   if (m_options.routing.sharesOutcomes) {
     m_hooks.broadcast(evidence);
     return;
   }
   if (it->second.arbiter != m_options.self) {
-    m_hooks.send(it->second.arbiter, evidence);
+    if (!it->second.arbiter.IsEmpty()) {
+      m_hooks.send(it->second.arbiter, evidence);
+    }
     return;
   }
   for (const auto& [host, until] : it->second.reporters) {
@@ -689,23 +739,43 @@
                                  const wire::PoisonNotice& aNotice,
                                  TimePoint aNow)
 {
+  if (aNotice.succeeded()) {
+    OnSuccessNotice(aFrom, aNotice, aNow);
+    return;
+  }
   const ServiceName service(aNotice.service());
   const Fingerprint fingerprint(aNotice.fingerprint());
-  const auto it = m_services.find(service);
-  const bool arbiter =
-    it != m_services.end() && it->second.arbiter == m_options.self;
+  const bool arbiter = ArbitratesRequestsOf(service);
+  const TimePoint beganAt =
+    aNow - std::max(Duration(), Duration(aNotice.began_us_ago()));
   if (!aNotice.broken_server().empty()) {
     const bool newlyQuarantined = m_quarantine.OnBroken(
-      fingerprint, BackendServerId(aNotice.broken_server()), aNow);
+      fingerprint, { BackendServerId(aNotice.broken_server()), beganAt }, aNow);
     if (arbiter && newlyQuarantined) {
-      SendQuarantineNotice(service, fingerprint, aNow);
+      SendQuarantine(service, fingerprint, aNow);
     }
     return;
   }
   const bool wasQuarantined = m_quarantine.IsQuarantined(fingerprint, aNow);
-  m_quarantine.Adopt(fingerprint, aNow + Duration(aNotice.remaining_us()));
-  if (arbiter && !wasQuarantined && aFrom != m_options.self) {
-    SendQuarantineNotice(service, fingerprint, aNow);
+  const bool adopted = m_quarantine.Adopt(
+    fingerprint, beganAt, aNow + Duration(aNotice.remaining_us()));
+  if (!adopted) {
+    SendSuccess(service, fingerprint);
+  } else if (arbiter && !wasQuarantined && aFrom != m_options.self) {
+    SendQuarantine(service, fingerprint, aNow);
+  }
+}
+
+void
+ServicePlane::OnSuccessNotice(const HostId& aFrom,
+                              const wire::PoisonNotice& aNotice,
+                              TimePoint aNow)
+{
+  const ServiceName service(aNotice.service());
+  const Fingerprint fingerprint(aNotice.fingerprint());
+  const bool changed = m_quarantine.OnSuccessElsewhere(fingerprint, aNow);
+  if (changed && ArbitratesRequestsOf(service) && aFrom != m_options.self) {
+    SendSuccess(service, fingerprint);
   }
 }
 
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -75,13 +75,26 @@
   // Forgets what requests showed about the paths from this host to servers.
   void ForgetPaths();
 
-  // A connection broke during this request; returns whether the request is
-  // quarantined.
-  bool OnBroken(const ServiceName& aService,
+  // A connection broke during an attempt of this request that began at
+  // aStartedAt.
+  void OnBroken(const ServiceName& aService,
                 Fingerprint aFingerprint,
                 const BackendServerId& aServer,
+                TimePoint aStartedAt,
                 TimePoint aNow);
-  Quarantine& RequestQuarantine() { return m_quarantine; }
+  // A reused connection was closed without a response to this request.
+  void OnClosed(const ServiceName& aService,
+                Fingerprint aFingerprint,
+                const BackendServerId& aServer,
+                TimePoint aStartedAt,
+                TimePoint aNow);
+  // A server refused a connection.
+  void OnRefused(const BackendServerId& aServer, TimePoint aNow);
+  // A server answered this request.
+  void OnServed(const ServiceName& aService,
+                Fingerprint aFingerprint,
+                TimePoint aNow);
+  const Quarantine& RequestQuarantine() const { return m_quarantine; }
 
   std::vector<ServiceName> Services() const;
   bool IsArbiter(const ServiceName& aService) const;
@@ -128,9 +141,15 @@
   void OnQuarantineNotice(const HostId& aFrom,
                           const wire::PoisonNotice& aNotice,
                           TimePoint aNow);
-  void SendQuarantineNotice(const ServiceName& aService,
-                            Fingerprint aFingerprint,
-                            TimePoint aNow);
+  void OnSuccessNotice(const HostId& aFrom,
+                       const wire::PoisonNotice& aNotice,
+                       TimePoint aNow);
+  bool ArbitratesRequestsOf(const ServiceName& aService) const;
+  void SendQuarantine(const ServiceName& aService,
+                      Fingerprint aFingerprint,
+                      TimePoint aNow);
+  void SendSuccess(const ServiceName& aService, Fingerprint aFingerprint);
+  void SendNotice(wire::PoisonNotice aNotice, const ServiceName& aService);
   void UpdateCells();
   void ShareWithCells(TimePoint aNow);
   void AddLoad(const ServiceName& aName,
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -516,6 +516,7 @@
   const ConnectionKind kind =
     isNew ? ConnectionKind::kNew : ConnectionKind::kReused;
   const bool silent = attempt.connection->silent;
+  attempt.isReused = !isNew;
   host.running[aStart.id] = attempt;
   const bool poison = pending != host.pending.end() && pending->second.poison;
   const std::uint64_t generation = host.generation;
@@ -628,13 +629,15 @@
     key = owner->second;
   }
   const TimePoint arrived = m_queue.Now();
+  const bool isSilent = m_options.crashesAreSilent && it->second.isReused;
   const std::uint64_t generation = host.generation;
+  const std::uint64_t accepted = m_servers[server]->AcceptedRequests();
   const Duration returnDelay = DelayTo(host, *m_servers[server]);
   m_servers[server]->HandleRequest(
     it->second.serverRequest,
     key,
     aPoison,
-    [this, aHost, generation, aAttempt, arrived, returnDelay](
+    [this, aHost, generation, aAttempt, arrived, returnDelay, isSilent](
       FakeResponse aResponse, std::uint32_t aLoad) {
       AttemptEnd end;
       end.id = aAttempt;
@@ -654,7 +657,8 @@
           end.status = 503;
           break;
         case FakeResponse::kBroken:
-          end.outcome = AttemptOutcome::kBroken;
+          end.outcome =
+            isSilent ? AttemptOutcome::kSilent : AttemptOutcome::kBroken;
           end.reportedLoad.reset();
           break;
         case FakeResponse::kRefused:
@@ -676,6 +680,9 @@
                    EndAttempt(aHost, aAttempt, end);
                  });
     });
+  if (aPoison && m_servers[server]->AcceptedRequests() > accepted) {
+    m_poisonRuns.push_back(arrived);
+  }
 }
 
 void
@@ -777,6 +784,10 @@
   if (!m_controlUp) {
     return;
   }
+  if (aMessage.has_evidence()) {
+    RelayEvidence(aFrom, aMessage);
+    return;
+  }
   wire::Envelope reply;
   if (aMessage.has_lists_pull()) {
     const ListsState& lists = m_lists.ListsPart();
@@ -807,6 +818,18 @@
   });
 }
 
+void
+EntryFleet::RelayEvidence(const HostId& aFrom, const wire::Envelope& aMessage)
+{
+  m_queue.At(m_queue.Now() + kControlDelay, [this, aFrom, aMessage] {
+    for (const HostState& host : m_hosts) {
+      if (host.id != aFrom) {
+        m_network.Send(HostId(kControlHost), host.id, aMessage, m_queue.Now());
+      }
+    }
+  });
+}
+
 Region
 EntryFleet::RegionOfHost(std::size_t aIndex) const
 {
--- a/packages/testing/entry_fleet.h
+++ b/packages/testing/entry_fleet.h
@@ -84,8 +84,10 @@
   double load = 0.5;        // share of the capacity of all slots
   double keyedShare = 0.05; // share of requests with an idempotency key
   double poisonRate = 0.0;  // poison requests per second; callers resend them
-  double openShare = 0.0;   // share of requests of open routes
-  double giveUpShare = 0.0; // share of callers that disconnect early
+  // A crash closes reused connections without a sign that the request ran.
+  bool crashesAreSilent = false;
+  double openShare = 0.0;           // share of requests of open routes
+  double giveUpShare = 0.0;         // share of callers that disconnect early
   std::size_t queueCapacity = 1000; // of each entry host
   Duration gracePeriod = Settings().gracePeriod;
 };
@@ -150,6 +152,8 @@
   // Returns how many keys, or sends on open routes, ran although their last
   // outcome was not-run.
   std::size_t FalseNotRuns() const;
+  // When poison requests began to run at servers.
+  const std::vector<TimePoint>& PoisonRuns() const { return m_poisonRuns; }
   // Called for each event that a host records.
   std::function<void(const HostId&, const Event&)> onEvent;
 
@@ -166,6 +170,7 @@
     TimePoint startedAt;
     Duration serviceTime{};
     std::optional<Connection> connection;
+    bool isReused = false; // the connection
     bool forwards = false; // to another host; the other fields are unused
   };
 
@@ -224,6 +229,7 @@
   void CancelAttempt(std::size_t aHost, AttemptId aAttempt);
   void OnResponse(std::size_t aHost, const FinalResponse& aResponse);
   void OnControlMessage(const HostId& aFrom, const wire::Envelope& aMessage);
+  void RelayEvidence(const HostId& aFrom, const wire::Envelope& aMessage);
   EntryHooks HooksOf(std::size_t aHost);
   EntryOptions OptionsOf(std::size_t aHost) const;
   Duration DelayTo(const HostState& aHost, const FakeServer& aServer) const;
@@ -246,6 +252,7 @@
   // Run ids of running attempts, by host and attempt.
   std::map<std::pair<std::size_t, AttemptId>, std::string> m_attemptRunIds;
   std::vector<RequestResult> m_results;
+  std::vector<TimePoint> m_poisonRuns;
   std::map<std::string, CallerOutcome> m_lastOutcome; // by run id
   std::set<std::string> m_repeatableRunIds;
   std::uint64_t m_nextRequest = 1;
