Answer what a leaving host still holds before the end of its grace period

A request that was taken before the SIGTERM, with a timeout longer than the grace period, on a connection that had gone silent, was held until the SIGKILL; its caller got nothing, and the process never ended by itself.

Requests that are still in hand half a second before the end of the grace period are now answered as unknown (504), which is what the caller would have to conclude from a cut connection as well, and the process ends. Nothing is ended earlier than that.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -531,10 +531,13 @@
 void
 EntryNode::CheckDeadlines(TimePoint aNow)
 {
+  // A caller of a host that is about to be killed gets a true answer instead of
+  // none.
+  const bool ending = m_shutdown.IsEnding(aNow);
   std::vector<RequestId> late;
   for (const auto& [id, request] : m_requests) {
     const bool isAttempting = request.stage == Stage::kAttempting;
-    if (isAttempting && IsDue(request.head.deadline, aNow)) {
+    if (isAttempting && (ending || IsDue(request.head.deadline, aNow))) {
       late.push_back(id);
     }
   }
@@ -545,7 +548,8 @@
     end.outcome = AttemptOutcome::kTimeout;
     FailRequest(request,
                 &end,
-                "no response before the deadline of the request",
+                ending ? "no response before this host had to stop"
+                       : "no response before the deadline of the request",
                 Jitter(kRetryAfterShed),
                 aNow);
   }
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -759,8 +759,7 @@
   const ServiceName service(aNotice.service());
   const Fingerprint fingerprint(aNotice.fingerprint());
   const bool arbiter = ArbitratesRequestsOf(service);
-  const TimePoint beganAt =
-    aNow - ToSpan(aNotice.began_us_ago());
+  const TimePoint beganAt = aNow - ToSpan(aNotice.began_us_ago());
   if (!aNotice.broken_server().empty()) {
     const bool newlyQuarantined = m_quarantine.OnBroken(
       fingerprint, { BackendServerId(aNotice.broken_server()), beganAt }, aNow);
--- a/packages/entry/shutdown_plan.cc
+++ b/packages/entry/shutdown_plan.cc
@@ -40,6 +40,12 @@
   return !IsClosed(aNow) && EndsInTime(aDeadline);
 }
 
+bool
+ShutdownPlan::IsEnding(TimePoint aNow) const
+{
+  return IsDue(m_finishBy, aNow);
+}
+
 bool
 ShutdownPlan::EndsInTime(TimePoint aDeadline) const
 {
--- a/packages/entry/shutdown_plan.h
+++ b/packages/entry/shutdown_plan.h
@@ -32,6 +32,8 @@
   // Whether a request that ends at aDeadline at the latest ends before the
   // process is killed. Others that are in hand are not started any more.
   bool EndsInTime(TimePoint aDeadline) const;
+  // Whether requests in hand are answered now, whatever their deadline.
+  bool IsEnding(TimePoint aNow) const;
   // When the host stops waiting for callers that neither complete their request
   // nor close their connection.
   TimePoint ExitBy() const { return m_exitBy; }
--- a/packages/entry/shutdown_plan_test.cc
+++ b/packages/entry/shutdown_plan_test.cc
@@ -52,6 +52,14 @@
   BOOST_TEST((plan.ExitBy() < kStart + seconds(6)));
 }
 
+BOOST_AUTO_TEST_CASE(AnswersTheRestWhileThereIsTimeToDeliver)
+{
+  const ShutdownPlan plan = BegunPlan(seconds(6), seconds(4));
+  BOOST_TEST(!plan.IsEnding(kStart + milliseconds(5499)));
+  BOOST_TEST(plan.IsEnding(kStart + milliseconds(5500)));
+  BOOST_TEST(!ShutdownPlan(seconds(6)).IsEnding(kStart));
+}
+
 BOOST_AUTO_TEST_CASE(RefusesAllRequestsOnceNoCallerHoldsTheAddress)
 {
   const ShutdownPlan plan = BegunPlan(seconds(6), seconds(4));
