Keep reading messages while the loop is late

Cause: with a receive limit of 2,000 messages a peer, ZeroMQ stops reading a connection when the loop is late. If the peer then resets that connection, the library takes it out of its poller and keeps it until the queue is read; the next heartbeat on it runs into the assertion. A paused daemon gets there as follows: its peers close the connection after 1.5 s without a heartbeat, and when it goes on, the library's thread reads faster than the loop.

Ruled out: storage and the log (the line is the library's own, before any of ours), the signal itself (SIGCONT arrives 0.4 to 2.8 s earlier).

Change: no receive limit. What bounds memory is how long a message may wait: the freshness filter drops what is older than its time to live without handling it, senders keep at most 2,000 unsent messages, and a paused process reads nothing. Weighed: no heartbeats (dead connections would be found late, and earlier builds go on sending theirs, which runs into the same assertion).

--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -13,7 +13,11 @@
 namespace fuchsiaramp {
 
 static constexpr Duration kMessageTtl = std::chrono::seconds(3);
-static constexpr int kMaxQueuedMessages = 2000; // messages per peer
+static constexpr int kMaxUnsentMessages = 2000; // messages per peer
+// Unlimited, since ZeroMQ ends the process if a connection closes while a full
+// queue keeps it from being read and a heartbeat is due on it. Messages that
+// waited for longer than their time to live are dropped unhandled.
+static constexpr int kMaxUnreadMessages = 0;
 static constexpr std::int64_t kMaxMessageBytes = 64 << 20;
 // These timeouts close a dead connection and reconnect without the kernel's
 // exponential backoff, so that hosts receive each other's messages within a
@@ -32,8 +36,8 @@
 SetCommonOptions(zmq::socket_t& aSocket)
 {
   aSocket.set(zmq::sockopt::linger, 0);
-  aSocket.set(zmq::sockopt::sndhwm, kMaxQueuedMessages);
-  aSocket.set(zmq::sockopt::rcvhwm, kMaxQueuedMessages);
+  aSocket.set(zmq::sockopt::sndhwm, kMaxUnsentMessages);
+  aSocket.set(zmq::sockopt::rcvhwm, kMaxUnreadMessages);
   aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
   aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
--- a/packages/net/message_transport.h
+++ b/packages/net/message_transport.h
@@ -1,7 +1,7 @@
 // Carries messages between the hosts of the system over ZeroMQ.
 //
-// One socket accepts connections, the other opens them; both have bounded
-// queues and drop messages when full. With keys, CURVE encrypts all traffic and
+// One socket accepts connections, the other opens them; both drop messages to
+// a peer whose send queue is full. With keys, CURVE encrypts all traffic and
 // only trusted keys may connect. A freshness filter drops late messages, so
 // that those queued during a partition have no effect after it.
 //
--- a/packages/net/message_transport_test.cc
+++ b/packages/net/message_transport_test.cc
@@ -180,4 +180,35 @@
   BOOST_TEST(Reaches(m_sender, HostId("peer"), m_peer));
 }
 
+// ZeroMQ aborted when it sent a heartbeat on such a connection.
+BOOST_FIXTURE_TEST_CASE(AConnectionThatClosesWhileItsMessagesWaitEndsNoProcess,
+                        TransportFixture)
+{
+  constexpr int kMessages = 20'000;
+  constexpr int kMessagesPerBurst = 500;
+  asio::io_context stalledIo;
+  TestHost stalled(stalledIo, "stalled", m_second);
+  const HostId stalledHost("stalled");
+  {
+    TestHost leaving(m_io, "leaving", FreeAddress());
+    leaving.m_transport.SetPeer(stalledHost, m_second, "");
+    BOOST_TEST(Reaches(leaving, stalledHost, stalled));
+    for (int i = 0; i < kMessages; ++i) {
+      leaving.m_transport.Send(stalledHost, wire::Envelope());
+      if (i % kMessagesPerBurst == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      }
+    }
+  }
+  // Several heartbeats.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  std::uint64_t received = 0;
+  while (stalled.m_transport.Counters().received != received) {
+    received = stalled.m_transport.Counters().received;
+    stalled.m_transport.Poll();
+  }
+  m_sender.m_transport.SetPeer(stalledHost, m_second, "");
+  BOOST_TEST(Reaches(m_sender, stalledHost, stalled));
+}
+
 } // namespace fuchsiaramp
