Refuse a TRACE request with a body instead of ending the process

Cause: prepare_payload() of the HTTP library throws for it, it was called for each request that is passed on, and an exception out of a handler ends the daemon. Class: work in hand is given up by an error of a library which the decisions don't know.

Change: such a request is refused with 400, as HTTP forbids it, and the length of a request that is passed on is set without that call. Ruled out elsewhere: the other callers of prepare_payload() build responses and requests of our own; a response of 204 or 304 can't carry a body past the parser.

--- a/packages/net/forwarding.cc
+++ b/packages/net/forwarding.cc
@@ -35,6 +35,17 @@
   return kDropped.count(name) == 0;
 }
 
+// prepare_payload() throws for methods that should have no body.
+static void
+SetContentLength(BackendRequest& aRequest)
+{
+  const http::verb method = aRequest.method();
+  if (!aRequest.body().empty() || method == http::verb::post ||
+      method == http::verb::put || method == http::verb::options) {
+    aRequest.content_length(aRequest.body().size());
+  }
+}
+
 BackendRequest
 ForwardedRequest(const HttpExchange::Request& aMessage,
                  const HeaderFilter& aPasses)
@@ -49,7 +60,7 @@
     }
   }
   request.body() = aMessage.body();
-  request.prepare_payload();
+  SetContentLength(request);
   return request;
 }
 
--- a/packages/net/request_framing.cc
+++ b/packages/net/request_framing.cc
@@ -59,6 +59,9 @@
       400, "the request has both Transfer-Encoding and Content-Length"
     };
   }
+  if (aMessage.method() == http::verb::trace && !aMessage.body().empty()) {
+    return FramingError{ 400, "a TRACE request must not have a body" };
+  }
   const std::string_view target = aMessage.target();
   if (HasDotSegment(target.substr(0, target.find('?')))) {
     return FramingError{ 400, "the path contains a '.' or '..' segment" };
