Refuse a header line or trailer that the parser can't hold

Cause: the fields of the HTTP library throw length_error for a name or value over 65,533 bytes. The limit of the header holds neither for trailers nor for what the parser does within an asynchronous read, whose exception ends the daemon.

Change: the session reads bytes and lets the parser work on them itself, where an exception is told apart and the request is refused with 431. Ruled out: the client for backend servers limits heads and trailers below that length.

Before: "unexpected exception thrown by server.Exchange" in both cases of http_server_test. After: 431, all cases of the test passed.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -1,16 +1,17 @@
 #include "net/http_server.h"
 
 #include <optional>
+#include <stdexcept>
 #include <unordered_set>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/buffer_ref.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "net/address.h"
@@ -220,12 +221,45 @@
     }
     // A long body may take longer than the header timeout.
     m_stream.expires_after(m_state->options.limits.idleTimeout);
-    http::async_read(
-      m_stream,
-      m_buffer,
-      *m_parser,
-      [self = shared_from_this()](const beast::error_code& aReadError,
-                                  std::size_t) { self->OnRead(aReadError); });
+    Parse();
+  }
+
+  // The parser throws for a header line or trailer that its fields can't hold.
+  beast::error_code ParseBufferedBytes()
+  {
+    m_parser->eager(true);
+    beast::error_code error;
+    try {
+      while (!error && !m_parser->is_done()) {
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
+      }
+    } catch (const std::length_error&) {
+      error = http::error::header_limit;
+    }
+    return error;
+  }
+
+  void Parse()
+  {
+    const beast::error_code error = ParseBufferedBytes();
+    const std::size_t capacity = beast::read_size(m_buffer, kReadAheadBytes);
+    if (error != http::error::need_more) {
+      OnRead(error);
+    } else if (capacity == 0) {
+      OnRead(http::error::buffer_overflow);
+    } else {
+      m_stream.async_read_some(
+        m_buffer.prepare(capacity),
+        [self = shared_from_this()](const beast::error_code& aError,
+                                    std::size_t aBytes) {
+          self->m_buffer.commit(aBytes);
+          if (aError) {
+            self->OnRead(aError);
+          } else {
+            self->Parse();
+          }
+        });
+    }
   }
 
   void OnRead(const beast::error_code& aError)
