Serve each connection that was accepted before accepting stopped

Cause: the event loop accepts a waiting connection at once and queues its handler. If accepting stops in between, the handler found the acceptor closed and dropped the connection.

Change: the handler serves its connection in any case; only the next accept depends on the acceptor.

Before: StatusOf(ReadFrom(second)) was empty. After: all three get 200.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -488,13 +488,13 @@
     m_acceptor.async_accept(
       [self = shared_from_this()](const beast::error_code& aError,
                                   tcp::socket aSocket) {
-        if (!self->m_acceptor.is_open()) {
-          return;
-        }
+        // Also if the acceptor has been closed since it accepted this one.
         if (!aError) {
           self->StartSession(std::move(aSocket));
         }
-        self->Accept();
+        if (self->m_acceptor.is_open()) {
+          self->Accept();
+        }
       });
   }
 
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -108,6 +108,15 @@
     }
     return aCondition();
   }
+  // Runs one handler at a time until the condition holds.
+  bool RunOneUntil(const std::function<bool()>& aCondition)
+  {
+    static constexpr int kHandlers = 100;
+    for (int i = 0; i < kHandlers && !aCondition(); ++i) {
+      m_io.run_one_for(std::chrono::milliseconds(5));
+    }
+    return aCondition();
+  }
   // Whether this many connections are in the given state.
   bool Reaches(std::size_t ConnectionCounts::*aState, std::size_t aCount)
   {
@@ -352,6 +361,22 @@
   BOOST_TEST(StatusOf(server.Exchange(request)) == "HTTP/1.1 200");
 }
 
+BOOST_AUTO_TEST_CASE(NoneOfSeveralWaitingConnectionsIsDroppedWhenAcceptingStops)
+{
+  TestServer server;
+  server.Server().CloseAfterResponses();
+  const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  tcp::socket first = server.Connect(request);
+  tcp::socket second = server.Connect(request);
+  tcp::socket third = server.Connect(request);
+  BOOST_TEST(
+    server.RunOneUntil([&] { return server.Server().ConnectionCount() == 1; }));
+  server.Server().StopAccepting();
+  BOOST_TEST(StatusOf(server.ReadFrom(first)) == "HTTP/1.1 200");
+  BOOST_TEST(StatusOf(server.ReadFrom(second)) == "HTTP/1.1 200");
+  BOOST_TEST(StatusOf(server.ReadFrom(third)) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(AHeaderLineThatIsTooLongForTheParserEndsNoProcess)
 {
   TestServer server;
