Keep a daemon running when its settings file can't be read

Cause: an iterator over the file's buffer throws on a read error, out of a handler of the event loop. Change: the file is copied into a stream, which reports the error as its state; the previous settings stay in force, as for invalid ones.

Before: process_settings_unreadable ended with event=start_failed error="basic_filebuf::underflow error reading the file: Is a directory". After: passed, and SIGHUP with a good file is followed.

--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -10,8 +10,8 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
-#include <iterator>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <system_error>
 #include <utility>
@@ -51,8 +51,11 @@
 ReadFile(const std::string& aPath, std::string& aText)
 {
   std::ifstream file(aPath, std::ios::binary);
-  aText.assign(std::istreambuf_iterator<char>(file), {});
-  return file.good() || file.eof();
+  std::ostringstream text;
+  // Unlike an iterator, this reports a read error as a state of the stream.
+  text << file.rdbuf();
+  aText = std::move(text).str();
+  return file.is_open() && !file.bad() && !text.bad();
 }
 
 static bool
