Keep the ledger groups of commands in hand when a control host names fewer

Cause: the list of group leaders shrank, and commands in hand index it by their group; with one group left the shard of a key was a division by zero.

Change: the list never shrinks.

Before: command_client_test "memory access violation" in Submit(). After: passed.

--- a/packages/control/command_client.cc
+++ b/packages/control/command_client.cc
@@ -25,7 +25,9 @@
 void
 CommandClient::SetGroupLeaders(const std::vector<std::string>& aLeaders)
 {
-  m_leaders.resize(aLeaders.size());
+  // Fewer groups than before come from a control host with other settings;
+  // keys and commands in hand belong to the groups known so far.
+  m_leaders.resize(std::max(m_leaders.size(), aLeaders.size()));
   for (std::size_t i = 0; i < aLeaders.size(); ++i) {
     if (!aLeaders[i].empty()) {
       m_leaders[i] = HostId(aLeaders[i]);
