Read stored state whose text is no UTF-8, without losing the rest

Cause: protobuf serialises text that is no UTF-8, but refuses to read it, and with it the whole message.

Change: Decode (wire/decode.h) reads a message, and if that fails writes the bytes that are not valid as "%ff" and reads it again. Two different texts stay different, lengths are computed anew, nothing else changes.

Such texts are counted (stored_texts_escaped_total) and logged (stored_text_escaped).

Not covered: a message of an earlier build that carries such text is still dropped on arrival, since message_transport parses envelopes by itself.

--- a/packages/base/text.cc
+++ b/packages/base/text.cc
@@ -59,4 +59,38 @@
   return true;
 }
 
+bool
+IsUtf8(std::string_view aText)
+{
+  char32_t character = 0;
+  while (!aText.empty()) {
+    if (!TakeCharacter(aText, character)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::string
+EscapeInvalidUtf8(std::string_view aText)
+{
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string escaped;
+  while (!aText.empty()) {
+    std::string_view rest = aText;
+    char32_t character = 0;
+    if (TakeCharacter(rest, character)) {
+      escaped += aText.substr(0, aText.size() - rest.size());
+      aText = rest;
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(aText.front());
+    escaped += '%';
+    escaped += kDigits[byte >> 4U];
+    escaped += kDigits[byte & 0xfU];
+    aText.remove_prefix(1);
+  }
+  return escaped;
+}
+
 } // namespace fuchsiaramp
--- a/packages/base/text.h
+++ b/packages/base/text.h
@@ -3,6 +3,7 @@
 //   if (!IsPrintable(name)) { ... refuse it ... }
 #pragma once
 
+#include <string>
 #include <string_view>
 
 namespace fuchsiaramp {
@@ -12,4 +13,11 @@
 bool
 IsPrintable(std::string_view aText);
 
+bool
+IsUtf8(std::string_view aText);
+
+// Writes the bytes that are not valid UTF-8 as "%ff".
+std::string
+EscapeInvalidUtf8(std::string_view aText);
+
 } // namespace fuchsiaramp
--- a/packages/base/text_test.cc
+++ b/packages/base/text_test.cc
@@ -32,4 +32,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(OnlyBytesThatAreNotUtf8AreEscaped)
+{
+  BOOST_TEST(EscapeInvalidUtf8("a\r\n\xc3\xbc%") == "a\r\n\xc3\xbc%");
+  BOOST_TEST(EscapeInvalidUtf8("a\xff\xc3") == "a%ff%c3");
+  BOOST_TEST(EscapeInvalidUtf8("\xed\xa0\x80z") == "%ed%a0%80z");
+  BOOST_TEST(EscapeInvalidUtf8("\xe2\x82z") == "%e2%82z");
+  BOOST_TEST(IsUtf8("a\r\n\xc3\xbc"));
+  BOOST_TEST(!IsUtf8("a\xff"));
+}
+
 } // namespace fuchsiaramp
--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -99,9 +99,7 @@
   };
   hooks.storage = std::move(aStorage.hooks);
   hooks.apply = [group](std::uint64_t, const std::string& aCommand) {
-    wire::Command command;
-    command.ParseFromString(aCommand);
-    return group->state.Apply(command).SerializeAsString();
+    return group->state.ApplySerialised(aCommand).SerializeAsString();
   };
   hooks.snapshot = [group] { return group->state.Snapshot(); };
   hooks.restore = [group](const std::string& aSnapshot) {
@@ -180,6 +178,7 @@
   for (const auto& group : m_groups) {
     group->node->Tick(aNow);
   }
+  RecordEscapedTexts();
   UpdateLeaders();
   m_commands.Tick(aNow);
   m_reports.Poll(aNow);
@@ -191,6 +190,28 @@
   }
 }
 
+std::size_t
+ControlNode::EscapedTexts() const
+{
+  std::size_t escaped = 0;
+  for (const auto& group : m_groups) {
+    escaped += group->state.EscapedTexts();
+  }
+  return escaped;
+}
+
+void
+ControlNode::RecordEscapedTexts()
+{
+  const std::size_t escaped = EscapedTexts();
+  if (escaped == m_recordedEscapedTexts) {
+    return;
+  }
+  m_hooks.record(Event("stored_text_escaped")
+                   .With("count", escaped - m_recordedEscapedTexts));
+  m_recordedEscapedTexts = escaped;
+}
+
 void
 ControlNode::SetJoinTargets(const std::vector<HostId>& aHosts)
 {
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -157,6 +157,8 @@
   const GroupState& State(std::size_t aGroup) const;
   // Evidence that was dropped to keep its rate within the limit.
   std::uint64_t DroppedEvidence() const { return m_evidence.Dropped(); }
+  // Texts of the stored state that were not valid UTF-8.
+  std::size_t EscapedTexts() const;
   const std::map<HostId, EntryHostStatus>& EntryHosts() const
   {
     return m_entryHosts;
@@ -206,6 +208,7 @@
   bool EndsNothing(const wire::Command& aCommand,
                    const wire::CommandResult& aResult) const;
   void ExpireServers(TimePoint aNow);
+  void RecordEscapedTexts();
   void UpdateLeaders();
   void HandOver(TimePoint aNow);
 
@@ -224,6 +227,7 @@
   std::map<HostId, wire::HostRecord> m_controlHostLocations;
   std::set<HostId> m_discoveredHosts; // passed to hostDiscovered
   TimePoint m_nextExpiryAt;
+  std::size_t m_recordedEscapedTexts = 0;
   bool m_leaving = false;
 };
 
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -85,7 +85,9 @@
     };
     hooks.wallClock = [this] { return ToMicros(m_now); };
     hooks.fatal = [](std::error_code) {};
-    hooks.record = [](const Event&) {};
+    hooks.record = [this](const Event& aEvent) {
+      m_escapeEvents += aEvent.Name() == "stored_text_escaped" ? 1 : 0;
+    };
     hooks.hostDiscovered = [this, aHost](const HostId& aOther) {
       m_discovered.emplace_back(aHost, aOther);
     };
@@ -145,6 +147,7 @@
   bool m_openMembership;
   std::vector<std::pair<HostId, HostId>> m_discovered; // by a host, which host
   HostId m_isolated; // sends nothing and receives nothing from control hosts
+  std::size_t m_escapeEvents = 0;
   std::vector<wire::Envelope> m_toEntryHosts;
   Random m_random{ 3 };
   FakeNetwork<wire::Envelope> m_network;
@@ -181,6 +184,92 @@
   BOOST_TEST(!group.Put("plans: 3\n", 1, "change-c").findings.empty());
 }
 
+static constexpr char kOdd[] = "o\xffp";
+
+// What a control host of an earlier build stored for an odd change.
+static std::string
+OddCommand()
+{
+  wire::Command command;
+  wire::PutLists* put = command.mutable_put_lists();
+  put->set_change_id("odd-change");
+  put->set_expected_version(1);
+  put->set_operator_name(kOdd);
+  put->mutable_delta()->set_from_version(1);
+  put->mutable_delta()->set_to_version(2);
+  put->mutable_delta()->add_plans()->set_name("r");
+  put->mutable_delta()->add_plans()->set_name(kOdd);
+  return command.SerializeAsString();
+}
+
+static std::string
+OddSnapshot()
+{
+  GroupState state{ LedgerOptions() };
+  wire::Command change;
+  change.mutable_put_lists()->set_change_id("first");
+  change.mutable_put_lists()->set_operator_name(kOdd);
+  change.mutable_put_lists()->mutable_delta()->set_to_version(1);
+  change.mutable_put_lists()->mutable_delta()->add_plans()->set_name("q");
+  state.Apply(change);
+  for (const char* id : { "i-1", kOdd, "i-2" }) {
+    wire::Command report;
+    report.mutable_server()->set_id(id);
+    report.mutable_server()->set_service("profile");
+    report.mutable_server()->set_address(std::string(id) + ":80");
+    state.Apply(report);
+  }
+  return state.Snapshot();
+}
+
+static void
+CheckThatNothingIsLost(const GroupState& aState)
+{
+  const ListsState& lists = aState.ListsPart();
+  BOOST_TEST(lists.Current().Version().Value() == 2u);
+  for (const char* plan : { "q", "r", "o%ffp" }) {
+    BOOST_TEST(lists.Current().FindPlan(PlanName(plan)) != nullptr, plan);
+  }
+  BOOST_REQUIRE(lists.Changes().size() == 2u);
+  BOOST_TEST(lists.Changes()[0].operator_name() == "o%ffp");
+  BOOST_TEST(lists.Changes()[1].operator_name() == "o%ffp");
+  for (const char* id : { "i-1", "i-2", "o%ffp" }) {
+    BOOST_TEST(aState.ServersPart().Find(id) != nullptr, id);
+  }
+  wire::StateSnapshot snapshot;
+  BOOST_TEST(snapshot.ParseFromString(aState.Snapshot()));
+}
+
+BOOST_AUTO_TEST_CASE(StoredTextThatIsNotUtf8EndsNoStart)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  for (auto& [host, disk] : group.m_disks) {
+    StoredState& lists = disk[0];
+    const std::uint64_t index = lists.entries.front().index();
+    const std::uint64_t term = lists.hardState.term();
+    lists.snapshot = OddSnapshot();
+    lists.snapshotMeta.set_index(index + 100);
+    lists.snapshotMeta.set_term(term);
+    *lists.snapshotMeta.mutable_configuration() =
+      group.m_nodes[host]->GroupNode(0).Members();
+    lists.entries.clear();
+    wire::LogEntry& entry = lists.entries.emplace_back();
+    entry.set_index(index + 101);
+    entry.set_term(term);
+    entry.set_command(OddCommand());
+  }
+  group.RestartAll();
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(group.Leader(0) != nullptr);
+  for (const auto& [host, node] : group.m_nodes) {
+    CheckThatNothingIsLost(node->State(0));
+  }
+  const auto reply = group.Put(kOther, 2, "next");
+  BOOST_TEST(reply.result.code() == wire::CommandResult::OK);
+  BOOST_TEST(group.m_escapeEvents >= 3u);
+}
+
 // Pulls from every control host and returns the confirmed versions.
 static std::vector<std::uint64_t>
 ConfirmedVersions(ControlGroup& aGroup)
--- a/packages/disk/segment_log.cc
+++ b/packages/disk/segment_log.cc
@@ -7,6 +7,7 @@
 
 #include "base/digest.h"
 #include "base/error.h"
+#include "wire/decode.h"
 
 namespace fuchsiaramp {
 
@@ -187,8 +188,9 @@
       break;
     }
     if (record.kind == RecordKind::kSnapshotMeta) {
-      aStored.snapshotMeta.ParseFromArray(
-        record.payload.data(), static_cast<int>(record.payload.size()));
+      if (!Decode(record.payload, aStored.snapshotMeta, m_escapedTexts)) {
+        return ErrorCode::kCorruptLog;
+      }
     } else if (record.kind == RecordKind::kSnapshotData) {
       aStored.snapshot += record.payload;
     }
@@ -215,13 +217,14 @@
     if (atEnd) {
       break;
     }
-    const int size = static_cast<int>(record.payload.size());
     if (record.kind == RecordKind::kHardState) {
-      aStored.hardState.ParseFromArray(record.payload.data(), size);
+      if (!Decode(record.payload, aStored.hardState, m_escapedTexts)) {
+        return ErrorCode::kCorruptLog;
+      }
       continue;
     }
     wire::LogEntry entry;
-    if (!entry.ParseFromArray(record.payload.data(), size)) {
+    if (!Decode(record.payload, entry, m_escapedTexts)) {
       return ErrorCode::kCorruptLog;
     }
     while (!aStored.entries.empty() &&
--- a/packages/disk/segment_log.h
+++ b/packages/disk/segment_log.h
@@ -32,6 +32,8 @@
   std::error_code Open(StoredState& aStored);
   // The hooks must not outlive this object.
   StorageHooks Hooks();
+  // Texts that Open read and that were not valid UTF-8.
+  std::size_t EscapedTexts() const { return m_escapedTexts; }
 
 private:
   enum class RecordKind : unsigned char
@@ -75,6 +77,7 @@
   std::uint64_t m_maxBytes;
   std::uint64_t m_generation = 0; // number in the names of the current files
   std::uint64_t m_segmentBytes = 0;
+  std::size_t m_escapedTexts = 0;
 };
 
 } // namespace fuchsiaramp
--- a/packages/disk/segment_log_test.cc
+++ b/packages/disk/segment_log_test.cc
@@ -51,6 +51,35 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(HostsWhoseNameIsNotUtf8AreReadAgain)
+{
+  FakeFiles disk;
+  Random random(4);
+  StoredState stored;
+  SegmentLog log(disk.Hooks(), random, kMaxBytes);
+  BOOST_REQUIRE(!log.Open(stored));
+  stored.hardState.set_term(3);
+  stored.hardState.set_voted_for("a\xff");
+  wire::LogEntry entry = Entry(4, 1);
+  entry.mutable_configuration()->add_members()->set_host("a\xff");
+  entry.mutable_configuration()->add_members()->set_host("b");
+  wire::SnapshotMeta meta;
+  *meta.mutable_configuration() = entry.configuration();
+  meta.set_index(3);
+  BOOST_REQUIRE(
+    !log.Hooks().saveSnapshot(stored.hardState, meta, "state", { entry }));
+  SegmentLog reopened(disk.Hooks(), random, kMaxBytes);
+  StoredState recovered;
+  BOOST_REQUIRE(!reopened.Open(recovered));
+  BOOST_TEST(recovered.hardState.term() == 3u);
+  BOOST_TEST(recovered.hardState.disk_id() == stored.hardState.disk_id());
+  BOOST_TEST(recovered.snapshotMeta.index() == 3u);
+  BOOST_TEST(recovered.snapshotMeta.configuration().members_size() == 2);
+  BOOST_REQUIRE(recovered.entries.size() == 1u);
+  BOOST_TEST(recovered.entries[0].configuration().members(1).host() == "b");
+  BOOST_TEST(reopened.EscapedTexts() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(SnapshotReplacesTheLogAtomically)
 {
   FakeFiles disk;
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -155,6 +155,11 @@
                       .With("error", aError.message()));
         return storage;
       }
+      if (m_segmentLogs.back()->EscapedTexts() > 0) {
+        m_log.Write(Event("stored_text_escaped")
+                      .With("folder", folder)
+                      .With("count", m_segmentLogs.back()->EscapedTexts()));
+      }
       group.hooks = m_segmentLogs.back()->Hooks();
       storage.push_back(std::move(group));
     }
@@ -439,6 +444,9 @@
     m_metrics.Gauge("evidence_dropped_total", [this] {
       return static_cast<double>(m_node->DroppedEvidence());
     });
+    m_metrics.Gauge("stored_texts_escaped_total", [this] {
+      return static_cast<double>(m_node->EscapedTexts());
+    });
     m_metrics.Gauge("lists_version", [this] {
       return static_cast<double>(
         m_node->State(kListsGroup).ListsPart().Current().Version().Value());
--- a/packages/state/group_state.cc
+++ b/packages/state/group_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/invariant.h"
+#include "wire/decode.h"
 
 namespace fuchsiaramp {
 
@@ -30,6 +31,19 @@
   return wire::CommandResult();
 }
 
+wire::CommandResult
+GroupState::ApplySerialised(const std::string& aCommand)
+{
+  wire::Command command;
+  if (!Decode(aCommand, command, m_escapedTexts)) {
+    wire::CommandResult result;
+    result.set_code(wire::CommandResult::INVALID);
+    result.set_text("the command cannot be decoded");
+    return result;
+  }
+  return Apply(command);
+}
+
 std::string
 GroupState::Snapshot() const
 {
@@ -45,7 +59,7 @@
 GroupState::Restore(const std::string& aSnapshot)
 {
   wire::StateSnapshot snapshot;
-  CheckInvariant(snapshot.ParseFromString(aSnapshot),
+  CheckInvariant(Decode(aSnapshot, snapshot, m_escapedTexts),
                  "a snapshot that passed its checksum can be decoded");
   m_lists.Restore(snapshot);
   m_ledger.Restore(snapshot);
--- a/tests/randomised/mutation_test.cc
+++ b/tests/randomised/mutation_test.cc
@@ -192,7 +192,9 @@
     : m_random(aSeed)
     , m_now(FromMicros(1'000'000))
   {
-    StartControl();
+    StoredState blank;
+    blank.hardState.set_disk_id(7);
+    StartControl(std::move(blank));
     StartEntry();
     RunFor(std::chrono::seconds(3));
     ListsChange change;
@@ -212,10 +214,10 @@
     RunFor(std::chrono::seconds(3));
   }
 
-  void StartControl()
+  void StartControl(StoredState aStored)
   {
     std::vector<GroupStorage> storage(1);
-    storage[0].stored.hardState.set_disk_id(7);
+    storage[0].stored = std::move(aStored);
     storage[0].hooks.append = [](const auto&, const auto&) {
       return std::error_code();
     };
@@ -240,6 +242,20 @@
       options, std::move(storage), hooks, Random(m_random.Bits()), m_now);
   }
 
+  // Starts the control host again from a snapshot of all that it applied.
+  void RestartControl()
+  {
+    const Node& node = m_control->GroupNode(kListsGroup);
+    StoredState stored;
+    stored.hardState.set_disk_id(7);
+    stored.hardState.set_term(node.Term());
+    stored.snapshotMeta.set_index(node.Applied());
+    stored.snapshotMeta.set_term(node.Term());
+    *stored.snapshotMeta.mutable_configuration() = node.Members();
+    stored.snapshot = m_control->State(kListsGroup).Snapshot();
+    StartControl(std::move(stored));
+  }
+
   void StartEntry()
   {
     m_attempts.clear();
@@ -322,6 +338,7 @@
         "x",
         "a\r\nb",
         std::string(1, '\0'),
+        "x\xff",
         "10.0.0.2",
         "10.0.0.2:0",
         "10.0.0.2:65536",
@@ -430,6 +447,10 @@
         run.CheckSnapshot();
         run.StartEntry();
       }
+      if (run.m_random.Chance(0.03)) {
+        run.RestartControl();
+        run.RunFor(std::chrono::seconds(3));
+      }
       run.m_control->ReportServer(
         OddRecordRun::Valid("good", 1), run.m_now, [](bool) {});
     }
