Give callers no address of a host that cannot be connected to

What callers would see: a record of a host with an odd caller address (empty, a name, no port, port 0 or out of range, 0.0.0.0, or 70,000 brackets) was handed out by the directory as it was, and counted as one of the few hosts that are advertised. Requests of a host that is cut off were forwarded to such an address, one of the three tries of a request.

Cause: records of hosts were checked for what this host uses itself (name, state, numbers, message address), but not for what it passes on to callers.

Change: such a host is neither advertised nor named for a service nor chosen as a forwarding peer, and it does not hide that all others are cut off. Its record stays in the table, since messages can still be sent to it. It is counted with the records left out, and logged once (caller_address_left_out).

Failed before, with the check taken out: HostsWithAnOddCallerAddressAreNotGivenToCallers 18 checks, APeerWithAnOddAddressIsNotForwardedTo 4 checks. Both pass now; membership_test, entry_run_test, cut_off_host_run_test, full_queue_run_test, poison_run_test, server_limit_run_test and mutation_test pass, whose simulated hosts have addresses now instead of their names.

A host that is set to accept on 0.0.0.0 is left out too: callers could not use that address.

--- a/packages/entry/advertised_hosts.cc
+++ b/packages/entry/advertised_hosts.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "membership/record_check.h"
 
 namespace fuchsiaramp {
 
@@ -28,12 +29,19 @@
                   static_cast<std::size_t>(std::lround(share)));
 }
 
+static bool
+IsAvailable(const wire::HostRecord& aHost)
+{
+  return aHost.state() == wire::HostRecord::ALIVE &&
+         IsConnectableAddress(aHost.caller_address());
+}
+
 static bool
 AreAllCutOff(const std::unordered_map<std::string, wire::HostRecord>& aHosts)
 {
   return std::all_of(aHosts.begin(), aHosts.end(), [](const auto& aItem) {
     const wire::HostRecord& host = aItem.second;
-    return host.state() != wire::HostRecord::ALIVE || host.cut_off();
+    return !IsAvailable(host) || host.cut_off();
   });
 }
 
@@ -52,7 +60,7 @@
   // Includes hosts that are cut off: their callers need as many others.
   std::size_t inDomain = 0;
   for (const auto& [name, record] : aHosts) {
-    if (record.state() != wire::HostRecord::ALIVE) {
+    if (!IsAvailable(record)) {
       continue;
     }
     const bool sameDomain = record.failure_domain() == aDomain.Value();
--- a/packages/entry/advertised_hosts.h
+++ b/packages/entry/advertised_hosts.h
@@ -34,7 +34,8 @@
 double
 ShareForLink(double aPreferredShare, double aLinkMbps);
 
-// Best first. Hosts that are cut off from the backend servers are replaced by
+// Best first. Hosts without an address that can be connected to are left out.
+// Hosts that are cut off from the backend servers are replaced by
 // the next closest ones, unless all hosts are. Every host with the same host
 // table gets the same result.
 std::vector<const wire::HostRecord*>
--- a/packages/entry/advertised_hosts_test.cc
+++ b/packages/entry/advertised_hosts_test.cc
@@ -23,6 +23,7 @@
     record.set_region(aRegion);
     record.set_failure_domain(aDomain);
     record.set_state(wire::HostRecord::ALIVE);
+    record.set_caller_address("10.0.0.1:" + std::to_string(i + 1));
   }
 }
 
@@ -37,6 +38,19 @@
   return names;
 }
 
+static const std::string kOddAddresses[] = {
+  "",
+  "x",
+  "10.0.0.1",
+  "10.0.0.1:0",
+  "10.0.0.1:65536",
+  "10.0.0.1:99999999999999999999",
+  "0.0.0.0:80",
+  "*:80",
+  "10.0.0.1:80\r\nX: y",
+  std::string(70'000, '['),
+};
+
 static const AdvertisingOptions kOneThird{ 1.0 / 3.0, 2 };
 
 BOOST_AUTO_TEST_CASE(LargeDomainAdvertisesMoreHosts)
@@ -70,6 +84,23 @@
   BOOST_TEST(AdvertisedNames(table, kOneThird).count("r-a-0") == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(HostsWithAnOddCallerAddressAreNotGivenToCallers)
+{
+  for (const std::string& odd : kOddAddresses) {
+    HostTable table;
+    AddHosts(table, "r", "r-a", 3);
+    AddHosts(table, "r", "r-b", 1);
+    table["r-a-0"].set_caller_address(odd);
+    table["r-a-1"].set_caller_address(odd);
+    const std::set<std::string> expected = { "r-a-2", "r-b-0" };
+    BOOST_TEST((AdvertisedNames(table, kOneThird) == expected), odd);
+    // It is not the host that keeps those that are cut off from being named.
+    table["r-a-2"].set_cut_off(true);
+    table["r-b-0"].set_cut_off(true);
+    BOOST_TEST((AdvertisedNames(table, kOneThird) == expected), odd);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CountsAllAdvertisedHosts)
 {
   // Failure domains of 1, 5 and 24 hosts advertise 1, 2 and 8 hosts.
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -7,6 +7,7 @@
 #include "base/digest.h"
 #include "base/invariant.h"
 #include "entry/advertised_hosts.h"
+#include "membership/record_check.h"
 #include "routing/rendezvous.h"
 
 namespace fuchsiaramp {
@@ -299,7 +300,8 @@
   std::vector<HostId> cutOff;
   for (const HostId& host : m_membership->AliveHosts()) {
     const wire::HostRecord* record = m_membership->Table().FindHost(host);
-    if (record->state() == wire::HostRecord::ALIVE) {
+    if (record->state() == wire::HostRecord::ALIVE &&
+        IsConnectableAddress(record->caller_address())) {
       (record->cut_off() ? cutOff : hosts).push_back(host);
     }
   }
--- a/packages/entry/forwarding_peer.cc
+++ b/packages/entry/forwarding_peer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "membership/record_check.h"
+
 namespace fuchsiaramp {
 
 const wire::HostRecord*
@@ -16,8 +18,8 @@
   for (const auto& [name, record] : aHosts) {
     const HostId host(name);
     if (record.state() != wire::HostRecord::ALIVE || record.cut_off() ||
-        record.caller_address().empty() || host == aOrigin.self ||
-        aOrigin.excluded.count(host) != 0) {
+        !IsConnectableAddress(record.caller_address()) ||
+        host == aOrigin.self || aOrigin.excluded.count(host) != 0) {
       continue;
     }
     const bool sameDomain = record.failure_domain() == aOrigin.domain.Value();
--- a/packages/entry/forwarding_peer_test.cc
+++ b/packages/entry/forwarding_peer_test.cc
@@ -17,7 +17,7 @@
   record.set_host(aName);
   record.set_region(aRegion);
   record.set_failure_domain(aDomain);
-  record.set_caller_address(aName);
+  record.set_caller_address("10.0.0.1:" + std::to_string(aTable.size()));
 }
 
 static std::set<std::string>
@@ -54,4 +54,16 @@
               std::set<std::string>{ "" }));
 }
 
+BOOST_AUTO_TEST_CASE(APeerWithAnOddAddressIsNotForwardedTo)
+{
+  HostTable table;
+  AddHost(table, "a1", "a");
+  AddHost(table, "b1", "b");
+  for (const char* odd :
+       { "x", "10.0.0.1:0", "10.0.0.1:65536", "0.0.0.0:80" }) {
+    table["a1"].set_caller_address(odd);
+    BOOST_TEST((SelectedPeers(table) == std::set<std::string>{ "b1" }), odd);
+  }
+}
+
 } // namespace fuchsiaramp
--- a/packages/membership/membership.cc
+++ b/packages/membership/membership.cc
@@ -298,11 +298,26 @@
         .With("peer", aRecord.host())
         .With("state", wire::HostRecord::State_Name(aRecord.state()))
         .With("peer_incarnation", aRecord.incarnation()));
+    RecordOddCallerAddress(aRecord);
     m_hooks.hostChanged(aRecord);
   }
   return true;
 }
 
+// Control hosts have no address for callers.
+void
+Membership::RecordOddCallerAddress(const wire::HostRecord& aRecord)
+{
+  const std::string& address = aRecord.caller_address();
+  if (address.empty() || IsConnectableAddress(address)) {
+    return;
+  }
+  ++m_leftOut;
+  m_hooks.record(Event("caller_address_left_out")
+                   .With("peer", aRecord.host())
+                   .With("bytes", address.size()));
+}
+
 // Overrides a false record about this host by one with a higher revision. If
 // that record has a higher incarnation, the clock of this host went back across
 // a restart; the host then adopts an incarnation above it.
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -119,6 +119,7 @@
   void Suspect(const HostId& aHost, TimePoint aNow);
   bool MergeHost(const wire::HostRecord& aRecord, TimePoint aNow);
   void MergeServer(const wire::BackendServerRecord& aRecord);
+  void RecordOddCallerAddress(const wire::HostRecord& aRecord);
   void Refute(const wire::HostRecord& aRecord);
   void MergeAll(const HostId& aFrom,
                 const wire::Gossip& aGossip,
--- a/packages/membership/record_check.cc
+++ b/packages/membership/record_check.cc
@@ -26,6 +26,12 @@
            : "";
 }
 
+bool
+IsConnectableAddress(const std::string& aAddress)
+{
+  return IsAddress(aAddress) && !aAddress.starts_with("0.0.0.0:");
+}
+
 std::string
 FindProblem(const wire::BackendServerRecord& aRecord)
 {
@@ -47,8 +53,7 @@
              "printable text";
     }
   }
-  if (!IsAddress(aRecord.address()) ||
-      aRecord.address().compare(0, 8, "0.0.0.0:") == 0) {
+  if (!IsConnectableAddress(aRecord.address())) {
     return "the address must be an IP address and a port";
   }
   if (aRecord.slots() > kMaxSlots) {
--- a/packages/membership/record_check.h
+++ b/packages/membership/record_check.h
@@ -19,7 +19,13 @@
 std::string
 FindProblem(const wire::BackendServerRecord& aRecord);
 
+// An odd caller address is no problem of the record: the host can still be sent
+// messages.
 std::string
 FindProblem(const wire::HostRecord& aRecord);
 
+// Whether the address is an IP address and a port that can be connected to.
+bool
+IsConnectableAddress(const std::string& aAddress);
+
 } // namespace fuchsiaramp
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -29,6 +29,7 @@
 static constexpr Duration kPatience = std::chrono::seconds(1);
 static constexpr char kControlHost[] = "control-1";
 static const std::string kServerAddress = "10.0.0.1:";
+static const std::string kCallerAddress = "10.0.0.2:";
 
 Deployment
 AdzoaProfile()
@@ -195,7 +196,7 @@
   options.settings.host = host.id;
   options.settings.region = host.region;
   options.settings.failureDomain = host.domain;
-  options.settings.callerAddress = host.id.Value();
+  options.settings.callerAddress = CallerAddressOf(aHost);
   options.settings.messageAddress = host.id.Value();
   options.settings.routing = m_deployment.routing;
   options.settings.gracePeriod = m_options.gracePeriod;
@@ -490,6 +491,12 @@
   return kServerAddress + std::to_string(aServer + 1);
 }
 
+std::string
+EntryFleet::CallerAddressOf(std::size_t aHost)
+{
+  return kCallerAddress + std::to_string(aHost + 1);
+}
+
 std::size_t
 EntryFleet::IndexAtAddress(const std::string& aAddress)
 {
@@ -575,10 +582,11 @@
   const ForwardOrigin origin{ aHost, host.generation, aStart.id };
   m_queue.At(m_queue.Now() + kForwardTime,
              [this, origin, sent = host.pending.at(aStart.request), aStart] {
-               for (HostState& peer : m_hosts) {
-                 if (peer.id.Value() != aStart.address) {
+               for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+                 if (CallerAddressOf(i) != aStart.address) {
                    continue;
                  }
+                 HostState& peer = m_hosts[i];
                  if (!peer.up) {
                    AttemptEnd refused;
                    refused.outcome = AttemptOutcome::kRefused;
--- a/packages/testing/entry_fleet.h
+++ b/packages/testing/entry_fleet.h
@@ -235,6 +235,7 @@
   Duration DelayTo(const HostState& aHost, const FakeServer& aServer) const;
   std::size_t IndexOf(const BackendServerId& aServer) const;
   static std::string AddressOf(std::size_t aServer);
+  static std::string CallerAddressOf(std::size_t aHost);
   static std::size_t IndexAtAddress(const std::string& aAddress);
 
   Deployment m_deployment;
--- a/packages/testing/load_model.cc
+++ b/packages/testing/load_model.cc
@@ -97,7 +97,7 @@
   options.settings.host = host.id;
   options.settings.region = RegionOf(host.domain);
   options.settings.failureDomain = DomainOf(host.domain);
-  options.settings.callerAddress = host.id.Value();
+  options.settings.callerAddress = "10.1.0.1:" + std::to_string(aHost + 1);
   options.settings.messageAddress = host.id.Value();
   options.settings.routing = m_options.routing;
   options.settings.membershipByControl = true;
