Refuse an idempotency key that no message can carry, at once

What callers saw: a request of a route that needs a key, with a key that is no UTF-8 (any bytes can stand in a header), waited for two seconds for the claim and one for the fence, and was then told that its outcome is unknown, each time that it was sent.

Cause: the claim was serialised with the key, and the control hosts dropped the message as malformed (protobuf refuses text that is no UTF-8). No process ended, and no state was spoiled.

Change: such a key is refused with 400 and outcome not-run. Routes that need no key ignore it as before.

Failed before: mutation_test AKeyThatNoMessageCanCarryIsRefusedAtOnce (the claim cannot be parsed, no answer). Passes now, with the whole mutation_test.

--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -5,6 +5,7 @@
 
 #include "base/digest.h"
 #include "base/invariant.h"
+#include "base/text.h"
 #include "entry/entry_node.h"
 
 namespace fuchsiaramp {
@@ -206,11 +207,14 @@
 EntryNode::CheckKey(Request& aRequest, TimePoint aNow)
 {
   const std::string& key = aRequest.head.key.Value();
-  if (aRequest.needsClaim && (key.empty() || key.size() > kMaxKeyLength)) {
+  const bool isValid =
+    !key.empty() && key.size() <= kMaxKeyLength && IsUtf8(key);
+  if (aRequest.needsClaim && !isValid) {
     Refuse(aRequest,
            CallerOutcome::kNotRun,
            400,
-           "a request of this route needs an Idempotency-Key of 1 to 200 bytes",
+           "a request of this route needs an Idempotency-Key of 1 to 200 bytes "
+           "of UTF-8 text",
            std::nullopt,
            aNow);
     return FilterResult::kDone;
--- a/tests/randomised/mutation_test.cc
+++ b/tests/randomised/mutation_test.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/digest.h"
 #include "base/invariant.h"
 #include "base/random.h"
 #include "control/control_node.h"
@@ -464,6 +465,120 @@
   BOOST_TEST(answered >= seeds.count);
 }
 
+// An entry host with a customer whose requests need a key. Its messages to the
+// control host are encoded and decoded.
+class KeyedRequestRun
+{
+public:
+  KeyedRequestRun()
+    : m_now(FromMicros(1'000'000))
+    , m_entry(Options(), Hooks(), Random(1), m_now)
+  {
+    wire::Envelope envelope;
+    wire::ListsPush& push = *envelope.mutable_lists_push();
+    push.set_confirmed(true);
+    push.set_current_version(1);
+    push.set_pull_id(1);
+    push.add_group_leaders("control-1");
+    push.add_group_leaders("control-1");
+    wire::ListsDelta* lists = push.add_deltas();
+    lists->set_full(true);
+    lists->set_to_version(1);
+    lists->add_services()->set_name("profile");
+    wire::Plan* plan = lists->add_plans();
+    plan->set_name("plan");
+    plan->add_routes()->set_service("profile");
+    wire::Customer* customer = lists->add_customers();
+    customer->set_id("customer");
+    customer->set_plan("plan");
+    customer->set_token_hash(Sha256Hex("token"));
+    push.mutable_servers()->set_full(true);
+    push.mutable_servers()->set_to_version(1);
+    *push.mutable_servers()->add_servers() = OddRecordRun::Valid("good", 1);
+    m_entry.Tick(m_now);
+    m_entry.OnMessage(HostId("control-1"), envelope, m_now);
+    BOOST_REQUIRE(m_entry.ListsInForce().IsServing());
+  }
+
+  void SendRequest(const std::string& aKey)
+  {
+    RequestHead head;
+    head.id = RequestId(++m_lastRequest);
+    head.service = ServiceName("profile");
+    head.path = "/a";
+    head.token = "token";
+    head.key = IdempotencyKey(aKey);
+    head.deadline = m_now + std::chrono::seconds(1);
+    m_entry.OnRequest(head, m_now);
+  }
+
+  void GrantClaims()
+  {
+    for (const wire::ControlRequest& request : std::exchange(m_commands, {})) {
+      wire::Envelope reply;
+      reply.mutable_control_reply()->set_request_id(request.request_id());
+      reply.mutable_control_reply()->set_group(request.group());
+      reply.mutable_control_reply()->mutable_result()->set_code(
+        wire::CommandResult::GRANTED);
+      m_entry.OnMessage(HostId("control-1"), reply, m_now);
+    }
+  }
+
+  static EntryOptions Options()
+  {
+    EntryOptions options;
+    options.settings = EntrySettings();
+    options.settings.membershipByControl = true;
+    return options;
+  }
+
+  EntryHooks Hooks()
+  {
+    EntryHooks hooks;
+    hooks.send = [this](const HostId&, const wire::Envelope& aMessage) {
+      wire::Envelope decoded;
+      BOOST_TEST(decoded.ParseFromString(aMessage.SerializeAsString()));
+      if (decoded.has_control_request()) {
+        m_commands.push_back(decoded.control_request());
+      }
+    };
+    hooks.startAttempt = [this](const AttemptStart& aStart) {
+      m_attempts.push_back(aStart.id);
+      return ConnectionKind::kNew;
+    };
+    hooks.cancelAttempt = [](AttemptId) {};
+    hooks.startProbe = [](ProbeId, const std::string&) {};
+    hooks.answer = [this](const FinalResponse& aFinal) {
+      m_statuses.push_back(aFinal.status);
+    };
+    hooks.hostChanged = [](const wire::HostRecord&) {};
+    hooks.record = [](const Event&) {};
+    return hooks;
+  }
+
+  TimePoint m_now;
+  std::vector<wire::ControlRequest> m_commands;
+  std::vector<AttemptId> m_attempts;
+  std::vector<std::uint32_t> m_statuses;
+  std::uint64_t m_lastRequest = 0;
+  EntryNode m_entry;
+};
+
+// Control hosts dropped the claim, so that the request waited for it in vain.
+BOOST_AUTO_TEST_CASE(AKeyThatNoMessageCanCarryIsRefusedAtOnce)
+{
+  KeyedRequestRun run;
+  std::size_t refused = 0;
+  for (const char* key : { "\xff", "k\xc3", "\xed\xa0\x80" }) {
+    run.SendRequest(key);
+    BOOST_TEST(run.m_commands.empty());
+    BOOST_REQUIRE(run.m_statuses.size() == ++refused);
+    BOOST_TEST(run.m_statuses.back() == 400u);
+  }
+  run.SendRequest("\xc3\xbc");
+  BOOST_TEST(run.m_commands.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(ReadersSurviveMutatedDocuments)
 {
   const std::string lists =
