Report an outcome to the ledger whatever content type the server sent

What callers saw: a backend server whose Content-Type is no UTF-8 ran a request with a key and answered; the caller got the answer, but each resend was told "another attempt with this key is running or may have run" until the ledger forgets the key (72 h).

Cause: the report of the outcome carries the content type, and the control hosts dropped it as malformed; the entry host repeated it for ten minutes.

Change: a content type that is no UTF-8 is left out of the report. The kept answer is then replayed without one.

Failed before: mutation_test AnyContentTypeOfAServerLeavesTheOutcomeToTheLedger (the report cannot be parsed).

--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -673,7 +673,8 @@
   finish->set_attempt(aRequest.claimAttempt);
   finish->set_state(aState);
   finish->set_status(aEnd.status);
-  finish->set_content_type(aEnd.contentType);
+  // The server may have sent any bytes, and the ledger must learn the outcome.
+  finish->set_content_type(IsUtf8(aEnd.contentType) ? aEnd.contentType : "");
   finish->set_answer_kept(aEnd.body.has_value());
   finish->set_answer(aEnd.body.value_or(""));
   // The caller need not wait: a resend that reaches the ledger first gets
--- a/tests/randomised/mutation_test.cc
+++ b/tests/randomised/mutation_test.cc
@@ -579,6 +579,27 @@
   BOOST_TEST(run.m_commands.size() == 1u);
 }
 
+// Control hosts dropped the report, so that the key stayed taken for days.
+BOOST_AUTO_TEST_CASE(AnyContentTypeOfAServerLeavesTheOutcomeToTheLedger)
+{
+  KeyedRequestRun run;
+  run.SendRequest("k");
+  run.GrantClaims();
+  BOOST_REQUIRE(run.m_attempts.size() == 1u);
+  AttemptEnd end;
+  end.id = run.m_attempts[0];
+  end.outcome = AttemptOutcome::kSuccess;
+  end.status = 200;
+  end.contentType = "text/\xff";
+  end.body = "\xff\xfe";
+  run.m_entry.OnAttemptEnd(end, run.m_now);
+  BOOST_REQUIRE(run.m_commands.size() == 1u);
+  const wire::Finish& finish = run.m_commands[0].command().finish();
+  BOOST_TEST((finish.state() == wire::LedgerRecord::FINISHED));
+  BOOST_TEST(finish.content_type() == "");
+  BOOST_TEST(finish.answer() == "\xff\xfe");
+}
+
 BOOST_AUTO_TEST_CASE(ReadersSurviveMutatedDocuments)
 {
   const std::string lists =
