Refuse documents that are not UTF-8

What operators could do: a list (native API) or a settings file with bytes that are no UTF-8 in a name was accepted. In a list, each entry host then dropped the pushes that carried it as malformed, and stopped following; in settings, a region or failure domain made every pull of the host malformed, so that it never served.

Cause: the YAML parser passes such bytes on, and no check followed.

Change: ParseYaml refuses a text that is not UTF-8. Escapes ("\xff" in quotes, which YAML reads as a character) and all characters stay allowed. Documents in UTF-16, which the parser would have converted, are refused now. Names from the platform's documents need no check: the JSON parser refuses such text.

Failed before: lists_document_test ADocumentThatIsNotUtf8IsRefused, 6 checks. Passes now, with settings_test.

--- a/packages/settings/yaml_reader.cc
+++ b/packages/settings/yaml_reader.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "base/text.h"
+
 namespace fuchsiaramp {
 namespace internal {
 
@@ -59,6 +61,11 @@
 std::optional<YAML::Node>
 ParseYaml(const std::string& aText, Findings& aFindings)
 {
+  // The parser passes other bytes on, and messages cannot carry them.
+  if (!IsUtf8(aText)) {
+    aFindings.Add(SourcePosition(), "the text must be UTF-8");
+    return std::nullopt;
+  }
   try {
     return YAML::Load(aText);
   } catch (const YAML::Exception& error) {
--- a/packages/state/lists_document_test.cc
+++ b/packages/state/lists_document_test.cc
@@ -21,6 +21,21 @@
          Sha256Hex("t7") + "}\n" + aExtra;
 }
 
+// Entry hosts could not read a push with such a name.
+BOOST_AUTO_TEST_CASE(ADocumentThatIsNotUtf8IsRefused)
+{
+  for (const char* name : { "\xff", "a\xc3", "\xed\xa0\x80" }) {
+    Findings findings("lists.yaml");
+    const wire::ListsDelta content =
+      ReadLists("plans:\n  - {name: " + std::string(name) + "}\n", findings);
+    BOOST_TEST(!findings.IsEmpty());
+    BOOST_TEST(content.plans().empty());
+  }
+  Findings findings("lists.yaml");
+  ReadLists("plans:\n  - {name: \"\\xff\xc3\xbc\"}\n", findings);
+  BOOST_TEST(findings.Text() == "");
+}
+
 BOOST_AUTO_TEST_CASE(ReadsFindsRoutesAndWritesAnEqualDocument)
 {
   Findings findings("lists.yaml");
