--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -5,6 +5,7 @@
 
 #include "base/digest.h"
 #include "base/invariant.h"
+#include "base/text.h"
 #include "entry/entry_node.h"
 
 namespace fuchsiaramp {
@@ -206,11 +207,14 @@
 EntryNode::CheckKey(Request& aRequest, TimePoint aNow)
 {
   const std::string& key = aRequest.head.key.Value();
-  if (aRequest.needsClaim && (key.empty() || key.size() > kMaxKeyLength)) {
+  const bool isValid =
+    !key.empty() && key.size() <= kMaxKeyLength && IsUtf8(key);
+  if (aRequest.needsClaim && !isValid) {
     Refuse(aRequest,
            CallerOutcome::kNotRun,
            400,
-           "a request of this route needs an Idempotency-Key of 1 to 200 bytes",
+           "a request of this route needs an Idempotency-Key of 1 to 200 bytes "
+           "of UTF-8 text",
            std::nullopt,
            aNow);
     return FilterResult::kDone;
@@ -669,7 +673,8 @@
   finish->set_attempt(aRequest.claimAttempt);
   finish->set_state(aState);
   finish->set_status(aEnd.status);
-  finish->set_content_type(aEnd.contentType);
+  // The server may have sent any bytes, and the ledger must learn the outcome.
+  finish->set_content_type(IsUtf8(aEnd.contentType) ? aEnd.contentType : "");
   finish->set_answer_kept(aEnd.body.has_value());
   finish->set_answer(aEnd.body.value_or(""));
   // The caller need not wait: a resend that reaches the ledger first gets
--- a/tests/randomised/mutation_test.cc
+++ b/tests/randomised/mutation_test.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/digest.h"
 #include "base/invariant.h"
 #include "base/random.h"
 #include "control/control_node.h"
@@ -192,7 +193,9 @@
     : m_random(aSeed)
     , m_now(FromMicros(1'000'000))
   {
-    StartControl();
+    StoredState blank;
+    blank.hardState.set_disk_id(7);
+    StartControl(std::move(blank));
     StartEntry();
     RunFor(std::chrono::seconds(3));
     ListsChange change;
@@ -212,10 +215,10 @@
     RunFor(std::chrono::seconds(3));
   }
 
-  void StartControl()
+  void StartControl(StoredState aStored)
   {
     std::vector<GroupStorage> storage(1);
-    storage[0].stored.hardState.set_disk_id(7);
+    storage[0].stored = std::move(aStored);
     storage[0].hooks.append = [](const auto&, const auto&) {
       return std::error_code();
     };
@@ -240,6 +243,20 @@
       options, std::move(storage), hooks, Random(m_random.Bits()), m_now);
   }
 
+  // Starts the control host again from a snapshot of all that it applied.
+  void RestartControl()
+  {
+    const Node& node = m_control->GroupNode(kListsGroup);
+    StoredState stored;
+    stored.hardState.set_disk_id(7);
+    stored.hardState.set_term(node.Term());
+    stored.snapshotMeta.set_index(node.Applied());
+    stored.snapshotMeta.set_term(node.Term());
+    *stored.snapshotMeta.mutable_configuration() = node.Members();
+    stored.snapshot = m_control->State(kListsGroup).Snapshot();
+    StartControl(std::move(stored));
+  }
+
   void StartEntry()
   {
     m_attempts.clear();
@@ -322,6 +339,7 @@
         "x",
         "a\r\nb",
         std::string(1, '\0'),
+        "x\xff",
         "10.0.0.2",
         "10.0.0.2:0",
         "10.0.0.2:65536",
@@ -430,6 +448,10 @@
         run.CheckSnapshot();
         run.StartEntry();
       }
+      if (run.m_random.Chance(0.03)) {
+        run.RestartControl();
+        run.RunFor(std::chrono::seconds(3));
+      }
       run.m_control->ReportServer(
         OddRecordRun::Valid("good", 1), run.m_now, [](bool) {});
     }
@@ -443,6 +465,141 @@
   BOOST_TEST(answered >= seeds.count);
 }
 
+// An entry host with a customer whose requests need a key. Its messages to the
+// control host are encoded and decoded.
+class KeyedRequestRun
+{
+public:
+  KeyedRequestRun()
+    : m_now(FromMicros(1'000'000))
+    , m_entry(Options(), Hooks(), Random(1), m_now)
+  {
+    wire::Envelope envelope;
+    wire::ListsPush& push = *envelope.mutable_lists_push();
+    push.set_confirmed(true);
+    push.set_current_version(1);
+    push.set_pull_id(1);
+    push.add_group_leaders("control-1");
+    push.add_group_leaders("control-1");
+    wire::ListsDelta* lists = push.add_deltas();
+    lists->set_full(true);
+    lists->set_to_version(1);
+    lists->add_services()->set_name("profile");
+    wire::Plan* plan = lists->add_plans();
+    plan->set_name("plan");
+    plan->add_routes()->set_service("profile");
+    wire::Customer* customer = lists->add_customers();
+    customer->set_id("customer");
+    customer->set_plan("plan");
+    customer->set_token_hash(Sha256Hex("token"));
+    push.mutable_servers()->set_full(true);
+    push.mutable_servers()->set_to_version(1);
+    *push.mutable_servers()->add_servers() = OddRecordRun::Valid("good", 1);
+    m_entry.Tick(m_now);
+    m_entry.OnMessage(HostId("control-1"), envelope, m_now);
+    BOOST_REQUIRE(m_entry.ListsInForce().IsServing());
+  }
+
+  void SendRequest(const std::string& aKey)
+  {
+    RequestHead head;
+    head.id = RequestId(++m_lastRequest);
+    head.service = ServiceName("profile");
+    head.path = "/a";
+    head.token = "token";
+    head.key = IdempotencyKey(aKey);
+    head.deadline = m_now + std::chrono::seconds(1);
+    m_entry.OnRequest(head, m_now);
+  }
+
+  void GrantClaims()
+  {
+    for (const wire::ControlRequest& request : std::exchange(m_commands, {})) {
+      wire::Envelope reply;
+      reply.mutable_control_reply()->set_request_id(request.request_id());
+      reply.mutable_control_reply()->set_group(request.group());
+      reply.mutable_control_reply()->mutable_result()->set_code(
+        wire::CommandResult::GRANTED);
+      m_entry.OnMessage(HostId("control-1"), reply, m_now);
+    }
+  }
+
+  static EntryOptions Options()
+  {
+    EntryOptions options;
+    options.settings = EntrySettings();
+    options.settings.membershipByControl = true;
+    return options;
+  }
+
+  EntryHooks Hooks()
+  {
+    EntryHooks hooks;
+    hooks.send = [this](const HostId&, const wire::Envelope& aMessage) {
+      wire::Envelope decoded;
+      BOOST_TEST(decoded.ParseFromString(aMessage.SerializeAsString()));
+      if (decoded.has_control_request()) {
+        m_commands.push_back(decoded.control_request());
+      }
+    };
+    hooks.startAttempt = [this](const AttemptStart& aStart) {
+      m_attempts.push_back(aStart.id);
+      return ConnectionKind::kNew;
+    };
+    hooks.cancelAttempt = [](AttemptId) {};
+    hooks.startProbe = [](ProbeId, const std::string&) {};
+    hooks.answer = [this](const FinalResponse& aFinal) {
+      m_statuses.push_back(aFinal.status);
+    };
+    hooks.hostChanged = [](const wire::HostRecord&) {};
+    hooks.record = [](const Event&) {};
+    return hooks;
+  }
+
+  TimePoint m_now;
+  std::vector<wire::ControlRequest> m_commands;
+  std::vector<AttemptId> m_attempts;
+  std::vector<std::uint32_t> m_statuses;
+  std::uint64_t m_lastRequest = 0;
+  EntryNode m_entry;
+};
+
+// Control hosts dropped the claim, so that the request waited for it in vain.
+BOOST_AUTO_TEST_CASE(AKeyThatNoMessageCanCarryIsRefusedAtOnce)
+{
+  KeyedRequestRun run;
+  std::size_t refused = 0;
+  for (const char* key : { "\xff", "k\xc3", "\xed\xa0\x80" }) {
+    run.SendRequest(key);
+    BOOST_TEST(run.m_commands.empty());
+    BOOST_REQUIRE(run.m_statuses.size() == ++refused);
+    BOOST_TEST(run.m_statuses.back() == 400u);
+  }
+  run.SendRequest("\xc3\xbc");
+  BOOST_TEST(run.m_commands.size() == 1u);
+}
+
+// Control hosts dropped the report, so that the key stayed taken for days.
+BOOST_AUTO_TEST_CASE(AnyContentTypeOfAServerLeavesTheOutcomeToTheLedger)
+{
+  KeyedRequestRun run;
+  run.SendRequest("k");
+  run.GrantClaims();
+  BOOST_REQUIRE(run.m_attempts.size() == 1u);
+  AttemptEnd end;
+  end.id = run.m_attempts[0];
+  end.outcome = AttemptOutcome::kSuccess;
+  end.status = 200;
+  end.contentType = "text/\xff";
+  end.body = "\xff\xfe";
+  run.m_entry.OnAttemptEnd(end, run.m_now);
+  BOOST_REQUIRE(run.m_commands.size() == 1u);
+  const wire::Finish& finish = run.m_commands[0].command().finish();
+  BOOST_TEST((finish.state() == wire::LedgerRecord::FINISHED));
+  BOOST_TEST(finish.content_type() == "");
+  BOOST_TEST(finish.answer() == "\xff\xfe");
+}
+
 BOOST_AUTO_TEST_CASE(ReadersSurviveMutatedDocuments)
 {
   const std::string lists =
