--- a/packages/consensus/node_election.cc
+++ b/packages/consensus/node_election.cc
@@ -71,6 +71,12 @@
   m_leader = HostId();
   m_votes.clear();
   ResetElectionDeadline(aNow);
+  m_hooks.record(Event("pre_vote_started")
+                   .With("group", m_options.group)
+                   .With("term", Term() + 1)
+                   .With("last_index", m_log.LastIndex())
+                   .With("last_term", m_log.LastTerm())
+                   .With("quorum", Quorum(m_configuration)));
   wire::RaftMessage request = Message(wire::RaftMessage::PRE_VOTE);
   request.set_term(Term() + 1);
   request.set_log_index(m_log.LastIndex());
@@ -93,6 +99,10 @@
   m_hardState.set_voted_for(ToText(Self()));
   m_hardStateDirty = true;
   ResetElectionDeadline(aNow);
+  m_hooks.record(Event("election_started")
+                   .With("group", m_options.group)
+                   .With("term", Term())
+                   .With("transfer", aTransfer));
   wire::RaftMessage request = Message(wire::RaftMessage::VOTE);
   request.set_log_index(m_log.LastIndex());
   request.set_log_term(m_log.LastTerm());
