Election timeouts differ between hosts that started at the same moment

Cause: the daemon seeds its random numbers with the time of its start. Hosts that get power again at the same microsecond drew the same election timeouts, in every round. All three voters that kept their disks became candidates within 2 to 21 ms of each other and voted for themselves; since all three must agree, nobody won. Only differences in the delay of messages ended that, by chance. Change: a member derives its random numbers from what it is given and from its host and disk id. Test: five voters of six hosts, two disks lost, all hosts without power, times as deployed; a leader must serve within 5 s of the start of the last host.

--- a/packages/consensus/node.cc
+++ b/packages/consensus/node.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "base/digest.h"
 #include "base/error.h"
 #include "base/invariant.h"
 
@@ -20,8 +21,10 @@
            TimePoint aNow)
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
-  , m_random(aRandom)
   , m_hardState(std::move(aStored.hardState))
+  // Hosts that start at the same moment may be given the same numbers. Equal
+  // election timeouts would split every vote.
+  , m_random(Hash64(ToText(Self()), aRandom.Bits()))
   , m_log(aStored.snapshotMeta.index(),
           aStored.snapshotMeta.term(),
           aStored.entries)
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -89,6 +89,7 @@
 class Node
 {
 public:
+  // aRandom may yield the same numbers on several hosts.
   Node(NodeOptions aOptions,
        StoredState aStored,
        NodeHooks aHooks,
@@ -260,10 +261,10 @@
 
   const NodeOptions m_options;
   const NodeHooks m_hooks;
-  Random m_random;
   bool m_stopped = false;
 
   wire::HardState m_hardState;
+  Random m_random;
   bool m_hardStateDirty = false;
   std::uint64_t m_unsyncedFrom = 0; // first index to persist; 0: none
   Log m_log;
--- a/tests/randomised/consensus_run_test.cc
+++ b/tests/randomised/consensus_run_test.cc
@@ -25,15 +25,26 @@
 static constexpr Duration kStep = std::chrono::milliseconds(10);
 static constexpr std::uint64_t kMaxSegment = 1 << 26;
 
+struct GroupOptions
+{
+  // With open membership, the first three hosts form the group and the others
+  // join it, up to five voters.
+  bool openMembership = false;
+  // Whether all hosts draw the same random numbers after a loss of power, as if
+  // the seed depended on the time of the start only.
+  bool sameRandom = false;
+  Duration electionTimeout = std::chrono::milliseconds(1000);
+  Duration heartbeatInterval = std::chrono::milliseconds(150);
+  FakeNetworkOptions network;
+};
+
 class Group
 {
 public:
-  // With aOpenMembership, the first three hosts form the group and the others
-  // join it, up to five voters.
-  Group(std::uint64_t aSeed, std::size_t aSize, bool aOpenMembership = false)
-    : m_openMembership(aOpenMembership)
+  Group(std::uint64_t aSeed, std::size_t aSize, GroupOptions aOptions = {})
+    : m_options(std::move(aOptions))
     , m_random(aSeed)
-    , m_network({}, Random(aSeed + 1))
+    , m_network(m_options.network, Random(aSeed + 1))
     , m_now(FromMicros(1'000'000))
   {
     SetInvariantHandler(
@@ -82,10 +93,7 @@
   // moment of that, two hosts lose their disks and all others lose power.
   void RunLossOfTwoDisks()
   {
-    RunFor(std::chrono::seconds(12));
-    const Node* leader = NewestLeader();
-    Check(leader != nullptr && VoterCount(*leader) == kMaxVoters,
-          "the group reaches its number of voters");
+    const Node* leader = RunUntilAllVotersJoined();
     HostId silent = leader->Self().host;
     while (silent == leader->Self().host) {
       const auto& members = leader->Members().members();
@@ -95,16 +103,7 @@
     }
     m_members[silent].paused = true;
     RunFor(std::chrono::milliseconds(2900 + m_random.Below(600)));
-    std::vector<HostId> hosts = m_hosts;
-    m_random.Shuffle(hosts);
-    for (const HostId& host : hosts) {
-      Crash(host);
-    }
-    for (std::size_t i = 0; i < 2; ++i) {
-      m_members[hosts[i]].disk->Wipe();
-      ++m_lostDisks;
-    }
-    m_network = FakeNetwork<wire::RaftMessage>({}, Random(m_random.Bits()));
+    const std::vector<HostId> hosts = LosePowerAndTwoDisks();
     for (const HostId& host : hosts) {
       Start(host);
     }
@@ -127,6 +126,27 @@
     }
   }
 
+  // All hosts lose power, two of them their disks as well. Returns the time
+  // from the start of the last host until a leader serves reads.
+  Duration TimeToLeaderAfterLossOfPower()
+  {
+    RunUntilAllVotersJoined();
+    RunFor(std::chrono::milliseconds(m_random.Below(2000)));
+    const std::vector<HostId> hosts = LosePowerAndTwoDisks();
+    for (const HostId& host : hosts) {
+      Start(host);
+      if (!m_options.sameRandom) {
+        RunFor(kStep * m_random.Below(5));
+      }
+    }
+    const TimePoint started = m_now;
+    const TimePoint limit = m_now + std::chrono::seconds(30);
+    while (m_now < limit && !HasLeaderWithLease()) {
+      Step();
+    }
+    return m_now - started;
+  }
+
   std::size_t AcknowledgedCount() const { return m_acknowledged.size(); }
   std::size_t LostDisks() const { return m_lostDisks; }
 
@@ -142,6 +162,34 @@
     }
   }
 
+  // Returns the leader.
+  const Node* RunUntilAllVotersJoined()
+  {
+    RunFor(std::chrono::seconds(12));
+    const Node* leader = NewestLeader();
+    Check(leader != nullptr && VoterCount(*leader) == kMaxVoters,
+          "the group reaches its number of voters");
+    return leader;
+  }
+
+  // Returns the hosts, all of them down, in random order.
+  std::vector<HostId> LosePowerAndTwoDisks()
+  {
+    std::vector<HostId> hosts = m_hosts;
+    m_random.Shuffle(hosts);
+    for (const HostId& host : hosts) {
+      Crash(host);
+    }
+    for (std::size_t i = 0; i < 2; ++i) {
+      m_members[hosts[i]].disk->Wipe();
+      ++m_lostDisks;
+    }
+    m_network = FakeNetwork<wire::RaftMessage>(m_options.network,
+                                               Random(m_random.Bits()));
+    m_lostPower = true;
+    return hosts;
+  }
+
   static int VoterCount(const Node& aNode)
   {
     const auto& members = aNode.Members().members();
@@ -188,7 +236,9 @@
     NodeOptions options;
     options.self = aHost;
     options.hosts = m_hosts;
-    if (m_openMembership) {
+    options.electionTimeout = m_options.electionTimeout;
+    options.heartbeatInterval = m_options.heartbeatInterval;
+    if (m_options.openMembership) {
       options.openMembership = true;
       options.hosts.resize(kFoundingHosts);
       options.mayBootstrap =
@@ -198,8 +248,10 @@
     options.retainedEntries = 10;
     options.snapshotChunkBytes = 64;
     member.applied.clear();
-    member.node = std::make_unique<Node>(
-      options, stored, HooksOf(aHost), Random(m_random.Bits()), m_now);
+    const Random random(m_lostPower && m_options.sameRandom ? 1
+                                                            : m_random.Bits());
+    member.node =
+      std::make_unique<Node>(options, stored, HooksOf(aHost), random, m_now);
   }
 
   NodeHooks HooksOf(const HostId& aHost)
@@ -380,6 +432,12 @@
     return leader;
   }
 
+  bool HasLeaderWithLease() const
+  {
+    const Node* leader = NewestLeader();
+    return leader != nullptr && leader->HasLease(m_now);
+  }
+
   // Returns whether the newest leader holds a lease and has committed its whole
   // log, and all hosts are up and voters in its configuration.
   bool IsRepaired() const
@@ -424,7 +482,7 @@
     return true;
   }
 
-  const bool m_openMembership;
+  const GroupOptions m_options;
   Random m_random;
   FakeNetwork<wire::RaftMessage> m_network;
   TimePoint m_now;
@@ -435,6 +493,7 @@
   std::set<std::string> m_acknowledged;
   std::uint64_t m_nextCommand = 1;
   std::size_t m_lostDisks = 0;
+  bool m_lostPower = false;
   double m_crashChance = 0.0;
 };
 
@@ -478,7 +537,9 @@
   for (std::uint64_t i = 0; i < seeds.count; ++i) {
     const std::uint64_t seed = seeds.first + i;
     try {
-      Group group(seed, 7, true);
+      GroupOptions options;
+      options.openMembership = true;
+      Group group(seed, 7, options);
       group.RunLossOfTwoDisks();
     } catch (const std::exception& error) {
       BOOST_ERROR("seed " << seed << ": " << error.what());
@@ -486,4 +547,59 @@
   }
 }
 
+// As deployed: six control hosts in regions 20 ms apart, disks that take 5 ms
+// to sync.
+static GroupOptions
+DeployedOptions()
+{
+  GroupOptions options;
+  options.openMembership = true;
+  options.electionTimeout = std::chrono::milliseconds(900);
+  options.heartbeatInterval = std::chrono::milliseconds(300);
+  options.network.minDelay = std::chrono::milliseconds(20);
+  options.network.maxDelay = std::chrono::milliseconds(30);
+  return options;
+}
+
+static void
+CheckTimeToLeader(const GroupOptions& aOptions, std::uint64_t aDefaultCount)
+{
+  static constexpr Duration kLongestTime = std::chrono::seconds(5);
+  const SeedRange seeds = SeedRangeFromEnvironment(aDefaultCount);
+  std::vector<Duration> times;
+  for (std::uint64_t i = 0; i < seeds.count; ++i) {
+    const std::uint64_t seed = seeds.first + i;
+    try {
+      Group group(seed, 6, aOptions);
+      times.push_back(group.TimeToLeaderAfterLossOfPower());
+      BOOST_TEST(times.back().count() <= kLongestTime.count(),
+                 "seed " << seed << ": a leader serves after "
+                         << times.back().count() << " us");
+    } catch (const std::exception& error) {
+      BOOST_ERROR("seed " << seed << ": " << error.what());
+      return;
+    }
+  }
+  std::sort(times.begin(), times.end());
+  const auto quantile = [&times](double aShare) {
+    const auto index = aShare * static_cast<double>(times.size() - 1);
+    return times[static_cast<std::size_t>(index)].count() / 1000;
+  };
+  BOOST_TEST_MESSAGE("time to a leader, ms: median "
+                     << quantile(0.5) << ", 90 % " << quantile(0.9) << ", 99 % "
+                     << quantile(0.99) << ", longest " << quantile(1.0));
+}
+
+BOOST_AUTO_TEST_CASE(VotesAreNotSplitForeverIfHostsDrawTheSameNumbers)
+{
+  GroupOptions options = DeployedOptions();
+  options.sameRandom = true;
+  CheckTimeToLeader(options, 60);
+}
+
+BOOST_AUTO_TEST_CASE(VotersThatMustAllAgreeElectALeaderAfterALossOfPower)
+{
+  CheckTimeToLeader(DeployedOptions(), 200);
+}
+
 } // namespace fuchsiaramp
