Serve soon after control has a leader again, with the servers

Cause, from the logs of all hosts: 1. A host that starts pulls at growing intervals (0.2, 0.4, 0.8, 1 s), since lists may be on their way. Control hosts that restarted know no lists until they have a leader, so nothing is; all hosts, started together, pulled 1.4 s after their start although the leader was there after 1.07 s. 2. A host that was confirmed by a control host other than the closest one has no servers yet, and asked for them with its next pull, a second later.

An old table: all hosts had the newest lists as they began to serve.

Change: a response without lists that names no leader makes the host pull again after a tenth of the time since its start, 0.2 s at least and 1 s at most as before. A host that begins to serve pulls at once.

Two further tests bound the pulls of a long outage and of lists that take long to arrive; they passed before, too.

--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -34,6 +34,9 @@
 static constexpr Duration kSlowFurtherInterval = std::chrono::seconds(2);
 static constexpr std::size_t kControlHostsPerRound = 3;
 static constexpr std::size_t kPeersPerPull = 3;
+// Without a leader, a starting host pulls again after this part of the time
+// since its start.
+static constexpr int kPartOfWait = 10;
 // Confirmations of an earlier build do not say how old they are. This is their
 // age where no message is lost.
 static constexpr Duration kUnknownConfirmationAge =
@@ -278,11 +281,28 @@
   // a leader can confirm.
   const bool confirmedBefore = IsDue(control.avoidUntil, aNow);
   control.avoidUntil = aNow + kAvoidUnconfirmedTime;
+  const bool hasLists = aPush.current_version() > 0;
+  if (!m_serving && !hasLists && aPush.leader().empty()) {
+    PullSoonForLeader(aNow);
+  }
   if (m_serving && aFrom == m_currentControlHost && confirmedBefore) {
     m_pullAt = aNow;
   }
 }
 
+// After a restart of all control hosts none of them knows the lists until there
+// is a leader. A response without lists shows that none are on their way, so
+// this host does not wait at growing intervals, only for a share of the time
+// that it has waited so far.
+void
+ListsFollower::PullSoonForLeader(TimePoint aNow)
+{
+  m_startInterval = std::clamp((aNow - m_startedAt) / kPartOfWait,
+                               m_options.startInterval,
+                               m_options.longestStartInterval);
+  m_pullAt = std::min(m_pullAt, aNow + m_startInterval);
+}
+
 ListsFollower::Distance
 ListsFollower::DistanceOf(const wire::HostRecord& aRecord) const
 {
@@ -573,6 +593,9 @@
   }
   m_serving = true;
   m_servingSince = aNow;
+  // The confirmation may have come from a control host that was not asked for
+  // the servers.
+  m_pullAt = aNow;
   m_hooks.record(Event("serving_started")
                    .With("confirmed_by", aConfirmedBy)
                    .With("version", m_lists.Version()));
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -41,7 +41,7 @@
   FailureDomain failureDomain;
   std::vector<HostId> controlHosts; // known initially; responses add more
   // Pull interval until the host serves; doubles with each pull while the host
-  // has no lists.
+  // has no lists and they may be on their way.
   Duration startInterval = std::chrono::milliseconds(200);
   Duration longestStartInterval = std::chrono::seconds(1);
   Duration pullInterval = std::chrono::seconds(1);
@@ -151,6 +151,7 @@
   void OnControlResponse(const HostId& aFrom,
                          const wire::ListsPush& aPush,
                          TimePoint aNow);
+  void PullSoonForLeader(TimePoint aNow);
   void SendPull(const HostId& aTo, bool aSubscribes, TimePoint aNow);
   void MarkMissedPulls(TimePoint aNow);
   void AskFurtherControlHosts(TimePoint aNow);
--- a/packages/entry/lists_follower_test.cc
+++ b/packages/entry/lists_follower_test.cc
@@ -53,8 +53,9 @@
     }
     wire::ListsPush push;
     push.set_pull_id(aPull.pull_id());
-    push.set_confirmed(m_stale.count(aHost) == 0);
-    const std::uint64_t version = push.confirmed() ? m_version : 1;
+    push.set_confirmed(!m_leaderless && m_stale.count(aHost) == 0);
+    const std::uint64_t version =
+      m_leaderless ? 0 : (push.confirmed() ? m_version : 1);
     push.set_current_version(version);
     if (m_ageOfConfirmations) {
       push.set_confirmed_age_us(*m_ageOfConfirmations);
@@ -64,6 +65,16 @@
       delta->set_full(true);
       delta->set_to_version(version);
     }
+    if (!m_leaderless && !aPull.without_servers() &&
+        aPull.have_servers_version() == 0) {
+      push.mutable_servers()->set_full(true);
+      push.mutable_servers()->set_to_version(1);
+      wire::BackendServerRecord* server = push.mutable_servers()->add_servers();
+      server->set_id("server");
+      server->set_service("profile");
+      server->set_address("10.0.0.1:80");
+      server->set_incarnation(1);
+    }
     for (const char* name : { "near", "far" }) {
       wire::HostRecord* host = push.add_control_hosts();
       host->set_host(name);
@@ -119,6 +130,8 @@
   std::uint64_t m_version = 1;
   std::set<HostId> m_silent;
   std::set<HostId> m_stale; // cannot confirm their lists
+  // All control hosts have restarted, have no leader and know no lists yet.
+  bool m_leaderless = false;
   std::map<HostId, Duration> m_responseDelays;
   std::multimap<TimePoint, std::pair<HostId, wire::ListsPull>> m_due;
   std::map<HostId, int> m_pullCounts;
@@ -202,6 +215,69 @@
     test.m_pullCounts[kDomainControl] + test.m_pullCounts[kOtherControl] <= 24);
 }
 
+// After a loss of power of the whole fleet no host serves until control has a
+// leader again.
+BOOST_AUTO_TEST_CASE(ServesSoonAfterControlHasItsFirstLeader)
+{
+  for (int wait = 200; wait <= 5000; wait += 100) {
+    BOOST_TEST_CONTEXT("leader after " << wait << " ms")
+    {
+      FollowerTest test;
+      test.m_leaderless = true;
+      test.RunFor(std::chrono::milliseconds(wait));
+      BOOST_REQUIRE(!test.m_follower.IsServing());
+      test.m_leaderless = false;
+      test.RunFor(std::max(std::chrono::milliseconds(240),
+                           std::chrono::milliseconds(wait / 10 + 60)));
+      BOOST_TEST(test.m_follower.IsServing());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WithoutALeaderAStartingHostSoonPullsAsRarelyAsBefore)
+{
+  FollowerTest test;
+  test.m_leaderless = true;
+  test.RunFor(std::chrono::seconds(10));
+  test.m_pullCounts.clear();
+  test.RunFor(std::chrono::seconds(10));
+  BOOST_TEST(
+    test.m_pullCounts[kDomainControl] + test.m_pullCounts[kOtherControl] <= 11);
+}
+
+// Lists may take longer to arrive than an interval; each further pull would
+// bring them once more.
+BOOST_AUTO_TEST_CASE(PullsAtGrowingIntervalsWhileListsMayBeOnTheirWay)
+{
+  FollowerTest test;
+  test.m_responseDelays[kDomainControl] = std::chrono::seconds(3);
+  test.m_responseDelays[kOtherControl] = std::chrono::seconds(3);
+  test.RunFor(std::chrono::milliseconds(2900));
+  BOOST_TEST(
+    test.m_pullCounts[kDomainControl] + test.m_pullCounts[kOtherControl] <= 5);
+}
+
+// It was confirmed by a response that brings no servers, and waited a whole
+// interval of pulls for them.
+BOOST_AUTO_TEST_CASE(AHostThatBeginsToServeHasTheServersSoon)
+{
+  for (int wait = 100; wait <= 2000; wait += 50) {
+    BOOST_TEST_CONTEXT("confirmed after " << wait << " ms")
+    {
+      FollowerTest test;
+      test.m_leaderless = true;
+      test.RunFor(std::chrono::milliseconds(wait));
+      test.m_leaderless = false;
+      for (int i = 0; i < 100 && !test.m_follower.IsServing(); ++i) {
+        test.RunFor(std::chrono::milliseconds(20));
+      }
+      test.RunFor(std::chrono::milliseconds(40));
+      BOOST_TEST(test.m_follower.IsServing());
+      BOOST_TEST(test.m_serversInUse.size() == 1u);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AcceptsEntryHostsOnlyFromTheCurrentControlHost)
 {
   FollowerTest test;
--- a/packages/testing/load_model.cc
+++ b/packages/testing/load_model.cc
@@ -169,6 +169,15 @@
   });
 }
 
+void
+LoadModel::LosePower(Duration aSpan, Duration aLeaderAfter)
+{
+  m_leaderlessUntil = m_queue.Now() + aLeaderAfter;
+  for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+    RestartHost(host, aSpan);
+  }
+}
+
 void
 LoadModel::SetAbsent(std::size_t aHost, bool aAbsent)
 {
@@ -283,6 +292,9 @@
 {
   wire::ListsPush push;
   push.set_pull_id(aPull.pull_id());
+  if (!IsDue(m_leaderlessUntil, m_queue.Now())) {
+    return push;
+  }
   push.set_confirmed(true);
   push.set_current_version(1);
   push.set_leader(kControlHost);
--- a/packages/testing/load_model.h
+++ b/packages/testing/load_model.h
@@ -92,6 +92,9 @@
   void PauseHost(std::size_t aHost, Duration aSpan);
   // The host loses its state and its requests, and starts again after aSpan.
   void RestartHost(std::size_t aHost, Duration aSpan);
+  // All hosts restart, and control with them, which has no leader and gives no
+  // lists until aLeaderAfter.
+  void LosePower(Duration aSpan, Duration aLeaderAfter);
   // The host exchanges no messages with other hosts for aSpan. Callers and
   // servers still reach it.
   void IsolateHost(std::size_t aHost, Duration aSpan);
@@ -180,6 +183,7 @@
   std::vector<std::vector<Arrival>> m_arrivals; // by server
   std::multimap<Duration, std::function<void()>> m_actions;
   std::vector<Host> m_hosts;
+  TimePoint m_leaderlessUntil;
   std::unordered_map<HostId, std::size_t> m_hostIndex;
   std::unordered_map<RequestId, Pending> m_pending;
   std::map<std::pair<std::size_t, AttemptId>, Attempt> m_attempts;
--- a/tests/randomised/load_run_test.cc
+++ b/tests/randomised/load_run_test.cc
@@ -81,6 +81,29 @@
   }
 }
 
+// Entry hosts pulled at growing intervals although control had nothing to give,
+// and served up to a second after it had a leader.
+BOOST_AUTO_TEST_CASE(AfterALossOfPowerCallersAreServedAsSoonAsThereIsALeader)
+{
+  LoadOptions options = FleetOf(130, 246, 0.5);
+  options.faultyShare = 0.0;
+  static constexpr auto kDown = std::chrono::milliseconds(300);
+  for (const int leaderAfter : { 800, 1200, 1500, 1800, 2500 }) {
+    BOOST_TEST_CONTEXT("leader " << leaderAfter << " ms after the start")
+    {
+      LoadModel model(options);
+      model.At(std::chrono::milliseconds(3500), [&model, leaderAfter] {
+        model.LosePower(kDown, kDown + std::chrono::milliseconds(leaderAfter));
+      });
+      const LoadResult result = model.Run(kSpan);
+      const double perSecond = result.requests / (ToSeconds(kSpan) - 0.3);
+      const double refusedSeconds = result.refused / perSecond;
+      BOOST_TEST(refusedSeconds > leaderAfter / 1000.0 - 0.1);
+      BOOST_TEST(refusedSeconds < leaderAfter / 1000.0 + 0.3);
+    }
+  }
+}
+
 // What a host tells others does not grow with the fleet.
 BOOST_AUTO_TEST_CASE(MessagesOfAHostDoNotGrowWithTheFleet)
 {
