Let hosts that start together ask different control hosts

Cause: a starting host asks the closest control host and the others in turn, and all begin with the same one. It builds and sends the lists to all of them: one control host sent 3.7 MB of the 8 MB with which the fleet starts, with 0.37 s between two rounds of its event loop, while three others sent 0.2 to 0.5 MB. Hosts that were not answered within 0.2 s asked the next one as well.

Change: a host begins with a random turn.

Test that failed before: lists_follower_test HostsThatStartTogetherAskDifferentControlHosts: 60 of 60 hosts asked the same of six control hosts; at most 20 may.

What is left of the delay comes from the leader, which hosts ask as soon as another control host names it.

--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -34,6 +34,8 @@
 static constexpr Duration kSlowFurtherInterval = std::chrono::seconds(2);
 static constexpr std::size_t kControlHostsPerRound = 3;
 static constexpr std::size_t kPeersPerPull = 3;
+// A starting host begins with any of this many turns of the control hosts.
+static constexpr std::uint64_t kControlTurns = 1'000;
 // Without a leader, a starting host pulls again after this part of the time
 // since its start.
 static constexpr int kPartOfWait = 10;
@@ -59,6 +61,8 @@
   , m_startInterval(m_options.startInterval)
 {
   AddControlHosts(m_options.controlHosts);
+  // Hosts that start together ask different control hosts.
+  m_nextControlIndex = 2 * m_random.Below(kControlTurns);
 }
 
 void
--- a/packages/entry/lists_follower_test.cc
+++ b/packages/entry/lists_follower_test.cc
@@ -16,9 +16,9 @@
 class FollowerTest
 {
 public:
-  FollowerTest()
+  explicit FollowerTest(std::uint64_t aSeed = 1)
     : m_now(FromMicros(1'000'000))
-    , m_follower(Options(), Hooks(), Random(1), m_now)
+    , m_follower(Options(), Hooks(), Random(aSeed), m_now)
   {
   }
 
@@ -257,6 +257,37 @@
     test.m_pullCounts[kDomainControl] + test.m_pullCounts[kOtherControl] <= 5);
 }
 
+// All hosts that started together asked the same control host at the same time,
+// which sent the lists to one after the other.
+BOOST_AUTO_TEST_CASE(HostsThatStartTogetherAskDifferentControlHosts)
+{
+  constexpr std::size_t kHosts = 60;
+  constexpr std::size_t kControlHosts = 6;
+  std::map<HostId, std::size_t> pulls;
+  std::size_t all = 0;
+  for (std::uint64_t seed = 1; seed <= kHosts; ++seed) {
+    FollowerTest test(seed);
+    for (std::size_t i = 2; i < kControlHosts; ++i) {
+      const HostId host("other-" + std::to_string(i));
+      test.m_follower.AddControlHosts({ host });
+      test.m_silent.insert(host);
+    }
+    test.m_leaderless = true;
+    // The first pull goes to the closest control host.
+    test.RunFor(std::chrono::milliseconds(100));
+    test.m_pullCounts.clear();
+    test.RunFor(std::chrono::milliseconds(200));
+    for (const auto& [host, count] : test.m_pullCounts) {
+      pulls[host] += static_cast<std::size_t>(count);
+      all += static_cast<std::size_t>(count);
+    }
+  }
+  BOOST_TEST(all == kHosts);
+  for (const auto& [host, count] : pulls) {
+    BOOST_TEST(count <= 2 * kHosts / kControlHosts, host << ": " << count);
+  }
+}
+
 // It was confirmed by a response that brings no servers, and waited a whole
 // interval of pulls for them.
 BOOST_AUTO_TEST_CASE(AHostThatBeginsToServeHasTheServersSoon)
