Take back the evidence of entry hosts that reach no server

What callers saw: while six of ten entry hosts were cut off from all backend servers, callers of the four others were refused ("no room before the request would be too late", "the service is at capacity"), up to 13 % of them, though all 24 servers were sound and the load was 0.3.

Cause: on hosts with an arbiter (no shared outcomes), the attempts of a host that had just been cut off passed the threshold for slow answers 0.1 s after the cut, long before their connections failed (1 s) and the host knew its state (2.1 s). Two reporters in two regions sufficed: 0.46 to 0.72 s after the cut the arbiter ejected 9 of the 24 servers as slow, all that the floor allows, for 8 s and a trial and a ramp after that. The reporter's baseline is too slow for this, and suspects are left out of it. The four hosts then carried the load of ten on 15 servers.

Ruled out: plan limits, the ledger (keyed requests were refused by the queue, too), faults of the model's servers (none are set), forwarded requests displacing the host's own (own requests were refused 3 to 4 times less often than forwarded ones at the same host).

Change: entry hosts tell their detectors which hosts are marked cut_off, themselves included. The detector takes back what such a reporter brought about: its counts, its part of pending evidence, and ejections of the last 5 s for which the evidence of the others does not suffice; such a server returns to full use without trial or ramp. Reports of a marked host are ignored. A host also passes a change of its own mark on to its services; before, its cells were selected again only when another host changed.

Remains: until the mark, about 2 s, the servers are out of use.

--- a/packages/entry/entry_forwarding.cc
+++ b/packages/entry/entry_forwarding.cc
@@ -61,6 +61,7 @@
   m_hooks.record(Event(cutOff ? "servers_unreachable" : "servers_reachable")
                    .With("requests", m_requests.size()));
   m_membership->SetCutOff(cutOff, m_now);
+  m_services->HostsChanged();
   m_lists->PullNow();
   if (!cutOff) {
     m_services->ForgetPaths();
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -101,6 +101,15 @@
     return hosts;
   };
   planeHooks.aliveHosts = aliveHosts;
+  planeHooks.cutOffHosts = [this] {
+    std::set<HostId> hosts;
+    for (const auto& [name, record] : m_membership->Table().Hosts()) {
+      if (record.cut_off()) {
+        hosts.emplace(name);
+      }
+    }
+    return hosts;
+  };
   planeHooks.regionOf = [this](const HostId& aHost) {
     const wire::HostRecord* record = m_membership->Table().FindHost(aHost);
     return record == nullptr ? Region() : Region(record->region());
--- a/packages/entry/service_plane.cc
+++ b/packages/entry/service_plane.cc
@@ -220,6 +220,7 @@
     }
   }
   aService.detector->Adopt(restrictions, aNow);
+  aService.detector->SetCutOffReporters(m_hooks.cutOffHosts(), aNow);
   aService.sentVersion.clear();
 }
 
@@ -234,8 +235,10 @@
   }
   const bool hostsChanged = std::exchange(m_hostsChanged, false);
   std::vector<HostId> hosts;
+  std::set<HostId> cutOff;
   if (hostsChanged) {
     hosts = m_hooks.aliveHosts();
+    cutOff = m_hooks.cutOffHosts();
   }
   for (auto& [name, service] : m_services) {
     if (hostsChanged) {
@@ -254,6 +257,9 @@
     } else if (isArbiter) {
       service.fallback = false;
     }
+    if (hostsChanged && service.detector) {
+      service.detector->SetCutOffReporters(cutOff, aNow);
+    }
     ReportEvidence(name, service, aNow);
     if (service.detector) {
       TickDetector(name, service, aNow);
--- a/packages/entry/service_plane.h
+++ b/packages/entry/service_plane.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -48,6 +49,8 @@
   // Sends to all entry hosts, through control; used if hosts share outcomes.
   std::function<void(const wire::Evidence&)> broadcast;
   std::function<std::vector<HostId>()> aliveHosts; // including this one
+  // Entry hosts, including this one, that reach no backend server.
+  std::function<std::set<HostId>()> cutOffHosts;
   std::function<Region(const HostId&)> regionOf;
   EventHook record;
 };
--- a/packages/entry/service_plane_test.cc
+++ b/packages/entry/service_plane_test.cc
@@ -107,6 +107,7 @@
     hooks.aliveHosts = [this, aHost] {
       return m_started ? m_hosts : std::vector<HostId>{ aHost };
     };
+    hooks.cutOffHosts = [] { return std::set<HostId>(); };
     hooks.regionOf = [](const HostId&) { return Region("r"); };
     hooks.record = [](const Event&) {};
     return hooks;
--- a/packages/routing/decayed_counts.h
+++ b/packages/routing/decayed_counts.h
@@ -50,6 +50,14 @@
     m_counts += aCounts;
   }
 
+  // aOther has the same half-life.
+  void Subtract(const DecayedCounts& aOther, TimePoint aNow)
+  {
+    m_counts = At(aNow);
+    m_updatedAt = aNow;
+    m_counts -= aOther.At(aNow);
+  }
+
   OutcomeCounts At(TimePoint aNow) const
   {
     const double factor =
--- a/packages/routing/outlier_detector.cc
+++ b/packages/routing/outlier_detector.cc
@@ -38,6 +38,8 @@
   std::chrono::milliseconds(500);
 static constexpr double kSwapMargin = 0.2;
 static constexpr double kRampThresholdShare = 0.6;
+// A reporter finds out within this time that it reaches no server.
+static constexpr Duration kCutOffDetectionTime = std::chrono::seconds(5);
 
 OutlierDetector::OutlierDetector(OutlierDetectorOptions aOptions,
                                  EventHook aRecord)
@@ -128,6 +130,9 @@
                           const std::vector<ReportedCounts>& aCounts,
                           TimePoint aNow)
 {
+  if (m_cutOffReporters.count(aReporter.host) != 0) {
+    return;
+  }
   ReporterRecord& reporter = m_reporters[aReporter.host];
   reporter.region = aReporter.region;
   // All counts are recorded before any server is evaluated, so that a fault of
@@ -365,6 +370,10 @@
                       : EjectionCause::kFailures;
     aServer.badRate = BadRate(aServer, aNow);
   }
+  aServer.ejectedBy.clear();
+  for (const auto& [host, reporterEvidence] : aServer.evidence) {
+    aServer.ejectedBy[host] = reporterEvidence.logRatio;
+  }
   const int doublings = std::min(aServer.ejections, 16);
   const Duration duration = std::min(
     m_options.maxEjection, m_options.initialEjection * (1 << doublings));
@@ -494,6 +503,51 @@
   }
 }
 
+void
+OutlierDetector::SetCutOffReporters(const std::set<HostId>& aReporters,
+                                    TimePoint aNow)
+{
+  for (const HostId& host : aReporters) {
+    if (m_cutOffReporters.insert(host).second) {
+      WithdrawEvidence(host, aNow);
+    }
+  }
+  m_cutOffReporters = aReporters;
+}
+
+// A server that was ejected lately returns to full use unless the evidence of
+// the other reporters suffices.
+void
+OutlierDetector::WithdrawEvidence(const HostId& aReporter, TimePoint aNow)
+{
+  for (auto& [id, server] : m_servers) {
+    server.byReporter.erase(aReporter);
+    if (server.evidence.count(aReporter) != 0) {
+      ClearEvidence(server);
+    }
+    if (server.state != HealthState::kEjected ||
+        IsDue(server.since + kCutOffDetectionTime, aNow) ||
+        server.ejectedBy.erase(aReporter) == 0) {
+      continue;
+    }
+    double left = 0.0;
+    for (const auto& [host, logRatio] : server.ejectedBy) {
+      left += logRatio;
+    }
+    if (left < m_options.threshold) {
+      --server.ejections;
+      Reinstate(server, aNow, "reporters_cut_off");
+      server.until = aNow; // no ramp: it was healthy all the time
+    }
+  }
+  const auto reporter = m_reporters.find(aReporter);
+  if (reporter == m_reporters.end()) {
+    return;
+  }
+  m_allReporters.Subtract(reporter->second.total, aNow);
+  m_reporters.erase(reporter);
+}
+
 void
 OutlierDetector::Tick(TimePoint aNow)
 {
--- a/packages/routing/outlier_detector.h
+++ b/packages/routing/outlier_detector.h
@@ -17,6 +17,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,10 @@
   void OnReport(const Reporter& aReporter,
                 const std::vector<ReportedCounts>& aCounts,
                 TimePoint aNow);
+  // Replaces the set of reporters that reach no server: their reports say
+  // nothing about a server. What a reporter that is new in the set has brought
+  // about until now is taken back.
+  void SetCutOffReporters(const std::set<HostId>& aReporters, TimePoint aNow);
   void Tick(TimePoint aNow);
   // Adopts the ejection decisions of another arbiter.
   void Adopt(const std::vector<ServerHealth>& aHealth, TimePoint aNow);
@@ -135,6 +140,11 @@
       longTerm.Add(aCounts, aNow);
       shortTerm.Add(aCounts, aNow);
     }
+    void Subtract(const OutcomeWindows& aOther, TimePoint aNow)
+    {
+      longTerm.Subtract(aOther.longTerm, aNow);
+      shortTerm.Subtract(aOther.shortTerm, aNow);
+    }
   };
 
   struct ReporterEvidence
@@ -162,6 +172,8 @@
     double slowSum = 0.0;
     // Evidence of each reporter since the sums were last zero.
     std::map<HostId, ReporterEvidence> evidence;
+    // What ejected it, by reporter, as log-likelihood ratios.
+    std::map<HostId, double> ejectedBy;
     std::map<HostId, OutcomeWindows> byReporter;
   };
 
@@ -201,6 +213,7 @@
   void Eject(ServerRecord& aServer, TimePoint aNow);
   void Reinstate(ServerRecord& aServer, TimePoint aNow, const char* aWhy);
   void ClearEvidence(ServerRecord& aServer);
+  void WithdrawEvidence(const HostId& aReporter, TimePoint aNow);
   void EnforceFloor(TimePoint aNow);
   bool MakeRoom(const ServerRecord& aCandidate, TimePoint aNow);
   std::uint64_t TotalSlots() const;
@@ -212,6 +225,7 @@
   EventHook m_record;
   std::map<BackendServerId, ServerRecord> m_servers;
   std::map<HostId, ReporterRecord> m_reporters;
+  std::set<HostId> m_cutOffReporters;
   OutcomeWindows m_allReporters;
   std::uint64_t m_version = 1;
 };
--- a/packages/routing/outlier_detector_test.cc
+++ b/packages/routing/outlier_detector_test.cc
@@ -127,6 +127,47 @@
   BOOST_TEST(EjectedCount() == 0u);
 }
 
+BOOST_FIXTURE_TEST_CASE(HostsThatReachNoServerDoNotKeepSoundServersOutOfUse,
+                        OutlierDetectorFixture)
+{
+  for (int server = 0; server < 3; ++server) {
+    Report("a", server, 2, 0);
+    Report("c", server, 2, 0);
+  }
+  BOOST_TEST(EjectedCount() == 3u);
+  Advance(std::chrono::seconds(2));
+  m_detector.SetCutOffReporters({ HostId("a"), HostId("c") }, m_now);
+  Advance(std::chrono::milliseconds(20));
+  BOOST_TEST(m_detector.RestrictedServers(m_now).empty());
+  for (int server = 0; server < 3; ++server) {
+    Report("a", server, 6, 0);
+    Report("c", server, 6, 0);
+  }
+  BOOST_TEST(m_detector.RestrictedServers(m_now).empty());
+  // Back in touch, they are heard again.
+  m_detector.SetCutOffReporters({}, m_now);
+  Report("a", 3, 2, 0);
+  Report("c", 3, 2, 0);
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+}
+
+BOOST_FIXTURE_TEST_CASE(AHostThatReachesNoServerFreesNoServerThatIsSick,
+                        OutlierDetectorFixture)
+{
+  // The others see it fail, too.
+  Report("a", 3, 1, 0);
+  Report("b", 3, 3, 0);
+  Report("c", 3, 3, 0);
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+  m_detector.SetCutOffReporters({ HostId("a") }, m_now);
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+  // Long before the host lost the servers.
+  Advance(std::chrono::seconds(6));
+  m_detector.SetCutOffReporters({ HostId("a"), HostId("b"), HostId("c") },
+                                m_now);
+  BOOST_TEST((StateOf(3) == HealthState::kEjected));
+}
+
 BOOST_FIXTURE_TEST_CASE(KeepsFloorWhenServersLeave, OutlierDetectorFixture)
 {
   for (int server = 0; server < 8; ++server) {
--- a/tests/randomised/cut_off_host_run_test.cc
+++ b/tests/randomised/cut_off_host_run_test.cc
@@ -44,6 +44,17 @@
            answered[1] / std::max(asked[1], 1.0) };
 }
 
+// All servers are sound in these runs.
+static std::size_t
+RestrictedServers(const EntryFleet& aFleet)
+{
+  std::size_t restricted = 0;
+  for (std::size_t server = 0; server < aFleet.ServerCount(); ++server) {
+    restricted += aFleet.RestrictingHosts(server) == 0 ? 0 : 1;
+  }
+  return restricted;
+}
+
 BOOST_AUTO_TEST_CASE(CallersOfHostsThatAreCutOffAreServedByOthers)
 {
   const SeedRange seeds = SeedRangeFromEnvironment(3);
@@ -65,6 +76,7 @@
     const Served cut = ShareAnswered(fleet.TakeResults());
     BOOST_TEST(cut.cutOff >= cut.others * 2.0 / 3.0);
     BOOST_TEST(cut.others > 0.9);
+    BOOST_TEST(RestrictedServers(fleet) == 0u);
     fleet.HealPaths();
     fleet.Run(std::chrono::seconds(3));
     fleet.TakeResults();
