Wait for the rest of a body that has not arrived with its header

With nothing left to parse, the parser neither reports an error nor makes progress, and the session went on asking it: a request whose body came in a later packet than its header kept the event loop busy for good.

Change: no progress means that more bytes are needed.

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -231,7 +231,11 @@
     beast::error_code error;
     try {
       while (!error && !m_parser->is_done()) {
-        m_buffer.consume(m_parser->put(m_buffer.data(), error));
+        const std::size_t bytes = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(bytes);
+        if (bytes == 0 && !error) {
+          error = http::error::need_more;
+        }
       }
     } catch (const std::length_error&) {
       error = http::error::header_limit;
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -126,7 +126,7 @@
   HttpServer& Server() { return *m_server; }
 
   bool Closed() const { return m_closed; }
-  const std::vector<std::string>& Paths() const { return m_paths; }
+  std::vector<std::string>& Paths() { return m_paths; }
   const std::vector<std::uint32_t>& Rejected() const { return m_rejected; }
   void SetLimits(const HttpLimits& aLimits) { m_server->SetLimits(aLimits); }
 
@@ -146,6 +146,25 @@
   return aResponse.substr(0, 12);
 }
 
+BOOST_AUTO_TEST_CASE(ARequestThatArrivesInTwoPartsIsReadWhole)
+{
+  TestServer server;
+  const std::string start = "POST /a HTTP/1.1\r\nHost: x\r\n";
+  for (const std::string& request :
+       { start + "Content-Length: 4\r\n\r\nbody",
+         start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+                 "X-Trailer: t\r\n\r\n" }) {
+    for (std::size_t cut = 1; cut < request.size(); ++cut) {
+      tcp::socket socket = server.Connect(request.substr(0, cut));
+      server.RunFor(std::chrono::milliseconds(1));
+      asio::write(socket, asio::buffer(request.substr(cut)));
+      server.Paths().clear();
+      BOOST_TEST(server.RunUntil([&] { return !server.Paths().empty(); }),
+                 "cut after " << cut << " bytes");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RespondsToAValidRequest)
 {
   TestServer server;
