Count the grace period from the arrival of the signal

Seen by callers: a host whose event loop was busy when SIGTERM arrived counted its grace period from when it saw the signal, so all deadlines of its stop were late by as much, and it was killed with work in hand.

Cause: the time was taken by the handler of the event loop. Change: StopSignal takes it in the signal handler. Callers' addresses still expire counted from when the host stops giving them out.

Before: process_shutdown_signal_while_busy failed on (the host was there 6 s after the signal). After: passed, with stop_signal_test, control_shutdown_test (a host that learns 3 s late of its stop) and shutdown_plan_test. A process that is stopped by SIGSTOP cannot take the time and still counts from when it goes on.

--- a/packages/control/control_shutdown.cc
+++ b/packages/control/control_shutdown.cc
@@ -13,12 +13,12 @@
 }
 
 void
-ControlShutdown::Begin(TimePoint aNow)
+ControlShutdown::Begin(TimePoint aNow, TimePoint aRequestedAt)
 {
   if (HasBegun()) {
     return;
   }
-  m_plan.Begin(aNow, kNever);
+  m_plan.Begin(aRequestedAt, kNever);
   m_handoverUntil = aNow + kHandoverTimeout;
 }
 
--- a/packages/control/control_shutdown.h
+++ b/packages/control/control_shutdown.h
@@ -6,7 +6,7 @@
 // are known when the stop begins.
 //
 //   ControlShutdown shutdown(gracePeriod);
-//   shutdown.Begin(now);
+//   shutdown.Begin(now, requestedAt);
 //   shutdown.Update(held, now);
 //   if (shutdown.GivesUp(now)) { ... }  // answer the rest: outcome unknown
 //   if (shutdown.IsClosed()) { ... }    // close idle connections and listener
@@ -36,7 +36,8 @@
   // aGracePeriod: from the request to stop until the process is killed.
   explicit ControlShutdown(Duration aGracePeriod);
 
-  void Begin(TimePoint aNow);
+  // The grace period counts from aRequestedAt.
+  void Begin(TimePoint aNow, TimePoint aRequestedAt);
   bool HasBegun() const { return m_plan.HasBegun(); }
   // Must be called regularly.
   void Update(const ControlHeldWork& aHeld, TimePoint aNow);
--- a/packages/control/control_shutdown_test.cc
+++ b/packages/control/control_shutdown_test.cc
@@ -12,7 +12,7 @@
 class Stop
 {
 public:
-  Stop() { m_shutdown.Begin(m_now); }
+  Stop() { m_shutdown.Begin(m_now, m_now); }
 
   void Update(const ControlHeldWork& aHeld, Duration aLater)
   {
@@ -81,4 +81,18 @@
   BOOST_TEST((stop.m_now < killedAt));
 }
 
+BOOST_AUTO_TEST_CASE(AHostThatLearnsLateOfItsStopEndsInTime)
+{
+  static constexpr Duration kLate = std::chrono::seconds(3);
+  TimePoint now = TimePoint() + std::chrono::seconds(10);
+  const TimePoint killedAt = now - kLate + kGrace;
+  ControlShutdown shutdown(kGrace);
+  shutdown.Begin(now, now - kLate);
+  while (!shutdown.MayExit() && now < killedAt) {
+    now += std::chrono::milliseconds(20);
+    shutdown.Update({ .requests = 1 }, now);
+  }
+  BOOST_TEST((now < killedAt));
+}
+
 } // namespace fuchsiaramp
--- a/packages/entry/entry_node.cc
+++ b/packages/entry/entry_node.cc
@@ -377,7 +377,7 @@
 }
 
 void
-EntryNode::Leave(TimePoint aNow)
+EntryNode::Leave(TimePoint aNow, TimePoint aRequestedAt)
 {
   if (IsLeaving()) {
     return;
@@ -390,7 +390,7 @@
   m_addressResponsesExpireAt =
     std::max(m_addressResponsesExpireAt,
              aNow + kLeavePropagationTime + m_options.settings.addressLifetime);
-  m_shutdown.Begin(aNow, m_addressResponsesExpireAt);
+  m_shutdown.Begin(aRequestedAt, m_addressResponsesExpireAt);
   m_hooks.record(Event("leaving").With("held", m_requests.size()));
   std::vector<RequestId> late;
   for (const auto& [id, request] : m_requests) {
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -115,8 +115,9 @@
   void Tick(TimePoint aNow);
 
   // Withdraws this host from address responses, and refuses the waiting
-  // requests that may not end before the process is killed.
-  void Leave(TimePoint aNow);
+  // requests that may not end before the process is killed. The grace period
+  // counts from aRequestedAt.
+  void Leave(TimePoint aNow, TimePoint aRequestedAt);
   bool IsLeaving() const { return m_shutdown.HasBegun(); }
   const ShutdownPlan& Shutdown() const { return m_shutdown; }
   // Whether the host takes no new requests and none is in flight. Ledger
--- a/packages/entry/shutdown_plan.cc
+++ b/packages/entry/shutdown_plan.cc
@@ -15,7 +15,7 @@
 }
 
 void
-ShutdownPlan::Begin(TimePoint aNow, TimePoint aAddressesExpireAt)
+ShutdownPlan::Begin(TimePoint aRequestedAt, TimePoint aAddressesExpireAt)
 {
   if (m_begun) {
     return;
@@ -23,8 +23,8 @@
   m_begun = true;
   const Duration delivery =
     std::min(kDeliveryTime, m_gracePeriod / kDeliveryFraction);
-  m_finishBy = aNow + m_gracePeriod - delivery;
-  m_exitBy = aNow + m_gracePeriod - delivery / 2;
+  m_finishBy = aRequestedAt + m_gracePeriod - delivery;
+  m_exitBy = aRequestedAt + m_gracePeriod - delivery / 2;
   m_closesAt = std::min(aAddressesExpireAt, m_finishBy);
 }
 
--- a/packages/entry/shutdown_plan.h
+++ b/packages/entry/shutdown_plan.h
@@ -7,7 +7,7 @@
 // host can still serve it.
 //
 //   ShutdownPlan plan(gracePeriod);
-//   plan.Begin(now, addressesExpireAt);
+//   plan.Begin(requestedAt, addressesExpireAt);
 //   if (!plan.Admits(request.deadline, now)) { ... }  // refuse it
 #pragma once
 
@@ -21,8 +21,9 @@
   // aGracePeriod: from the request to stop until the process is killed.
   explicit ShutdownPlan(Duration aGracePeriod);
 
-  // aAddressesExpireAt: when no caller holds the address of this host any more.
-  void Begin(TimePoint aNow, TimePoint aAddressesExpireAt);
+  // aRequestedAt: the start of the grace period. aAddressesExpireAt: when no
+  // caller holds the address of this host any more.
+  void Begin(TimePoint aRequestedAt, TimePoint aAddressesExpireAt);
   bool HasBegun() const { return m_begun; }
 
   // Whether the host no longer takes new requests and connections.
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -103,12 +103,12 @@
     ScheduleTick();
   }
 
-  void Leave()
+  void Leave(TimePoint aRequestedAt)
   {
     if (m_shutdown.HasBegun()) {
       return;
     }
-    m_shutdown.Begin(MonotonicNow());
+    m_shutdown.Begin(MonotonicNow(), aRequestedAt);
     m_log.Write(HeldWork(Event("leaving")));
     // Callers do not send their next request to this host.
     m_server->CloseAfterResponses();
@@ -490,9 +490,9 @@
 ControlService::~ControlService() = default;
 
 void
-ControlService::Leave()
+ControlService::Leave(TimePoint aRequestedAt)
 {
-  m_impl->Leave();
+  m_impl->Leave(aRequestedAt);
 }
 
 void
--- a/packages/net/control_service.h
+++ b/packages/net/control_service.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "base/time.h"
 #include "net/external_api.h"
 #include "settings/settings.h"
 
@@ -32,8 +33,8 @@
   ControlService& operator=(const ControlService&) = delete;
 
   // Answers what is in hand and transfers leadership, then stops the io
-  // context.
-  void Leave();
+  // context. The grace period counts from aRequestedAt.
+  void Leave(TimePoint aRequestedAt);
   // Applies the settings that may change at run time: the control hosts.
   void Reload(const Settings& aSettings);
   // The storage error after which the process must exit; empty while there is
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -97,9 +97,9 @@
     ScheduleTick();
   }
 
-  void Leave()
+  void Leave(TimePoint aRequestedAt)
   {
-    m_node->Leave(MonotonicNow());
+    m_node->Leave(MonotonicNow(), aRequestedAt);
     // Each response now closes its connection, so that callers connect to other
     // hosts.
     m_servers.front()->CloseAfterResponses();
@@ -624,9 +624,9 @@
 EntryService::~EntryService() = default;
 
 void
-EntryService::Leave()
+EntryService::Leave(TimePoint aRequestedAt)
 {
-  m_impl->Leave();
+  m_impl->Leave(aRequestedAt);
 }
 
 void
--- a/packages/net/entry_service.h
+++ b/packages/net/entry_service.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "base/time.h"
 #include "net/external_api.h"
 #include "settings/settings.h"
 
@@ -28,7 +29,8 @@
   EntryService& operator=(const EntryService&) = delete;
 
   // Withdraws the host, finishes requests in flight, then stops the io context.
-  void Leave();
+  // The grace period counts from aRequestedAt.
+  void Leave(TimePoint aRequestedAt);
   // Applies the settings that may change at run time: control hosts and seeds.
   void Reload(const Settings& aSettings);
 
--- a/packages/testing/entry_fleet.cc
+++ b/packages/testing/entry_fleet.cc
@@ -81,7 +81,7 @@
   driver.onCallerDisconnected = [raw](RequestId aRequest, TimePoint aTime) {
     raw->OnCallerDisconnected(aRequest, aTime);
   };
-  driver.leave = [raw](TimePoint aTime) { raw->Leave(aTime); };
+  driver.leave = [raw](TimePoint aTime) { raw->Leave(aTime, aTime); };
   driver.tick = [raw](TimePoint aTime) { raw->Tick(aTime); };
   driver.isRestricted = [raw](const BackendServerId& aServer) {
     const ServiceRouter* router = raw->Services().Find(ServiceName(kService));
--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -28,6 +28,7 @@
 #include "net/entry_service.h"
 #include "net/monotonic.h"
 #include "net/native_api.h"
+#include "net/stop_signal.h"
 #include "observe/event_log.h"
 #include "observe/log_output.h"
 #include "observe/log_rate_limiter.h"
@@ -166,12 +167,8 @@
                 Service& aService,
                 const std::string& aSettingsFile)
 {
-  boost::asio::signal_set signals(aIo, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& aError, int) {
-    if (!aError) {
-      aService.Leave();
-    }
-  });
+  const StopSignal stop(
+    aIo, [&](TimePoint aArrivedAt) { aService.Leave(aArrivedAt); });
   const SettingsWatcher watch(
     aIo, aSettingsFile, [&](const Settings& aNew) { aService.Reload(aNew); });
   aIo.run();
--- a/tests/randomised/shutdown_run_test.cc
+++ b/tests/randomised/shutdown_run_test.cc
@@ -79,7 +79,7 @@
   {
     RunFor(seconds(2));
     m_stopAt = m_now;
-    m_node.Leave(m_now);
+    m_node.Leave(m_now, m_now);
     while (!m_node.MayExit(m_now) && m_now < m_stopAt + kGracePeriod) {
       RunFor(kTurn);
     }
