Refuse a retry at once that would start too late

Callers saw: a request of 1.5 s whose first three attempts were shed by servers that usually take 8 s got no answer by its deadline, and a leaving host held it until the SIGKILL.

Cause: DeferRetry() waits for a share of the usual latency of the service, here 2 to 6 s, without regard to the time by which the retry must have started. ReleaseDeferredRetries() then refuses a retry that comes after startBy, so the wait was of no use from its begin.

Change: DeferRetry() returns false if the retry would start after startBy, and the request is answered by what is known of its attempts: not-run if all were shed. startBy is never later than the deadline of the request, unless the request arrives after it, and a stop lets no request retry whose deadline it does not reach, so no deferred retry outlasts either.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -312,8 +312,7 @@
   }
   if (aRequest.attemptsShed > 0 &&
       aRequest.attemptsShed % kShedsBeforeRetryDelay == 0) {
-    DeferRetry(aRequest, aNow);
-    return true;
+    return DeferRetry(aRequest, aNow);
   }
   const auto server =
     router->Choose({ aRequest.repeatable, aRequest.excludedServers }, aNow);
@@ -327,7 +326,7 @@
 
 // Several servers were full. Trying more of them immediately would only add
 // load, so the request waits for about the time until a slot becomes free.
-void
+bool
 EntryNode::DeferRetry(Request& aRequest, TimePoint aNow)
 {
   const ServiceRouter* router = m_services->Find(aRequest.head.service);
@@ -335,8 +334,12 @@
     ToSeconds(router->LatencyQuantile(kRetryDelayQuantile));
   const Duration wait =
     FromSeconds(typicalLatency * (0.25 + 0.5 * m_random.Unit()));
+  if (IsDue(aRequest.startBy, aNow + wait)) {
+    return false;
+  }
   aRequest.stage = Stage::kRetryDeferred;
   m_deferredRetries.emplace(aNow + wait, aRequest.head.id);
+  return true;
 }
 
 void
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -305,7 +305,8 @@
                  const AttemptEnd& aEnd,
                  TimePoint aNow);
   bool Retry(Request& aRequest, bool aProvenNotRun, TimePoint aNow);
-  void DeferRetry(Request& aRequest, TimePoint aNow);
+  // Returns false if the retry would start too late.
+  bool DeferRetry(Request& aRequest, TimePoint aNow);
   void ReleaseDeferredRetries(TimePoint aNow);
   bool Requeue(Request& aRequest, TimePoint aNow);
   void RecordCrashEvidence(Request& aRequest,
--- /dev/null
+++ b/packages/entry/entry_node_test.cc
@@ -0,0 +1,221 @@
+#define BOOST_TEST_MODULE entry_node
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <vector>
+
+#include "base/digest.h"
+#include "entry/entry_node.h"
+
+namespace fuchsiaramp {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr Duration kTurn = milliseconds(20);
+static constexpr Duration kGracePeriod = seconds(6);
+
+// One entry host with four servers of one service, whose attempts end as the
+// test says. Messages to other hosts get no reply.
+class LoneHost
+{
+public:
+  LoneHost()
+    : m_node(Options(), Hooks(), Random(1), m_now)
+  {
+    wire::Envelope push;
+    wire::ListsPush* lists = push.mutable_lists_push();
+    lists->set_confirmed(true);
+    lists->set_current_version(1);
+    lists->add_group_leaders("control-1");
+    lists->add_group_leaders("control-1");
+    wire::ListsDelta* delta = lists->add_deltas();
+    delta->set_full(true);
+    delta->set_to_version(1);
+    delta->add_services()->set_name("calc");
+    wire::Plan* plan = delta->add_plans();
+    plan->set_name("gold");
+    wire::Route* route = plan->add_routes();
+    route->set_name("order");
+    route->set_service("calc");
+    route->set_path_prefix("/order/");
+    wire::Route* read = plan->add_routes();
+    *read = *route;
+    read->set_name("read");
+    read->set_path_prefix("/read/");
+    read->set_repeatable(true);
+    wire::Customer* customer = delta->add_customers();
+    customer->set_id("c1");
+    customer->set_plan("gold");
+    customer->set_token_hash(Sha256Hex("token"));
+    wire::ServersDelta* servers = lists->mutable_servers();
+    servers->set_full(true);
+    servers->set_to_version(1);
+    for (int i = 0; i < 4; ++i) {
+      wire::BackendServerRecord* server = servers->add_servers();
+      server->set_id("server-" + std::to_string(i));
+      server->set_service("calc");
+      server->set_address("10.0.0.1:" + std::to_string(8000 + i));
+      server->set_slots(4);
+      server->set_incarnation(1);
+    }
+    m_node.OnMessage(HostId("control-1"), push, m_now);
+    BOOST_REQUIRE(m_node.ListsInForce().IsServing());
+  }
+
+  EntryNode& Node() { return m_node; }
+  TimePoint Now() const { return m_now; }
+  Duration SinceStop() const { return m_now - m_stopAt; }
+  const std::vector<FinalResponse>& Responses() const { return m_responses; }
+
+  void Stop()
+  {
+    m_stopAt = m_now;
+    m_node.Leave(m_now);
+  }
+
+  void RunFor(Duration aSpan)
+  {
+    for (const TimePoint end = m_now + aSpan; m_now < end;) {
+      m_now += kTurn;
+      std::vector<AttemptId> due;
+      for (const auto& [id, endsAt] : m_running) {
+        if (IsDue(endsAt, m_now)) {
+          due.push_back(id);
+        }
+      }
+      for (const AttemptId id : due) {
+        m_running.erase(id);
+        AttemptEnd attempt;
+        attempt.id = id;
+        attempt.outcome = m_outcome;
+        attempt.status = m_outcome == AttemptOutcome::kSuccess ? 200 : 503;
+        m_node.OnAttemptEnd(attempt, m_now);
+      }
+      m_node.Tick(m_now);
+    }
+  }
+
+  void Send(const std::string& aPath, Duration aTimeout)
+  {
+    m_node.OnRequest(Head(aPath, aTimeout), m_now);
+  }
+
+  void SendWithoutKey(const std::string& aPath, Duration aTimeout)
+  {
+    RequestHead head = Head(aPath, aTimeout);
+    head.key = IdempotencyKey();
+    m_node.OnRequest(head, m_now);
+  }
+
+  // The attempts end as given from now on.
+  void SetServers(AttemptOutcome aOutcome, Duration aLatency)
+  {
+    m_outcome = aOutcome;
+    m_latency = aLatency;
+  }
+
+  // Lets the servers be known to take as long.
+  void ServeReads(Duration aLatency)
+  {
+    SetServers(AttemptOutcome::kSuccess, aLatency);
+    const std::size_t before = m_responses.size();
+    for (int i = 0; i < kReads; ++i) {
+      Send("/read/1", seconds(60));
+    }
+    RunFor(aLatency * 5 / 2);
+    BOOST_REQUIRE(m_responses.size() == before + kReads);
+  }
+
+private:
+  static constexpr int kReads = 8;
+
+  RequestHead Head(const std::string& aPath, Duration aTimeout)
+  {
+    RequestHead head;
+    head.id = RequestId(++m_lastRequest);
+    head.host = "calc";
+    head.service = ServiceName("calc");
+    head.path = aPath;
+    head.token = "token";
+    head.key = IdempotencyKey("key-" + std::to_string(m_lastRequest));
+    head.bodyHash = Sha256Hex("body");
+    head.fingerprint = Fingerprint(m_lastRequest);
+    head.deadline = m_now + aTimeout;
+    return head;
+  }
+
+  static EntryOptions Options()
+  {
+    EntryOptions options;
+    options.settings.host = HostId("entry-1");
+    options.settings.controlHosts.push_back({ HostId("control-1"), "", "" });
+    options.settings.membershipByControl = true;
+    options.settings.routing.requestTimeout = seconds(60);
+    options.settings.routing.attemptTimeout = seconds(60);
+    options.settings.addressLifetime = seconds(1);
+    options.settings.gracePeriod = kGracePeriod;
+    return options;
+  }
+
+  EntryHooks Hooks()
+  {
+    EntryHooks hooks;
+    hooks.send = [](const HostId&, const wire::Envelope&) {};
+    hooks.startAttempt = [this](const AttemptStart& aStart) {
+      m_running[aStart.id] = m_now + m_latency;
+      return ConnectionKind::kNew;
+    };
+    hooks.cancelAttempt = [this](AttemptId aId) { m_running.erase(aId); };
+    hooks.startProbe = [](ProbeId, const std::string&) {};
+    hooks.answer = [this](const FinalResponse& aFinal) {
+      m_responses.push_back(aFinal);
+    };
+    hooks.hostChanged = [](const wire::HostRecord&) {};
+    hooks.record = [](const Event&) {};
+    return hooks;
+  }
+
+  AttemptOutcome m_outcome = AttemptOutcome::kSuccess;
+  Duration m_latency = milliseconds(10);
+  TimePoint m_now = FromMicros(1'000'000);
+  TimePoint m_stopAt = kNever;
+  std::uint64_t m_lastRequest = 0;
+  std::map<AttemptId, TimePoint> m_running;
+  std::vector<FinalResponse> m_responses;
+  EntryNode m_node;
+};
+
+// The servers shed three attempts of a short request, while the others take far
+// longer than its timeout.
+BOOST_AUTO_TEST_CASE(ADeferredRetryDoesNotHoldARequestBeyondItsDeadline)
+{
+  static constexpr Duration kTimeout = milliseconds(1500);
+  static constexpr Duration kSlack = milliseconds(100);
+  LoneHost host;
+  host.ServeReads(seconds(8));
+  BOOST_TEST(host.Responses().size() == 8u);
+  host.SetServers(AttemptOutcome::kShed, milliseconds(20));
+  host.Stop();
+  host.RunFor(milliseconds(3800));
+  host.Send("/read/1", kTimeout);
+  host.RunFor(kTimeout + kSlack);
+  BOOST_TEST(host.Responses().size() == 9u);
+  host.RunFor(kGracePeriod - host.SinceStop());
+  BOOST_TEST(host.Node().InFlight() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(ARetryThatWouldStartTooLateIsRefusedAtOnce)
+{
+  LoneHost host;
+  host.ServeReads(seconds(8));
+  host.SetServers(AttemptOutcome::kShed, milliseconds(20));
+  const std::uint64_t attempts = host.Node().Counters().attempts;
+  host.SendWithoutKey("/read/1", milliseconds(1500));
+  host.RunFor(milliseconds(100));
+  BOOST_REQUIRE(host.Responses().size() == 9u);
+  BOOST_TEST((host.Responses().back().outcome == CallerOutcome::kNotRun));
+  BOOST_TEST(host.Node().Counters().attempts == attempts + 3);
+}
+
+} // namespace fuchsiaramp
