Answer each request by its deadline and by the end of a stop, in every stage

Callers saw: a request that needs a claim was held beyond its deadline, and by a leaving host until the SIGKILL, while the ledger did not answer. Its caller got no answer at all.

Cause: CheckDeadlines() answered only requests whose attempt runs. A claim without a reply ended by itself after 2 s or at the deadline of the request, and Fence() then waited 1 s more, whatever the deadline and the stop.

Change: AnswerBy() names the time for a request in any stage: its deadline, the end of the stop, and while it is fenced the end of the wait for the ledger. CheckDeadlines() asks it for all requests; AnswerDue() answers by what is known. A running attempt may have run: unknown. A request that waits, and holds no claim, is answered by its earlier attempts. One with a claim is fenced, and its caller hears unknown, since without the word of the ledger a resend may find the old claim; the fence is still sent for 1 s (or until the process ends), so that a resend can get the key. A grant that comes after the answer finds no request and starts nothing.

Ruled out: fencing for longer than 1 s after the answer.

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -531,31 +531,53 @@
   aRequest.runningAttempts.clear();
 }
 
+TimePoint
+EntryNode::AnswerBy(const Request& aRequest) const
+{
+  const TimePoint answerBy = m_shutdown.AnswerBy(aRequest.head.deadline);
+  return aRequest.stage == Stage::kFencing
+           ? std::min(answerBy, aRequest.fenceUntil)
+           : answerBy;
+}
+
 void
 EntryNode::CheckDeadlines(TimePoint aNow)
 {
-  // A caller of a host that is about to be killed gets a true answer instead of
-  // none.
-  const bool ending = m_shutdown.IsEnding(aNow);
   std::vector<RequestId> late;
   for (const auto& [id, request] : m_requests) {
-    const bool isAttempting = request.stage == Stage::kAttempting;
-    if (isAttempting && (ending || IsDue(request.head.deadline, aNow))) {
+    if (IsDue(AnswerBy(request), aNow)) {
       late.push_back(id);
     }
   }
   for (RequestId id : late) {
-    Request& request = m_requests.at(id);
-    request.mayHaveRun = true;
-    AttemptEnd end;
-    end.outcome = AttemptOutcome::kTimeout;
-    FailRequest(request,
-                &end,
-                ending ? "no response before this host had to stop"
-                       : "no response before the deadline of the request",
-                Jitter(kRetryAfterShed),
-                aNow);
+    AnswerDue(m_requests.at(id), aNow);
+  }
+}
+
+// A caller of a host that is about to be killed gets a true answer instead of
+// none.
+void
+EntryNode::AnswerDue(Request& aRequest, TimePoint aNow)
+{
+  if (aRequest.stage == Stage::kFencing) {
+    EndFence(aRequest, false, aNow);
+    return;
   }
+  if (aRequest.stage == Stage::kClaiming) {
+    GiveUpClaim(aRequest, aNow);
+    return;
+  }
+  aRequest.mayHaveRun =
+    aRequest.mayHaveRun || !aRequest.runningAttempts.empty();
+  AttemptEnd end;
+  end.outcome = AttemptOutcome::kTimeout;
+  FailRequest(aRequest,
+              &end,
+              m_shutdown.IsEnding(aNow)
+                ? "no response before this host had to stop"
+                : "no response before the deadline of the request",
+              Jitter(kRetryAfterShed),
+              aNow);
 }
 
 void
--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -520,8 +520,7 @@
   *claim->mutable_key() = key;
   claim->set_body_hash(aRequest.head.bodyHash);
   claim->set_attempt(aRequest.claimAttempt);
-  const TimePoint deadline =
-    std::min(aRequest.head.deadline, aNow + kClaimTimeout);
+  const TimePoint deadline = std::min(AnswerBy(aRequest), aNow + kClaimTimeout);
   const RequestId id = aRequest.head.id;
   m_claims->Submit(std::move(command),
                    deadline,
@@ -541,14 +540,12 @@
     return;
   }
   Request& request = it->second;
-  FinalResponse response;
-  response.request = aRequest;
   if (aResult == nullptr) {
-    response.reason = "the ledger did not answer in time";
-    response.retryAfter = Jitter(kRetryAfterFailedClaim);
-    Fence(request, response, aNow);
+    GiveUpClaim(request, aNow);
     return;
   }
+  FinalResponse response;
+  response.request = aRequest;
   switch (aResult->code()) {
     case wire::CommandResult::GRANTED: {
       request.keyIsFree = true;
@@ -593,6 +590,16 @@
   Respond(request, response, aNow);
 }
 
+void
+EntryNode::GiveUpClaim(Request& aRequest, TimePoint aNow)
+{
+  FinalResponse response;
+  response.request = aRequest.head.id;
+  response.reason = "the ledger did not answer in time";
+  response.retryAfter = Jitter(kRetryAfterFailedClaim);
+  Fence(aRequest, response, aNow);
+}
+
 void
 EntryNode::StartReserved(Request& aRequest, TimePoint aNow)
 {
@@ -636,11 +643,13 @@
   *finish->mutable_key() = KeyOf(aRequest);
   finish->set_attempt(aRequest.claimAttempt);
   finish->set_state(wire::LedgerRecord::NOT_RUN);
+  aRequest.fenceUntil = aNow + kFenceTimeout;
+  aRequest.fencedResponse = aResponse;
   const RequestId id = aRequest.head.id;
   m_claims->Submit(std::move(command),
-                   aNow + kFenceTimeout,
+                   aRequest.fenceUntil,
                    aNow,
-                   [this, id, aResponse](const wire::CommandResult* aResult) {
+                   [this, id](const wire::CommandResult* aResult) {
                      const auto it = m_requests.find(id);
                      if (it == m_requests.end()) {
                        return;
@@ -649,12 +658,22 @@
                      const bool free =
                        aResult != nullptr &&
                        aResult->code() == wire::CommandResult::OK;
-                     it->second.keyIsFree = free;
-                     FinalResponse response = aResponse;
-                     response.outcome =
-                       free ? CallerOutcome::kNotRun : CallerOutcome::kUnknown;
-                     Respond(it->second, response, m_now);
+                     EndFence(it->second, free, m_now);
                    });
+  // The fence is sent even if the caller cannot wait for the reply.
+  if (IsDue(AnswerBy(aRequest), aNow)) {
+    EndFence(aRequest, false, aNow);
+  }
+}
+
+void
+EntryNode::EndFence(Request& aRequest, bool aKeyIsFree, TimePoint aNow)
+{
+  aRequest.keyIsFree = aKeyIsFree;
+  FinalResponse response = aRequest.fencedResponse;
+  response.outcome =
+    aKeyIsFree ? CallerOutcome::kNotRun : CallerOutcome::kUnknown;
+  Respond(aRequest, response, aNow);
 }
 
 void
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -178,6 +178,8 @@
     int hedges = 0;
     bool forceNewConnection = false;
     std::string claimAttempt; // set while this request holds its key
+    TimePoint fenceUntil = kNever;
+    FinalResponse fencedResponse; // of a request that is being fenced
     std::optional<BackendServerId> reservedServer;
     TimePoint reservedAt;
     bool callerDisconnected = false;
@@ -283,7 +285,10 @@
   void OnClaimResult(RequestId aRequest,
                      const wire::CommandResult* aResult,
                      TimePoint aNow);
+  void GiveUpClaim(Request& aRequest, TimePoint aNow);
   void Fence(Request& aRequest, const FinalResponse& aResponse, TimePoint aNow);
+  // aKeyIsFree: the ledger confirmed that no attempt holds the key or ran.
+  void EndFence(Request& aRequest, bool aKeyIsFree, TimePoint aNow);
   void ReportFinished(const Request& aRequest,
                       const AttemptEnd& aEnd,
                       wire::LedgerRecord::State aState,
@@ -324,7 +329,10 @@
   void OnOverdue(AttemptId aAttempt, TimePoint aNow);
   void Hedge(Request& aRequest, const Attempt& aLate, TimePoint aNow);
   void CancelAttempts(Request& aRequest, TimePoint aNow);
+  // The time at which a request gets its final response in whatever stage.
+  TimePoint AnswerBy(const Request& aRequest) const;
   void CheckDeadlines(TimePoint aNow);
+  void AnswerDue(Request& aRequest, TimePoint aNow);
 
   // Forwarding to other entry hosts while this one reaches no server.
   void RecordReachability(const Attempt& aAttempt,
--- a/packages/entry/entry_node_test.cc
+++ b/packages/entry/entry_node_test.cc
@@ -16,12 +16,12 @@
 static constexpr Duration kGracePeriod = seconds(6);
 
 // One entry host with four servers of one service, whose attempts end as the
-// test says. Messages to other hosts get no reply.
+// test says. Messages to other hosts get no reply unless the test sends one.
 class LoneHost
 {
 public:
-  LoneHost()
-    : m_node(Options(), Hooks(), Random(1), m_now)
+  explicit LoneHost(Duration aGracePeriod = kGracePeriod)
+    : m_node(Options(aGracePeriod), Hooks(), Random(1), m_now)
   {
     wire::Envelope push;
     wire::ListsPush* lists = push.mutable_lists_push();
@@ -68,6 +68,21 @@
   Duration SinceStop() const { return m_now - m_stopAt; }
   const std::vector<FinalResponse>& Responses() const { return m_responses; }
 
+  // Commands to the ledger, with those that were sent again.
+  const std::vector<wire::ControlRequest>& Commands() const
+  {
+    return m_commands;
+  }
+
+  void Reply(const wire::ControlRequest& aCommand,
+             wire::CommandResult::Code aCode)
+  {
+    wire::Envelope reply;
+    reply.mutable_control_reply()->set_request_id(aCommand.request_id());
+    reply.mutable_control_reply()->mutable_result()->set_code(aCode);
+    m_node.OnMessage(HostId("control-1"), reply, m_now);
+  }
+
   void Stop()
   {
     m_stopAt = m_now;
@@ -145,7 +160,7 @@
     return head;
   }
 
-  static EntryOptions Options()
+  static EntryOptions Options(Duration aGracePeriod)
   {
     EntryOptions options;
     options.settings.host = HostId("entry-1");
@@ -154,14 +169,18 @@
     options.settings.routing.requestTimeout = seconds(60);
     options.settings.routing.attemptTimeout = seconds(60);
     options.settings.addressLifetime = seconds(1);
-    options.settings.gracePeriod = kGracePeriod;
+    options.settings.gracePeriod = aGracePeriod;
     return options;
   }
 
   EntryHooks Hooks()
   {
     EntryHooks hooks;
-    hooks.send = [](const HostId&, const wire::Envelope&) {};
+    hooks.send = [this](const HostId&, const wire::Envelope& aMessage) {
+      if (aMessage.has_control_request()) {
+        m_commands.push_back(aMessage.control_request());
+      }
+    };
     hooks.startAttempt = [this](const AttemptStart& aStart) {
       m_running[aStart.id] = m_now + m_latency;
       return ConnectionKind::kNew;
@@ -183,9 +202,96 @@
   std::uint64_t m_lastRequest = 0;
   std::map<AttemptId, TimePoint> m_running;
   std::vector<FinalResponse> m_responses;
+  std::vector<wire::ControlRequest> m_commands;
   EntryNode m_node;
 };
 
+BOOST_AUTO_TEST_CASE(ASilentLedgerDoesNotHoldARequestBeyondTheGracePeriod)
+{
+  LoneHost host;
+  host.RunFor(seconds(1));
+  host.Stop();
+  host.RunFor(milliseconds(3900));
+  host.Send("/order/1", milliseconds(1500));
+  BOOST_TEST(host.Node().InFlight() == 1u);
+  host.RunFor(kGracePeriod - host.SinceStop());
+  BOOST_TEST(host.Responses().size() == 1u);
+  BOOST_TEST(host.Node().InFlight() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentLedgerDoesNotOutlastAShortGracePeriod)
+{
+  LoneHost host(seconds(2));
+  host.RunFor(seconds(1));
+  host.Send("/order/1", seconds(60));
+  host.Stop();
+  host.RunFor(seconds(2) - kTurn);
+  BOOST_REQUIRE(host.Responses().size() == 1u);
+  BOOST_TEST((host.Responses().back().outcome == CallerOutcome::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(ASilentLedgerDoesNotHoldARequestBeyondItsDeadline)
+{
+  LoneHost host;
+  host.RunFor(seconds(1));
+  host.Send("/order/1", milliseconds(1500));
+  host.RunFor(milliseconds(1500) + kTurn);
+  BOOST_REQUIRE(host.Responses().size() == 1u);
+  BOOST_TEST((host.Responses().back().outcome == CallerOutcome::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(ALateGrantDoesNotStartAnAnsweredRequest)
+{
+  LoneHost host(seconds(2));
+  host.RunFor(seconds(1));
+  host.Send("/order/1", seconds(60));
+  BOOST_REQUIRE(host.Commands().size() == 1u);
+  const wire::ControlRequest claim = host.Commands().front();
+  host.Stop();
+  host.RunFor(milliseconds(1700));
+  BOOST_REQUIRE(host.Responses().size() == 1u);
+  host.Reply(claim, wire::CommandResult::GRANTED);
+  host.RunFor(milliseconds(200));
+  BOOST_TEST(host.Node().Counters().attempts == 0u);
+  const wire::Command& last = host.Commands().back().command();
+  BOOST_REQUIRE(last.has_finish());
+  BOOST_TEST((last.finish().state() == wire::LedgerRecord::NOT_RUN));
+  BOOST_TEST(last.finish().attempt() == claim.command().claim().attempt());
+}
+
+// Three attempts of a request that holds its key are shed shortly before its
+// deadline.
+static void
+ShedClaimed(LoneHost& aHost)
+{
+  aHost.ServeReads(seconds(8));
+  aHost.SetServers(AttemptOutcome::kShed, milliseconds(450));
+  aHost.Send("/order/1", milliseconds(1500));
+  BOOST_REQUIRE(aHost.Commands().size() == 1u);
+  aHost.Reply(aHost.Commands().front(), wire::CommandResult::GRANTED);
+  aHost.RunFor(milliseconds(1460));
+  BOOST_REQUIRE(aHost.Commands().back().command().has_finish());
+  BOOST_REQUIRE(aHost.Responses().size() == 8u);
+}
+
+BOOST_AUTO_TEST_CASE(ASilentLedgerDoesNotHoldAFencedRequestBeyondItsDeadline)
+{
+  LoneHost host;
+  ShedClaimed(host);
+  host.RunFor(milliseconds(40) + kTurn);
+  BOOST_REQUIRE(host.Responses().size() == 9u);
+  BOOST_TEST((host.Responses().back().outcome == CallerOutcome::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(AFencedRequestIsAnsweredAsNotRun)
+{
+  LoneHost host;
+  ShedClaimed(host);
+  host.Reply(host.Commands().back(), wire::CommandResult::OK);
+  BOOST_REQUIRE(host.Responses().size() == 9u);
+  BOOST_TEST((host.Responses().back().outcome == CallerOutcome::kNotRun));
+}
+
 // The servers shed three attempts of a short request, while the others take far
 // longer than its timeout.
 BOOST_AUTO_TEST_CASE(ADeferredRetryDoesNotHoldARequestBeyondItsDeadline)
--- a/packages/entry/shutdown_plan.cc
+++ b/packages/entry/shutdown_plan.cc
@@ -46,6 +46,12 @@
   return IsDue(m_finishBy, aNow);
 }
 
+TimePoint
+ShutdownPlan::AnswerBy(TimePoint aDeadline) const
+{
+  return std::min(aDeadline, m_finishBy);
+}
+
 bool
 ShutdownPlan::EndsInTime(TimePoint aDeadline) const
 {
--- a/packages/entry/shutdown_plan.h
+++ b/packages/entry/shutdown_plan.h
@@ -34,6 +34,8 @@
   bool EndsInTime(TimePoint aDeadline) const;
   // Whether requests in hand are answered now, whatever their deadline.
   bool IsEnding(TimePoint aNow) const;
+  // When a request in hand that ends at aDeadline at the latest is answered.
+  TimePoint AnswerBy(TimePoint aDeadline) const;
   // When the host stops waiting for callers that neither complete their request
   // nor close their connection.
   TimePoint ExitBy() const { return m_exitBy; }
