Break nothing off before the last sixth of a short grace period

Callers saw: with a grace period of 1 or 2 s, a stopping host answered requests that still ran as unknown from 0.75 and 1.5 s on, although they had until 0.83 and 1.67 s.

Cause: one time, a quarter before the end of a grace period under 2 s and half a second before that of a longer one, was both the latest deadline that is accepted and the time at which work in hand is broken off. For less than 3 s it lies before the last sixth.

Change: work in hand is broken off in the last sixth at the earliest. What is accepted keeps its limit (DividesAShortGracePeriod is unchanged), as does the time at which the host ends, an eighth before the end, so the last responses still have 1/24 of the grace period to leave. Grace periods of 3 s and more are divided as before.

--- a/packages/entry/shutdown_plan.cc
+++ b/packages/entry/shutdown_plan.cc
@@ -8,6 +8,8 @@
 // reserved instead.
 static constexpr Duration kDeliveryTime = std::chrono::milliseconds(500);
 static constexpr int kDeliveryFraction = 4;
+// Of a shorter grace period, only the last sixth is taken from work in hand.
+static constexpr int kBreakOffFraction = 6;
 
 ShutdownPlan::ShutdownPlan(Duration aGracePeriod)
   : m_gracePeriod(aGracePeriod)
@@ -24,6 +26,8 @@
   const Duration delivery =
     std::min(kDeliveryTime, m_gracePeriod / kDeliveryFraction);
   m_finishBy = aNow + m_gracePeriod - delivery;
+  m_breakOffAt = std::max(
+    m_finishBy, aNow + m_gracePeriod - m_gracePeriod / kBreakOffFraction);
   m_exitBy = aNow + m_gracePeriod - delivery / 2;
   m_closesAt = std::min(aAddressesExpireAt, m_finishBy);
 }
@@ -43,13 +47,13 @@
 bool
 ShutdownPlan::IsEnding(TimePoint aNow) const
 {
-  return IsDue(m_finishBy, aNow);
+  return IsDue(m_breakOffAt, aNow);
 }
 
 TimePoint
 ShutdownPlan::AnswerBy(TimePoint aDeadline) const
 {
-  return std::min(aDeadline, m_finishBy);
+  return std::min(aDeadline, m_breakOffAt);
 }
 
 bool
--- a/packages/entry/shutdown_plan.h
+++ b/packages/entry/shutdown_plan.h
@@ -44,7 +44,8 @@
   Duration m_gracePeriod;
   bool m_begun = false;
   TimePoint m_closesAt = kNever;
-  TimePoint m_finishBy = kNever;
+  TimePoint m_finishBy = kNever; // the latest deadline that is accepted
+  TimePoint m_breakOffAt = kNever;
   TimePoint m_exitBy = kNever;
 };
 
--- a/packages/entry/shutdown_plan_test.cc
+++ b/packages/entry/shutdown_plan_test.cc
@@ -90,4 +90,25 @@
   BOOST_TEST(!plan.EndsInTime(kStart + seconds(6)));
 }
 
+// Work that is broken off earlier counts as lost.
+BOOST_AUTO_TEST_CASE(BreaksNothingOffBeforeTheLastSixthOfAShortGracePeriod)
+{
+  for (const Duration grace : { seconds(1), seconds(2), seconds(6) }) {
+    const ShutdownPlan plan = BegunPlan(grace, seconds(4));
+    BOOST_TEST(!plan.IsEnding(kStart + grace * 5 / 6 - milliseconds(1)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnswersWhatIsInHandBeforeAHostEndsInAShortGracePeriod)
+{
+  for (const Duration grace : { milliseconds(400), milliseconds(1000) }) {
+    const ShutdownPlan plan = BegunPlan(grace, seconds(4));
+    const TimePoint answerBy = plan.AnswerBy(kNever);
+    BOOST_TEST(plan.IsEnding(answerBy));
+    BOOST_TEST((answerBy < plan.ExitBy()));
+    BOOST_TEST((plan.ExitBy() < kStart + grace));
+    BOOST_TEST((plan.AnswerBy(kStart) == kStart));
+  }
+}
+
 } // namespace fuchsiaramp
