--- a/packages/entry/shutdown_plan.cc
+++ b/packages/entry/shutdown_plan.cc
@@ -8,6 +8,8 @@
 // reserved instead.
 static constexpr Duration kDeliveryTime = std::chrono::milliseconds(500);
 static constexpr int kDeliveryFraction = 4;
+// Of a shorter grace period, only the last sixth is taken from work in hand.
+static constexpr int kBreakOffFraction = 6;
 
 ShutdownPlan::ShutdownPlan(Duration aGracePeriod)
   : m_gracePeriod(aGracePeriod)
@@ -23,8 +25,11 @@
   m_begun = true;
   const Duration delivery =
     std::min(kDeliveryTime, m_gracePeriod / kDeliveryFraction);
-  m_finishBy = aRequestedAt + m_gracePeriod - delivery;
-  m_exitBy = aRequestedAt + m_gracePeriod - delivery / 2;
+  const TimePoint killedAt = aRequestedAt + m_gracePeriod;
+  m_finishBy = killedAt - delivery;
+  m_breakOffAt =
+    std::max(m_finishBy, killedAt - m_gracePeriod / kBreakOffFraction);
+  m_exitBy = killedAt - delivery / 2;
   m_closesAt = std::min(aAddressesExpireAt, m_finishBy);
 }
 
@@ -43,7 +48,13 @@
 bool
 ShutdownPlan::IsEnding(TimePoint aNow) const
 {
-  return IsDue(m_finishBy, aNow);
+  return IsDue(m_breakOffAt, aNow);
+}
+
+TimePoint
+ShutdownPlan::AnswerBy(TimePoint aDeadline) const
+{
+  return std::min(aDeadline, m_breakOffAt);
 }
 
 bool
--- a/packages/entry/shutdown_plan.h
+++ b/packages/entry/shutdown_plan.h
@@ -35,6 +35,8 @@
   bool EndsInTime(TimePoint aDeadline) const;
   // Whether requests in hand are answered now, whatever their deadline.
   bool IsEnding(TimePoint aNow) const;
+  // When a request in hand that ends at aDeadline at the latest is answered.
+  TimePoint AnswerBy(TimePoint aDeadline) const;
   // When the host stops waiting for callers that neither complete their request
   // nor close their connection.
   TimePoint ExitBy() const { return m_exitBy; }
@@ -43,7 +45,8 @@
   Duration m_gracePeriod;
   bool m_begun = false;
   TimePoint m_closesAt = kNever;
-  TimePoint m_finishBy = kNever;
+  TimePoint m_finishBy = kNever; // the latest deadline that is accepted
+  TimePoint m_breakOffAt = kNever;
   TimePoint m_exitBy = kNever;
 };
 
