Send a host without lists what is in force, not every change so far

Cause: a host that has no lists got all changes that the control host remembers, up to 4,096, if these reach back to the first version; later ones replace earlier ones.

Change: a host at version 0 gets the whole lists as they are in force. Hosts of earlier builds take that as well: control sent it before where its history does not reach back.

Tests: lists_state_test AHostWithoutListsIsSentOnlyWhatIsInForce failed before (30 changes instead of one). DeltasLeadFromAnyVersionToTheCurrentOne built the state of a host at each version from Since(0), which now leads to the newest version at once; it takes the same changes from History() instead and checks what it checked.

--- a/packages/state/lists_state.cc
+++ b/packages/state/lists_state.cc
@@ -74,8 +74,10 @@
   if (aVersion >= m_lists.Version()) {
     return chain;
   }
+  // A host without lists needs none of the changes that others have replaced.
   const bool coversVersion =
-    !m_history.empty() && m_history.front().from_version() <= aVersion.Value();
+    aVersion.Value() > 0 && !m_history.empty() &&
+    m_history.front().from_version() <= aVersion.Value();
   if (!coversVersion) {
     chain.push_back(m_lists.ToFullDelta());
     return chain;
--- a/packages/state/lists_state_test.cc
+++ b/packages/state/lists_state_test.cc
@@ -49,7 +49,7 @@
   }
   for (std::uint64_t have = 0; have <= 5; ++have) {
     Lists lists;
-    for (const auto& delta : state.Since(ListsVersion(0))) {
+    for (const auto& delta : state.History()) {
       if (delta.to_version() <= have) {
         lists.Apply(delta);
       }
@@ -62,6 +62,29 @@
   }
 }
 
+// A host that started again got all changes since the first version, of which
+// later ones replace earlier ones.
+BOOST_AUTO_TEST_CASE(AHostWithoutListsIsSentOnlyWhatIsInForce)
+{
+  ListsState state;
+  std::size_t ofOneChange = 0;
+  for (std::uint64_t i = 0; i < 30; ++i) {
+    const wire::PutLists put = Put("c" + std::to_string(i), i, "plan");
+    ofOneChange = put.delta().ByteSizeLong();
+    state.Put(put, 1);
+  }
+  const std::vector<wire::ListsDelta> deltas = state.Since(ListsVersion(0));
+  BOOST_REQUIRE(deltas.size() == 1u);
+  BOOST_TEST(deltas.front().full());
+  BOOST_TEST(deltas.front().ByteSizeLong() < 2 * ofOneChange);
+  Lists lists;
+  BOOST_TEST(lists.Apply(deltas.front()));
+  BOOST_TEST(lists.Version() == state.Current().Version());
+  BOOST_TEST(lists.PlanCount() == 1u);
+  BOOST_TEST(state.Since(ListsVersion(29)).size() == 1u);
+  BOOST_TEST(!state.Since(ListsVersion(29)).front().full());
+}
+
 BOOST_AUTO_TEST_CASE(RefusesToRemoveAPlanThatIsInUse)
 {
   ListsState state;
