A founding host that never formed the group votes after the loss of another disk

What callers would see: a group of three control hosts without a leader for good after one lost disk. Trace: control-0 answers the probes and is silent from 1,030 ms; control-1 and control-2 form the group with it as a voter and work; at 20,560 ms control-2 loses its disk. control-1 needs the vote of control-0, which is up and reachable again from 30,570 ms, but control-0 has never heard of the group, so it drops the request for its vote, as it did not come from a leader. The test is right: one disk was lost, control-0 lost nothing and is a voter by the id of its disk. Its IsRepaired counts it as a voter as the group itself does, which counts its vote as well. Change: a member with an empty disk joins by a request for its vote as well, if the log of the candidate is longer than the formation: then a majority had formed the group, and the formation needs no empty disk. It has acknowledged nothing, so it votes like any voter with an empty log.

--- a/packages/consensus/node.cc
+++ b/packages/consensus/node.cc
@@ -70,10 +70,8 @@
     OnBlankReply(aFrom, aMessage, aNow);
     return;
   }
-  const bool fromLeader = aMessage.kind() == wire::RaftMessage::APPEND ||
-                          aMessage.kind() == wire::RaftMessage::SNAPSHOT;
   const bool isJoining =
-    HasEmptyDisk() && fromLeader && aMessage.cluster_id() != 0;
+    HasEmptyDisk() && aMessage.cluster_id() != 0 && ShowsWorkingGroup(aMessage);
   if (aMessage.to_disk() != m_hardState.disk_id() ||
       (aMessage.cluster_id() != m_hardState.cluster_id() && !isJoining)) {
     return;
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -233,6 +233,7 @@
   void OnBlankReply(const HostId& aFrom,
                     const wire::RaftMessage& aMessage,
                     TimePoint aNow);
+  static bool ShowsWorkingGroup(const wire::RaftMessage& aMessage);
   void FormGroup(const wire::Configuration& aConfiguration, TimePoint aNow);
   void ManageMembers(TimePoint aNow);
   bool AddLearner(TimePoint aNow);
--- a/packages/consensus/node_members.cc
+++ b/packages/consensus/node_members.cc
@@ -48,6 +48,23 @@
   }
 }
 
+// Whether the sender's group elected a leader, and so a majority formed the
+// group. Until then, hosts with empty disks are needed to form it.
+bool
+Node::ShowsWorkingGroup(const wire::RaftMessage& aMessage)
+{
+  switch (aMessage.kind()) {
+    case wire::RaftMessage::APPEND:
+    case wire::RaftMessage::SNAPSHOT:
+      return true;
+    case wire::RaftMessage::PRE_VOTE:
+    case wire::RaftMessage::VOTE:
+      return aMessage.log_index() > kBootstrapIndex;
+    default:
+      return false;
+  }
+}
+
 void
 Node::FormGroup(const wire::Configuration& aConfiguration, TimePoint aNow)
 {
--- a/tests/randomised/consensus_run_test.cc
+++ b/tests/randomised/consensus_run_test.cc
@@ -147,6 +147,33 @@
     return m_now - started;
   }
 
+  // One host is silent from before it forms the group until another one has
+  // lost its disk and the log no longer starts with the formation.
+  void RunSilentFounderAndLostDisk()
+  {
+    // By now, each host has received the probes of the others.
+    RunFor(3 * kStep);
+    const auto blank =
+      std::find_if(m_hosts.begin(), m_hosts.end(), [this](const HostId& aHost) {
+        return m_members[aHost].node->HasEmptyDisk();
+      });
+    Check(blank != m_hosts.end(), "a host has not formed the group yet");
+    const HostId silent = *blank;
+    m_members[silent].paused = true;
+    RunFor(std::chrono::seconds(20));
+    HostId lost = silent;
+    while (lost == silent) {
+      lost = RandomHost();
+    }
+    Crash(lost);
+    m_members[lost].disk->Wipe();
+    ++m_lostDisks;
+    Start(lost);
+    Resume(m_members[silent]);
+    RunUntilRepaired(std::chrono::seconds(10));
+    Check(IsRepaired(), "a silent founder and a lost disk are repaired");
+  }
+
   std::size_t AcknowledgedCount() const { return m_acknowledged.size(); }
   std::size_t LostDisks() const { return m_lostDisks; }
 
@@ -162,6 +189,14 @@
     }
   }
 
+  void RunUntilRepaired(Duration aLimit)
+  {
+    const TimePoint limit = m_now + aLimit;
+    while (m_now < limit && !IsRepaired()) {
+      Step();
+    }
+  }
+
   // Returns the leader.
   const Node* RunUntilAllVotersJoined()
   {
@@ -547,6 +582,27 @@
   }
 }
 
+template<class Scenario>
+static void
+RunScenario(std::uint64_t aDefaultCount, const Scenario& aScenario)
+{
+  const SeedRange seeds = SeedRangeFromEnvironment(aDefaultCount);
+  for (std::uint64_t i = 0; i < seeds.count; ++i) {
+    const std::uint64_t seed = seeds.first + i;
+    try {
+      Group group(seed, 3);
+      aScenario(group);
+    } catch (const std::exception& error) {
+      BOOST_ERROR("seed " << seed << ": " << error.what());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AFoundingHostThatNeverFormedTheGroupVotesAfterALostDisk)
+{
+  RunScenario(20, [](Group& aGroup) { aGroup.RunSilentFounderAndLostDisk(); });
+}
+
 // As deployed: six control hosts in regions 20 ms apart, disks that take 5 ms
 // to sync.
 static GroupOptions
