Answer callers that expect "100 Continue" before they send the body

What callers saw: a caller that sends "Expect: 100-continue" (curl does for larger bodies) and waits for the interim response got none. It lost the second that it waits for it, or gave up without sending the body.

Cause: the server read header and body in one go and looked at no expectation.

Change: if the header has the expectation, it is parsed first, and the server answers "100 Continue" unless the body has begun to arrive, there is none, the caller speaks HTTP/1.0, or the request is refused by its header (a body above the limit gets 413, bad framing its 4xx). The times and limits of the body are as before, and the handler is called with the whole request only, so nothing is passed on for a caller that gives up meanwhile.

Failed before: http_server_test ACallerThatExpectsContinueGetsItBeforeItSendsTheBody (no byte came within 400 ms, with a length and in chunks).

--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -1,10 +1,12 @@
 #include "net/http_server.h"
 
 #include <optional>
+#include <string_view>
 #include <unordered_set>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/buffer_ref.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -24,6 +26,7 @@
 using asio::ip::tcp;
 
 static constexpr char kHeaderEnd[] = "\r\n\r\n";
+static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 // Bytes of the body and of later requests that may be read with a header.
 static constexpr std::size_t kReadAheadBytes = 64 << 10;
 // A peer may take this long to receive a response, and longer for a large one.
@@ -220,6 +223,52 @@
     }
     // A long body may take longer than the header timeout.
     m_stream.expires_after(m_state->options.limits.idleTimeout);
+    if (ExpectsContinue(raw)) {
+      ParseHeader();
+    } else {
+      ReadBody();
+    }
+  }
+
+  // The peer may wait for the interim response before it sends the body.
+  void ParseHeader()
+  {
+    http::async_read_header(m_stream,
+                            m_buffer,
+                            *m_parser,
+                            [self = shared_from_this()](
+                              const beast::error_code& aError, std::size_t) {
+                              const bool waits =
+                                !aError && !self->m_parser->is_done() &&
+                                self->m_buffer.size() == 0 &&
+                                self->m_parser->get().version() >= 11 &&
+                                !FindFramingError(self->m_parser->get());
+                              if (aError) {
+                                self->OnRead(aError);
+                              } else if (waits) {
+                                self->WriteContinue();
+                              } else {
+                                self->ReadBody();
+                              }
+                            });
+  }
+
+  void WriteContinue()
+  {
+    asio::async_write(m_stream,
+                      asio::buffer(kContinue),
+                      [self = shared_from_this()](
+                        const beast::error_code& aError, std::size_t) {
+                        if (aError) {
+                          self->Close();
+                        } else {
+                          self->ReadBody();
+                        }
+                      });
+  }
+
+  void ReadBody()
+  {
     http::async_read(
       m_stream,
       m_buffer,
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -220,6 +220,70 @@
   BOOST_TEST(server.Rejected()[0] == 413u);
 }
 
+// Such callers gave up, or waited for a second, before they sent the body.
+BOOST_AUTO_TEST_CASE(ACallerThatExpectsContinueGetsItBeforeItSendsTheBody)
+{
+  for (const char* framing :
+       { "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n" }) {
+    TestServer server;
+    tcp::socket socket =
+      server.Connect(std::string("POST /a HTTP/1.1\r\nHost: x\r\n"
+                                 "EXPECT: \t100-Continue\r\n") +
+                     framing + "\r\n");
+    BOOST_TEST(server.ReadFrom(socket) == "HTTP/1.1 100 Continue\r\n\r\n");
+    BOOST_TEST(server.Paths().empty());
+    const bool chunked = framing[0] == 'T';
+    const std::string body = chunked ? "2\r\nab\r\n0\r\n\r\n" : "ab";
+    const std::string next = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+    asio::write(socket, asio::buffer(body + next));
+    BOOST_TEST(StatusOf(server.ReadFrom(socket)) == "HTTP/1.1 200");
+    BOOST_TEST((server.Paths() == std::vector<std::string>{ "/a", "/b" }));
+    BOOST_TEST(server.Rejected().empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NobodyElseGetsAnInterimResponse)
+{
+  const std::string expect = "Host: x\r\nExpect: 100-continue\r\n";
+  const struct
+  {
+    std::string request;
+    const char* status;
+  } cases[] = {
+    { "POST /a HTTP/1.1\r\n" + expect + "Content-Length: 2\r\n\r\nab",
+      "HTTP/1.1 200" },
+    { "GET /a HTTP/1.1\r\n" + expect + "\r\n", "HTTP/1.1 200" },
+    { "POST /a HTTP/1.0\r\n" + expect + "Content-Length: 2\r\n\r\nab",
+      "HTTP/1.0 200" },
+    { "POST /a HTTP/1.1\r\n" + expect + "Content-Length: 9000000\r\n\r\n",
+      "HTTP/1.1 413" },
+    { "POST /a/../b HTTP/1.1\r\n" + expect + "Content-Length: 0\r\n\r\n",
+      "HTTP/1.1 400" },
+    { "POST /a HTTP/1.1\r\n" + expect +
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "HTTP/1.1 501" },
+  };
+  for (const auto& item : cases) {
+    TestServer server;
+    BOOST_TEST(StatusOf(server.Exchange(item.request)) == item.status,
+               item.request);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatWaitsForContinueAndClosesReachesNoHandler)
+{
+  TestServer server;
+  {
+    const tcp::socket socket =
+      server.Connect("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+                     "Expect: 100-continue\r\n\r\n");
+    server.RunFor(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(
+    server.RunUntil([&] { return server.Server().ConnectionCount() == 0; }));
+  BOOST_TEST(server.Paths().empty());
+}
+
 BOOST_AUTO_TEST_CASE(ClosesTheConnectionOnHeaderTimeout)
 {
   TestServer server;
--- a/packages/net/request_framing.cc
+++ b/packages/net/request_framing.cc
@@ -1,5 +1,7 @@
 #include "net/request_framing.h"
 
+#include <algorithm>
+
 #include <boost/beast/core/string.hpp>
 
 namespace fuchsiaramp {
@@ -21,6 +23,23 @@
   return std::nullopt;
 }
 
+bool
+ExpectsContinue(std::string_view aHeader)
+{
+  static constexpr std::string_view kName = "\nexpect:";
+  static constexpr std::string_view kExpectation = "100-continue";
+  for (std::size_t at = aHeader.find('\n'); at != std::string_view::npos;
+       at = aHeader.find('\n', at + 1)) {
+    if (!beast::iequals(aHeader.substr(at, kName.size()), kName)) {
+      continue;
+    }
+    std::string_view value = aHeader.substr(at + kName.size());
+    value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+    return beast::iequals(value.substr(0, kExpectation.size()), kExpectation);
+  }
+  return false;
+}
+
 // Whether a path has a "." or ".." segment, percent-encoded or not, which only
 // some HTTP servers resolve.
 static bool
--- a/packages/net/request_framing.h
+++ b/packages/net/request_framing.h
@@ -28,6 +28,10 @@
 std::optional<FramingError>
 FindHeaderError(std::string_view aHeader);
 
+// Whether the sender may wait for "100 Continue" before it sends the body.
+bool
+ExpectsContinue(std::string_view aHeader);
+
 std::optional<FramingError>
 FindFramingError(
   const boost::beast::http::request<boost::beast::http::string_body>& aMessage);
