Serve forwarded requests at idle peers also when the service is slow

What callers saw: callers of an entry host that reaches no backend server got 503 for nearly all requests of a service that takes longer than the latency target of its route, although the peers had free slots and no queue. Found by the process test of forwarding hosts: 43 of 2,689 requests served, peers refused with "the service is at capacity" at queued=0 running=8 slots=48.

Cause: a peer refuses a forwarded request whose estimated wait is over half of the time in which it could still be answered in time. If the 0.85 quantile of the latency is above the target, this time is negative, and a wait of nothing is more than that.

Change: the time is at least nothing, so that a request that need not wait is taken. One that would wait and be late is still refused, so own callers go first as before.

--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -328,9 +328,11 @@
       std::min(aRequest.startBy, aNow + aRequest.latencyObjective - latency);
   }
   aRequest.localOnlyUntil = aNow + m_options.settings.routing.maxLocalWait;
-  // Callers of this host go first: the forwarding host has others to ask.
-  if (aRequest.head.forwarded &&
-      EstimateWait(service, aNow) > (aRequest.inTimeUntil - aNow) / 2) {
+  // Callers of this host go first: the forwarding host has others to ask. A
+  // request that is late wherever it runs is taken if it need not wait.
+  const Duration acceptableWait =
+    std::max(Duration(), (aRequest.inTimeUntil - aNow) / 2);
+  if (aRequest.head.forwarded && EstimateWait(service, aNow) > acceptableWait) {
     ++m_counters.shed;
     Refuse(aRequest,
            CallerOutcome::kNotRun,
--- a/tests/randomised/cut_off_host_run_test.cc
+++ b/tests/randomised/cut_off_host_run_test.cc
@@ -75,6 +75,35 @@
   }
 }
 
+// Peers without a queue refused requests that no host could serve within the
+// latency objective.
+BOOST_AUTO_TEST_CASE(IdlePeersServeRequestsOfAServiceSlowerThanItsObjective)
+{
+  const SeedRange seeds = SeedRangeFromEnvironment(3);
+  for (std::uint64_t i = 0; i < seeds.count; ++i) {
+    Deployment deployment = SmallDeployment();
+    deployment.meanServiceSeconds = 1.0;
+    FleetOptions options;
+    options.seed = seeds.first + i;
+    options.load = 0.2;
+    options.openShare = 1.0;
+    EntryFleet fleet(deployment, options);
+    fleet.Start();
+    fleet.Run(std::chrono::seconds(10));
+    for (std::size_t host = 0; host < kCutOffHosts; ++host) {
+      fleet.CutOffHost(host);
+    }
+    fleet.Run(std::chrono::seconds(8));
+    fleet.TakeResults();
+    fleet.Run(std::chrono::seconds(8));
+    const Served cut = ShareAnswered(fleet.TakeResults());
+    BOOST_TEST(cut.cutOff >= cut.others * 2.0 / 3.0);
+    BOOST_TEST(cut.others > 0.9);
+    BOOST_TEST(fleet.DoubleRuns() == 0u);
+    BOOST_TEST(fleet.FalseNotRuns() == 0u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFleetThatIsCutOffWholeRecovers)
 {
   FleetOptions options;
