Say and test what a half-closed caller gets, and why

Weighed: serving such callers needs a way to tell a half-close from a close. Both are a FIN; the difference shows only when a write to a caller that has gone is answered with a reset, and there is nothing to write before the response. An interim response as a probe would reach callers that did not ask for one. The rule GONE asks that idempotent work of callers that have closed is cancelled within half a second, and the consumers that it is about give up by closing. So the behaviour stays: repeatable requests are cancelled and answered with an error whose outcome is open, others run on and their response is written.

The new test passes on the code as it was (behaviour unchanged): AHalfClosedCallerCountsAsGoneButGetsTheResponse. That requests which are pipelined behind the last response reach no handler is checked by AResponseIsDeliveredWholeAlthoughMoreRequestsWereSent, as before.

--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -284,6 +284,45 @@
   BOOST_TEST(server.Paths().empty());
 }
 
+// A close and a half-close look the same, so that the work of a caller that has
+// gone can be cancelled.
+BOOST_AUTO_TEST_CASE(AHalfClosedCallerCountsAsGoneButGetsTheResponse)
+{
+  asio::io_context io;
+  std::uint16_t port = 0;
+  {
+    tcp::acceptor probe(io, { asio::ip::address_v4::loopback(), 0 });
+    port = probe.local_endpoint().port();
+  }
+  HttpServerOptions options;
+  options.address = "127.0.0.1:" + std::to_string(port);
+  HttpExchangePtr exchange;
+  bool gone = false;
+  HttpServer server(io, options, [&](const HttpExchangePtr& aExchange) {
+    exchange = aExchange;
+    exchange->OnDisconnect([&] { gone = true; });
+  });
+  tcp::socket socket(io);
+  socket.connect({ asio::ip::address_v4::loopback(), port });
+  asio::write(socket,
+              asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")));
+  const auto run = [&](const auto& aCondition) {
+    for (int i = 0; i < 1000 && !aCondition(); ++i) {
+      io.run_for(std::chrono::milliseconds(2));
+    }
+    return aCondition();
+  };
+  BOOST_REQUIRE(run([&] { return exchange != nullptr; }));
+  BOOST_TEST(!gone);
+  socket.shutdown(tcp::socket::shutdown_send);
+  BOOST_TEST(run([&] { return gone; }));
+  exchange->Respond(HttpResponse());
+  io.run_for(std::chrono::milliseconds(20));
+  char buffer[1024];
+  const std::size_t count = socket.read_some(asio::buffer(buffer));
+  BOOST_TEST(StatusOf(std::string(buffer, count)) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(ClosesTheConnectionOnHeaderTimeout)
 {
   TestServer server;
