Move the plan of a stop below both roles

packages/control included entry/shutdown_plan.h. It stands in packages/base now, where both roles can use it. No change of behaviour; the tests (shutdown_plan_test, 9 cases; control_shutdown_test, 4) are unchanged and pass.

--- a/packages/entry/shutdown_plan.cc
+++ b/packages/base/shutdown_plan.cc
@@ -1,4 +1,4 @@
-#include "entry/shutdown_plan.h"
+#include "base/shutdown_plan.h"
 
 #include <algorithm>
 
--- a/packages/entry/shutdown_plan.h
+++ b/packages/base/shutdown_plan.h
@@ -1,10 +1,11 @@
-// Decides which work an entry host takes while it is being stopped.
+// Decides which work a host takes while it is being stopped. Control hosts use
+// its deadlines only.
 //
 // Callers keep sending on open connections, and to an address that they were
 // given before, until the host is gone, and the host is killed at the end of
-// its grace period. So it serves what is certain to end in time until no caller
-// can hold its address any more, and refuses the rest at once, while another
-// host can still serve it.
+// its grace period. So an entry host serves what is certain to end in time
+// until no caller can hold its address any more, and refuses the rest at once,
+// while another host can still serve it.
 //
 //   ShutdownPlan plan(gracePeriod);
 //   plan.Begin(now, addressesExpireAt);
--- a/packages/entry/shutdown_plan_test.cc
+++ b/packages/base/shutdown_plan_test.cc
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE shutdown_plan
 #include <boost/test/unit_test.hpp>
 
-#include "entry/shutdown_plan.h"
+#include "base/shutdown_plan.h"
 
 namespace fuchsiaramp {
 
--- a/packages/control/control_shutdown.h
+++ b/packages/control/control_shutdown.h
@@ -15,8 +15,8 @@
 
 #include <cstddef>
 
+#include "base/shutdown_plan.h"
 #include "base/time.h"
-#include "entry/shutdown_plan.h"
 
 namespace fuchsiaramp {
 
