--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -2,10 +2,12 @@
 
 #include <optional>
 #include <stdexcept>
+#include <string_view>
 #include <unordered_set>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/buffer_ref.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
@@ -25,6 +27,7 @@
 using asio::ip::tcp;
 
 static constexpr char kHeaderEnd[] = "\r\n\r\n";
+static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 // Bytes of the body and of later requests that may be read with a header.
 static constexpr std::size_t kReadAheadBytes = 64 << 10;
 // A peer may take this long to receive a response, and longer for a large one.
@@ -221,7 +224,29 @@
     }
     // A long body may take longer than the header timeout.
     m_stream.expires_after(m_state->options.limits.idleTimeout);
-    Parse();
+    const bool mayWait = ExpectsContinue(raw) && m_buffer.size() == aBytes;
+    const beast::error_code error = ParseBufferedBytes();
+    if (mayWait && error == http::error::need_more &&
+        m_parser->get().version() >= 11 && !FindFramingError(m_parser->get())) {
+      WriteContinue();
+    } else {
+      ReadRest(error);
+    }
+  }
+
+  // The peer may wait for the interim response before it sends the body.
+  void WriteContinue()
+  {
+    asio::async_write(m_stream,
+                      asio::buffer(kContinue),
+                      [self = shared_from_this()](
+                        const beast::error_code& aError, std::size_t) {
+                        if (aError) {
+                          self->Close();
+                        } else {
+                          self->ReadRest(http::error::need_more);
+                        }
+                      });
   }
 
   // The parser throws for a header line or trailer that its fields can't hold.
@@ -243,24 +268,24 @@
     return error;
   }
 
-  void Parse()
+  // aError: of parsing the bytes that have been read.
+  void ReadRest(const beast::error_code& aError)
   {
-    const beast::error_code error = ParseBufferedBytes();
     const std::size_t capacity = beast::read_size(m_buffer, kReadAheadBytes);
-    if (error != http::error::need_more) {
-      OnRead(error);
+    if (aError != http::error::need_more) {
+      OnRead(aError);
     } else if (capacity == 0) {
       OnRead(http::error::buffer_overflow);
     } else {
       m_stream.async_read_some(
         m_buffer.prepare(capacity),
-        [self = shared_from_this()](const beast::error_code& aError,
+        [self = shared_from_this()](const beast::error_code& aReadError,
                                     std::size_t aBytes) {
           self->m_buffer.commit(aBytes);
-          if (aError) {
-            self->OnRead(aError);
+          if (aReadError) {
+            self->OnRead(aReadError);
           } else {
-            self->Parse();
+            self->ReadRest(self->ParseBufferedBytes());
           }
         });
     }
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -248,6 +248,109 @@
   BOOST_TEST(server.Rejected()[0] == 413u);
 }
 
+// Such callers gave up, or waited for a second, before they sent the body.
+BOOST_AUTO_TEST_CASE(ACallerThatExpectsContinueGetsItBeforeItSendsTheBody)
+{
+  for (const char* framing :
+       { "Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n" }) {
+    TestServer server;
+    tcp::socket socket =
+      server.Connect(std::string("POST /a HTTP/1.1\r\nHost: x\r\n"
+                                 "EXPECT: \t100-Continue\r\n") +
+                     framing + "\r\n");
+    BOOST_TEST(server.ReadFrom(socket) == "HTTP/1.1 100 Continue\r\n\r\n");
+    BOOST_TEST(server.Paths().empty());
+    const bool chunked = framing[0] == 'T';
+    const std::string body = chunked ? "2\r\nab\r\n0\r\n\r\n" : "ab";
+    const std::string next = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+    asio::write(socket, asio::buffer(body + next));
+    BOOST_TEST(StatusOf(server.ReadFrom(socket)) == "HTTP/1.1 200");
+    BOOST_TEST((server.Paths() == std::vector<std::string>{ "/a", "/b" }));
+    BOOST_TEST(server.Rejected().empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NobodyElseGetsAnInterimResponse)
+{
+  const std::string expect = "Host: x\r\nExpect: 100-continue\r\n";
+  const struct
+  {
+    std::string request;
+    const char* status;
+  } cases[] = {
+    { "POST /a HTTP/1.1\r\n" + expect + "Content-Length: 2\r\n\r\nab",
+      "HTTP/1.1 200" },
+    { "GET /a HTTP/1.1\r\n" + expect + "\r\n", "HTTP/1.1 200" },
+    { "POST /a HTTP/1.0\r\n" + expect + "Content-Length: 2\r\n\r\nab",
+      "HTTP/1.0 200" },
+    { "POST /a HTTP/1.1\r\n" + expect + "Content-Length: 9000000\r\n\r\n",
+      "HTTP/1.1 413" },
+    { "POST /a/../b HTTP/1.1\r\n" + expect + "Content-Length: 0\r\n\r\n",
+      "HTTP/1.1 400" },
+    { "POST /a HTTP/1.1\r\n" + expect +
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "HTTP/1.1 501" },
+  };
+  for (const auto& item : cases) {
+    TestServer server;
+    BOOST_TEST(StatusOf(server.Exchange(item.request)) == item.status,
+               item.request);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatWaitsForContinueAndClosesReachesNoHandler)
+{
+  TestServer server;
+  {
+    const tcp::socket socket =
+      server.Connect("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
+                     "Expect: 100-continue\r\n\r\n");
+    server.RunFor(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(
+    server.RunUntil([&] { return server.Server().ConnectionCount() == 0; }));
+  BOOST_TEST(server.Paths().empty());
+}
+
+// A close and a half-close look the same, so that the work of a caller that has
+// gone can be cancelled.
+BOOST_AUTO_TEST_CASE(AHalfClosedCallerCountsAsGoneButGetsTheResponse)
+{
+  asio::io_context io;
+  std::uint16_t port = 0;
+  {
+    tcp::acceptor probe(io, { asio::ip::address_v4::loopback(), 0 });
+    port = probe.local_endpoint().port();
+  }
+  HttpServerOptions options;
+  options.address = "127.0.0.1:" + std::to_string(port);
+  HttpExchangePtr exchange;
+  bool gone = false;
+  HttpServer server(io, options, [&](const HttpExchangePtr& aExchange) {
+    exchange = aExchange;
+    exchange->OnDisconnect([&] { gone = true; });
+  });
+  tcp::socket socket(io);
+  socket.connect({ asio::ip::address_v4::loopback(), port });
+  asio::write(socket,
+              asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")));
+  const auto run = [&](const auto& aCondition) {
+    for (int i = 0; i < 1000 && !aCondition(); ++i) {
+      io.run_for(std::chrono::milliseconds(2));
+    }
+    return aCondition();
+  };
+  BOOST_REQUIRE(run([&] { return exchange != nullptr; }));
+  BOOST_TEST(!gone);
+  socket.shutdown(tcp::socket::shutdown_send);
+  BOOST_TEST(run([&] { return gone; }));
+  exchange->Respond(HttpResponse());
+  io.run_for(std::chrono::milliseconds(20));
+  char buffer[1024];
+  const std::size_t count = socket.read_some(asio::buffer(buffer));
+  BOOST_TEST(StatusOf(std::string(buffer, count)) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(ClosesTheConnectionOnHeaderTimeout)
 {
   TestServer server;
