--- a/packages/entry/entry_node_test.cc
+++ b/packages/entry/entry_node_test.cc
@@ -311,6 +311,39 @@
   BOOST_TEST(host.Node().InFlight() == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(AQueuedRequestIsNotHeldBeyondItsDeadline)
+{
+  static constexpr std::uint64_t kSlots = 16; // of all servers
+  LoneHost host;
+  host.SetServers(AttemptOutcome::kSuccess, seconds(60));
+  for (std::uint64_t i = 0; i < kSlots; ++i) {
+    host.SendWithoutKey("/read/1", seconds(60));
+  }
+  host.RunFor(milliseconds(200));
+  BOOST_REQUIRE(host.Node().Counters().attempts == kSlots);
+  host.SendWithoutKey("/read/1", milliseconds(1500));
+  host.RunFor(milliseconds(1500) + kTurn);
+  BOOST_TEST(host.Node().Counters().attempts == kSlots);
+  BOOST_REQUIRE(host.Responses().size() == 1u);
+  BOOST_TEST((host.Responses().back().outcome == CallerOutcome::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(ARunningClaimedRequestIsNotHeldBeyondItsDeadline)
+{
+  LoneHost host;
+  host.RunFor(seconds(1));
+  host.SetServers(AttemptOutcome::kSuccess, seconds(60));
+  host.Send("/order/1", milliseconds(1500));
+  BOOST_REQUIRE(host.Commands().size() == 1u);
+  host.Reply(host.Commands().front(), wire::CommandResult::GRANTED);
+  host.RunFor(milliseconds(1500) + kTurn);
+  BOOST_REQUIRE(host.Responses().size() == 1u);
+  BOOST_TEST((host.Responses().back().outcome == CallerOutcome::kUnknown));
+  const wire::Command& last = host.Commands().back().command();
+  BOOST_REQUIRE(last.has_finish());
+  BOOST_TEST((last.finish().state() == wire::LedgerRecord::UNKNOWN));
+}
+
 BOOST_AUTO_TEST_CASE(ARetryThatWouldStartTooLateIsRefusedAtOnce)
 {
   LoneHost host;
