Write the connections of a host to its events in one function

Both services had code of their own for it. AddConnections stands in service_common now; the fields and their order are as before.

--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -269,14 +269,9 @@
   Event HeldWork(Event aEvent) const
   {
     const ControlHeldWork held = Held();
-    const ConnectionCounts connections = m_server->Connections();
     aEvent.Add("held", held.commands);
     aEvent.Add("led_groups", held.ledGroups);
-    aEvent.Add("idle", connections.idle);
-    aEvent.Add("receiving", connections.receiving);
-    aEvent.Add("handling", connections.handling);
-    aEvent.Add("responding", connections.responding);
-    aEvent.Add("closing", connections.closing);
+    AddConnections(aEvent, m_server->Connections());
     return aEvent;
   }
 
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -271,15 +271,10 @@
   // response, and responses that are not written yet.
   Event HeldWork(Event aEvent) const
   {
-    const ConnectionCounts connections = m_servers.front()->Connections();
     aEvent.Add("requests", m_node->Counters().requests);
     aEvent.Add("refused_leaving", m_node->Counters().refusedLeaving);
     aEvent.Add("held", m_node->InFlight());
-    aEvent.Add("idle", connections.idle);
-    aEvent.Add("receiving", connections.receiving);
-    aEvent.Add("handling", connections.handling);
-    aEvent.Add("responding", connections.responding);
-    aEvent.Add("closing", connections.closing);
+    AddConnections(aEvent, m_servers.front()->Connections());
     return aEvent;
   }
 
--- a/packages/net/service_common.cc
+++ b/packages/net/service_common.cc
@@ -34,6 +34,16 @@
   return event;
 }
 
+void
+AddConnections(Event& aEvent, const ConnectionCounts& aCounts)
+{
+  aEvent.Add("idle", aCounts.idle);
+  aEvent.Add("receiving", aCounts.receiving);
+  aEvent.Add("handling", aCounts.handling);
+  aEvent.Add("responding", aCounts.responding);
+  aEvent.Add("closing", aCounts.closing);
+}
+
 void
 AddProcessMetrics(Metrics& aMetrics,
                   const MessageTransport& aTransport,
--- a/packages/net/service_common.h
+++ b/packages/net/service_common.h
@@ -28,6 +28,10 @@
 Event
 TrafficEvent(const TransportCounters& aCounters, LoopMonitor& aLoop);
 
+// Adds the number of connections in each state.
+void
+AddConnections(Event& aEvent, const ConnectionCounts& aCounts);
+
 // Adds CPU time, memory, message traffic, the delay of the event loop and the
 // dropped log lines of this process. aTransport, aLoop and aLog must outlive
 // aMetrics.
