Try a suspected server after a second, also without retry budget

Evidence: FaultEpisodeModel now counts moments at which some, but fewer than 0.7 of the sound servers had a request in the last 2 s while a tenth to a half of the requests were not served. 30 hosts in 6 domains, 24 servers of which 17 fail 0.4 of their requests, 50 requests a second, a quarter of them repeatable, 12 s a run. A trace of 160 such servers: all were suspected because of a failure (110 with a probability of 0.15 to 0.5, 50 above), many had been idle for 3 to 10 s, none was thought sound.

Cause: a suspected server is only tried by a repeatable request whose host could retry it. A host with one or two requests a second earns a token of its retry budget every few seconds, and the failing servers use it up, so the five hosts of a domain often had none. A single failure (1.2 % of a sound server's requests) then cost the server all requests until its estimate had faded; other requests prefer servers without suspicion, even in other domains.

Change: a repeatable request of the domain tries a suspected server that is still usable (at most 0.5) and has had no outcome for 1 s, also where its host has no token. A server above 0.5 is tried as before.

--- a/packages/routing/service_router_health.cc
+++ b/packages/routing/service_router_health.cc
@@ -12,6 +12,9 @@
 static constexpr double kSuspectThreshold = 0.15;
 static constexpr double kUnhealthyThreshold = 0.5;
 static constexpr Duration kMinTrialInterval = std::chrono::milliseconds(800);
+// A suspected server that is usable and has had no outcome for this long gets a
+// trial even if a failed one could not be retried.
+static constexpr Duration kMaxNeglect = std::chrono::seconds(1);
 // Cost of a server whose slots are all taken, as a share of a request's value.
 static constexpr double kLoadCost = 0.1;
 // Peers send their load repeatedly while it is not zero.
@@ -207,8 +210,8 @@
   double bestCost = 0.0;
   const bool staysInDomain =
     aRequest.staysInDomain && HasHealthyServerInDomain(aRequest, aNow);
-  const bool mayProbe =
-    aRequest.repeatable && aRequest.excluded.empty() && m_retries.MayRetry();
+  const bool isFirstAttempt = aRequest.repeatable && aRequest.excluded.empty();
+  const bool mayProbe = isFirstAttempt && m_retries.MayRetry();
   const CellUsage usage = UsageOfCell(aNow);
   const bool staysInCell = usage.outside >= LimitOutsideCell(usage);
   for (ServerView* candidate : m_subset) {
@@ -224,8 +227,10 @@
     const bool recentlyTried =
       !IsDue(lastOutcomeAt + kMinTrialInterval, aNow) ||
       !IsDue(view.trialAt.value_or(aNow), aNow) || view.outstanding > 0;
-    const bool trial =
-      mayProbe && inDomain && unhealthy > kSuspectThreshold && !recentlyTried;
+    const bool neglected = isFirstAttempt && unhealthy <= kUnhealthyThreshold &&
+                           IsDue(lastOutcomeAt + kMaxNeglect, aNow);
+    const bool trial = (mayProbe || neglected) && inDomain &&
+                       unhealthy > kSuspectThreshold && !recentlyTried;
     if (trial && (suspect == nullptr || m_random.Chance(0.5))) {
       suspect = &view;
     }
--- a/packages/routing/service_router_test.cc
+++ b/packages/routing/service_router_test.cc
@@ -191,6 +191,23 @@
   BOOST_TEST(test.Choose(true) != "a1");
 }
 
+BOOST_AUTO_TEST_CASE(ASpentRetryBudgetDoesNotKeepAServerWithOneFailureOutOfUse)
+{
+  RouterFixture test;
+  for (int i = 0; i < 3; ++i) {
+    test.Finish("a1", AttemptOutcome::kSuccess);
+    test.Finish("a2", AttemptOutcome::kSuccess);
+  }
+  test.Finish("a1", AttemptOutcome::kServerError);
+  while (test.m_router.Retries().TryRetry()) {
+  }
+  test.m_now += std::chrono::milliseconds(900);
+  BOOST_TEST(test.Choices(true)["a1"] == 0);
+  test.m_now += std::chrono::milliseconds(200);
+  BOOST_TEST(test.Choices(false)["a1"] == 0);
+  BOOST_TEST(test.Choices(true)["a1"] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(PathFailuresAreNotShared)
 {
   RouterFixture test;
--- a/packages/testing/fault_episode_model.cc
+++ b/packages/testing/fault_episode_model.cc
@@ -1,5 +1,6 @@
 #include "testing/fault_episode_model.h"
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 #include <utility>
@@ -16,6 +17,8 @@
 static constexpr Duration kSameDomainTime = std::chrono::milliseconds(80);
 static constexpr Duration kFailureLatency = std::chrono::milliseconds(2);
 static constexpr double kServiceTimeSigma = 0.6; // log-normal
+static constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+static constexpr Duration kCheckedSpan = std::chrono::seconds(2);
 
 FaultEpisodeModel::FaultEpisodeModel(FaultEpisodeOptions aOptions)
   : m_options(aOptions)
@@ -46,6 +49,7 @@
     server.record.slots = m_options.slots;
     server.record.incarnation = 1;
     server.record.warmUpRemaining = Duration(0);
+    server.impaired = i < m_options.impairedServers;
     m_servers.push_back(std::move(server));
   }
 }
@@ -79,8 +83,11 @@
 FaultEpisodeModel::Run(Duration aSpan)
 {
   for (std::size_t i = 0; i < m_servers.size(); ++i) {
-    ScheduleStateChange(i);
+    if (!m_servers[i].impaired) {
+      ScheduleStateChange(i);
+    }
   }
+  m_queue.At(m_queue.Now() + kCheckedSpan, [this] { ScheduleCheck(); });
   ScheduleArrival();
   ScheduleTick();
   m_queue.RunUntil(m_queue.Now() + aSpan);
@@ -97,6 +104,7 @@
   m_queue.At(m_queue.Now() + length, [this, aServer] {
     Server& server = m_servers[aServer];
     server.faulty = !server.faulty;
+    server.soundSince = m_queue.Now() + kCheckedSpan;
     m_result.episodes += server.faulty ? 1.0 : 0.0;
     ScheduleStateChange(aServer);
   });
@@ -178,12 +186,64 @@
   if (IsDue(aRequest.arrivedAt + m_options.queueTimeout, now)) {
     (aRequest.repeatable ? m_result.repeatableFailed
                          : m_result.nonRepeatableRefused) += 1.0;
+    OnEnd(false);
     return;
   }
   m_queue.At(now + kPlacementRetryInterval,
              [this, request = std::move(aRequest)] { PlaceRequest(request); });
 }
 
+double
+FaultEpisodeModel::FailureRateOf(const Server& aServer) const
+{
+  if (aServer.impaired) {
+    return m_options.impairedFailureRate;
+  }
+  return aServer.faulty ? m_options.faultyFailureRate
+                        : m_options.healthyFailureRate;
+}
+
+void
+FaultEpisodeModel::OnEnd(bool aServed)
+{
+  m_ended.emplace_back(m_queue.Now(), aServed);
+}
+
+void
+FaultEpisodeModel::ScheduleCheck()
+{
+  const TimePoint now = m_queue.Now();
+  while (!m_ended.empty() && IsDue(m_ended.front().first + kCheckedSpan, now)) {
+    m_ended.pop_front();
+  }
+  const auto unserved = static_cast<double>(
+    std::count_if(m_ended.begin(), m_ended.end(), [](const auto& aItem) {
+      return !aItem.second;
+    }));
+  const auto ended = static_cast<double>(m_ended.size());
+  if (unserved > 0.1 * ended && unserved < 0.5 * ended) {
+    m_result.unservedMoments += 1.0;
+    m_result.neglectedMoments += NeglectsSoundServers() ? 1.0 : 0.0;
+  }
+  m_queue.At(now + kCheckInterval, [this] { ScheduleCheck(); });
+}
+
+bool
+FaultEpisodeModel::NeglectsSoundServers() const
+{
+  const TimePoint now = m_queue.Now();
+  double sound = 0.0;
+  double used = 0.0;
+  for (const Server& server : m_servers) {
+    if (server.impaired || server.faulty || !IsDue(server.soundSince, now)) {
+      continue;
+    }
+    sound += 1.0;
+    used += IsDue(server.lastArrivalAt + kCheckedSpan, now) ? 0.0 : 1.0;
+  }
+  return used > 0.0 && used < m_options.floorShare * sound;
+}
+
 void
 FaultEpisodeModel::StartAttempt(const Request& aRequest, std::size_t aServer)
 {
@@ -191,12 +251,12 @@
   const Host& host = m_hosts[aRequest.host];
   const TimePoint now = m_queue.Now();
   host.router->OnStarted(server.record.id, now);
+  server.lastArrivalAt = now;
   AttemptOutcome outcome = AttemptOutcome::kSuccess;
   Duration length = kFailureLatency;
   if (server.running >= server.record.slots) {
     outcome = AttemptOutcome::kShed;
-  } else if (m_random.Chance(server.faulty ? m_options.faultyFailureRate
-                                           : m_options.healthyFailureRate)) {
+  } else if (m_random.Chance(FailureRateOf(server))) {
     outcome = AttemptOutcome::kServerError;
   } else {
     const double normal = std::sqrt(-2.0 * std::log1p(-m_random.Unit())) *
@@ -228,6 +288,7 @@
   report.latency = m_queue.Now() - aStartedAt;
   router.OnFinished(server.record.id, report, m_queue.Now());
   if (aOutcome == AttemptOutcome::kSuccess) {
+    OnEnd(true);
     return;
   }
   const bool mayRetry = aOutcome == AttemptOutcome::kShed ||
@@ -237,6 +298,7 @@
     PlaceRequest(std::move(aRequest));
     return;
   }
+  OnEnd(false);
   if (aRequest.repeatable) {
     m_result.repeatableFailed += 1.0;
   } else if (aOutcome == AttemptOutcome::kShed) {
--- a/packages/testing/fault_episode_model.h
+++ b/packages/testing/fault_episode_model.h
@@ -12,8 +12,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "base/random.h"
@@ -39,6 +41,12 @@
   double meanHealthySeconds = 34.0; // mean time between episodes
   double meanEpisodeSeconds = 4.8;
   Duration queueTimeout = std::chrono::milliseconds(600);
+  // This many servers fail this share of their requests all the time and have
+  // no episodes.
+  std::size_t impairedServers = 0;
+  double impairedFailureRate = 0.0;
+  // For a share of sound servers below this, see neglectedMoments.
+  double floorShare = 0.7;
 };
 
 struct FaultEpisodeResult
@@ -50,6 +58,11 @@
   double repeatableFailed = 0.0; // after any retry
   double outsideDomain = 0.0;    // attempts in another failure domain
   double episodes = 0.0;         // episodes that began
+  // Moments, of ten a second, at which some but fewer than floorShare of the
+  // sound servers had got a request within 2 s, while of the requests that
+  // ended then over a tenth, but under half, were not served.
+  double neglectedMoments = 0.0;
+  double unservedMoments = 0.0; // with that share of requests not served
 };
 
 class FaultEpisodeModel
@@ -63,7 +76,10 @@
   struct Server
   {
     BackendServer record;
+    bool impaired = false;
     bool faulty = false;
+    TimePoint soundSince;
+    TimePoint lastArrivalAt;
     std::uint32_t running = 0;
   };
   struct Host
@@ -93,6 +109,10 @@
                      AttemptOutcome aOutcome,
                      TimePoint aStartedAt);
   void ShareUpdates();
+  double FailureRateOf(const Server& aServer) const;
+  void OnEnd(bool aServed);
+  void ScheduleCheck();
+  bool NeglectsSoundServers() const;
 
   FaultEpisodeOptions m_options;
   Random m_random;
@@ -100,6 +120,8 @@
   std::vector<Server> m_servers;
   std::vector<Host> m_hosts;
   FaultEpisodeResult m_result;
+  // Requests that ended lately, and whether they were served.
+  std::deque<std::pair<TimePoint, bool>> m_ended;
 };
 
 } // namespace fuchsiaramp
