With closed membership, a learner on a lost disk is removed

What callers would see: nothing at once; the configuration keeps a member that never returns, which the leader sends to for ever, and a group that never counts as repaired. Trace: control-0 loses its disk at 10,710 ms, joins with the next one and is a voter at 11,350 ms; at 12,250 ms a probe that it sent before the loss arrives (messages may be 5 s late), and the leader adds a learner with the earlier disk. Only open membership removed silent learners. The product is wrong, not the test. Change: a learner that has not replied for 15 s is removed with closed membership, too; voters are not. A member that hears no leader probes the other hosts, as with open membership, so a learner that was only cut off returns.

--- a/packages/consensus/node.cc
+++ b/packages/consensus/node.cc
@@ -149,8 +149,7 @@
   // leader no longer sends to it. It probes other hosts in order to rejoin.
   const TimePoint missingSince =
     m_leaderContactUntil + m_options.electionTimeout;
-  if (m_options.openMembership && IsDue(missingSince, aNow) &&
-      IsDue(m_probeAt, aNow)) {
+  if (IsDue(missingSince, aNow) && IsDue(m_probeAt, aNow)) {
     m_probeAt = aNow + kRejoinInterval;
     ProbeHosts();
   }
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -48,8 +48,8 @@
   // members.
   bool openMembership = false;
   std::size_t maxVoters = 5; // with open membership; tolerates two failures
-  // With open membership: a voter that has not replied for voterTimeout is
-  // replaced by a learner, which becomes a voter first; a learner is removed
+  // With open membership, a voter that has not replied for voterTimeout is
+  // replaced by a learner, which becomes a voter first. A learner is removed
   // after learnerTimeout.
   Duration voterTimeout = std::chrono::seconds(3);
   Duration learnerTimeout = std::chrono::seconds(15);
--- a/packages/consensus/node_members.cc
+++ b/packages/consensus/node_members.cc
@@ -108,9 +108,10 @@
   if (AddLearner(aNow) || PromoteCaughtUpLearner(aNow)) {
     return;
   }
-  if (m_options.openMembership) {
-    RemoveUnresponsive(aNow);
-  } else {
+  if (RemoveUnresponsive(aNow)) {
+    return;
+  }
+  if (!m_options.openMembership) {
     RemoveUnconfiguredHost(aNow);
   }
 }
@@ -181,11 +182,13 @@
 
 // An unresponsive voter is removed only after a learner was promoted in its
 // place. Without it, the others would be one too few to outlive the loss of as
-// many disks as the group tolerates.
+// many disks as the group tolerates. With closed membership, voters are
+// replaced only by members on a new disk of the same host.
 bool
 Node::RemoveUnresponsive(TimePoint aNow)
 {
-  const bool replaced = VoterCount() > m_options.maxVoters;
+  const bool replaced =
+    m_options.openMembership && VoterCount() > m_options.maxVoters;
   for (const wire::Member& candidate : m_configuration.members()) {
     const Duration limit =
       candidate.voter() ? m_options.voterTimeout : m_options.learnerTimeout;
--- a/tests/randomised/consensus_run_test.cc
+++ b/tests/randomised/consensus_run_test.cc
@@ -174,6 +174,41 @@
     Check(IsRepaired(), "a silent founder and a lost disk are repaired");
   }
 
+  // A probe that a host sent before it lost its disk arrives late.
+  void RunLateProbeOfLostDisk()
+  {
+    RunFor(std::chrono::seconds(5));
+    wire::RaftMessage probe;
+    probe.set_kind(wire::RaftMessage::BLANK_PROBE);
+    probe.set_from_disk(m_random.Bits());
+    probe.set_blank(true);
+    const Node* leader = NewestLeader();
+    Check(leader != nullptr, "there is a leader");
+    HostId from = leader->Self().host;
+    while (from == leader->Self().host) {
+      from = RandomHost();
+    }
+    m_network.Send(from, leader->Self().host, probe, m_now);
+    RunFor(std::chrono::seconds(1));
+    Check(NewestLeader() != nullptr &&
+            NewestLeader()->Members().members_size() == 4,
+          "the late probe adds a learner");
+    RunUntilRepaired(std::chrono::seconds(20));
+    Check(IsRepaired(), "a learner on a lost disk is removed");
+  }
+
+  // A voter is silent for much longer than learners may be.
+  void RunSilentVoter()
+  {
+    RunFor(std::chrono::seconds(5));
+    m_members[RandomHost()].paused = true;
+    RunFor(std::chrono::seconds(30));
+    const Node* leader = NewestLeader();
+    Check(leader != nullptr &&
+            VoterCount(*leader) == static_cast<int>(m_hosts.size()),
+          "a silent voter stays a voter");
+  }
+
   std::size_t AcknowledgedCount() const { return m_acknowledged.size(); }
   std::size_t LostDisks() const { return m_lostDisks; }
 
@@ -584,13 +619,15 @@
 
 template<class Scenario>
 static void
-RunScenario(std::uint64_t aDefaultCount, const Scenario& aScenario)
+RunScenario(std::size_t aSize,
+            std::uint64_t aDefaultCount,
+            const Scenario& aScenario)
 {
   const SeedRange seeds = SeedRangeFromEnvironment(aDefaultCount);
   for (std::uint64_t i = 0; i < seeds.count; ++i) {
     const std::uint64_t seed = seeds.first + i;
     try {
-      Group group(seed, 3);
+      Group group(seed, aSize);
       aScenario(group);
     } catch (const std::exception& error) {
       BOOST_ERROR("seed " << seed << ": " << error.what());
@@ -600,7 +637,18 @@
 
 BOOST_AUTO_TEST_CASE(AFoundingHostThatNeverFormedTheGroupVotesAfterALostDisk)
 {
-  RunScenario(20, [](Group& aGroup) { aGroup.RunSilentFounderAndLostDisk(); });
+  RunScenario(
+    3, 20, [](Group& aGroup) { aGroup.RunSilentFounderAndLostDisk(); });
+}
+
+BOOST_AUTO_TEST_CASE(ALearnerOnALostDiskIsRemovedWithClosedMembership)
+{
+  RunScenario(3, 20, [](Group& aGroup) { aGroup.RunLateProbeOfLostDisk(); });
+}
+
+BOOST_AUTO_TEST_CASE(ASilentVoterIsNotRemovedWithClosedMembership)
+{
+  RunScenario(7, 5, [](Group& aGroup) { aGroup.RunSilentVoter(); });
 }
 
 // As deployed: six control hosts in regions 20 ms apart, disks that take 5 ms
