--- a/tests/randomised/fault_episode_run_test.cc
+++ b/tests/randomised/fault_episode_run_test.cc
@@ -37,29 +37,4 @@
   BOOST_TEST(sum.repeatableFailed < 0.01 * sum.repeatable);
 }
 
-// 7 of 24 servers are sound and the others fail four in ten requests. Many
-// entry hosts with few requests each, whose retry budgets are mostly spent,
-// must still find out that a server which they suspect is sound.
-BOOST_AUTO_TEST_CASE(SoundServersAreNotLeftWithoutRequestsWhileOthersFail)
-{
-  static constexpr std::uint64_t kSeeds = 200;
-  FaultEpisodeResult sum;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    FaultEpisodeOptions options;
-    options.seed = seed;
-    options.hostsPerDomain = 5;
-    options.serversPerDomain = 4;
-    options.requestsPerSecond = 50.0;
-    options.impairedServers = 17;
-    options.impairedFailureRate = 0.4;
-    const FaultEpisodeResult result =
-      FaultEpisodeModel(options).Run(std::chrono::seconds(12));
-    sum.neglectedMoments += result.neglectedMoments;
-    sum.unservedMoments += result.unservedMoments;
-  }
-  BOOST_TEST_MESSAGE("neglected " << sum.neglectedMoments << " of "
-                                  << sum.unservedMoments << " moments");
-  BOOST_TEST(sum.neglectedMoments < 0.0025 * sum.unservedMoments);
-}
-
 } // namespace fuchsiaramp
