Let hosts that start at the same moment draw different numbers

Cause: both services seeded their random numbers with the time of their start only, as found for elections. Entry hosts that get power back at the same microsecond would draw the same numbers for the choice of servers, jitter, gossip and probes, so that what randomness is to spread comes at once. Not seen in a record; found by reading, as the same cause elsewhere.

Change: the name of the host is part of the seed.

Before: the seeds are equal by construction.

--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -85,11 +85,12 @@
     options.serverLifetime = m_settings.group.serverLifetime;
     options.ledger.maxBytes = m_settings.ledger.bytes;
     options.ledger.retention = m_settings.ledger.retention;
-    m_node = std::make_unique<ControlNode>(std::move(options),
-                                           std::move(storage),
-                                           Hooks(),
-                                           Random(m_incarnation),
-                                           MonotonicNow());
+    m_node =
+      std::make_unique<ControlNode>(std::move(options),
+                                    std::move(storage),
+                                    Hooks(),
+                                    MakeRandom(m_settings.host, m_incarnation),
+                                    MonotonicNow());
     AddMetrics();
     m_metricsServer = ServeMetrics(aIo, m_settings.metricsAddress, m_metrics);
     HttpServerOptions server;
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -86,8 +86,11 @@
     EntryOptions options;
     options.settings = m_settings;
     options.incarnation = m_incarnation;
-    m_node = std::make_unique<EntryNode>(
-      options, Hooks(), Random(m_incarnation), MonotonicNow());
+    m_node =
+      std::make_unique<EntryNode>(options,
+                                  Hooks(),
+                                  MakeRandom(m_settings.host, m_incarnation),
+                                  MonotonicNow());
     AddMetrics();
     Listen(Listener::kCallers, m_settings.callerAddress);
     Listen(Listener::kReadiness, m_settings.readinessAddress);
--- a/packages/net/service_common.cc
+++ b/packages/net/service_common.cc
@@ -1,5 +1,6 @@
 #include "net/service_common.h"
 
+#include "base/digest.h"
 #include "net/http_responses.h"
 
 namespace fuchsiaramp {
@@ -22,6 +23,12 @@
   return options;
 }
 
+Random
+MakeRandom(const HostId& aHost, std::uint64_t aIncarnation)
+{
+  return Random(Hash64(aHost.Value(), aIncarnation));
+}
+
 Event
 TrafficEvent(const TransportCounters& aCounters, LoopMonitor& aLoop)
 {
--- a/packages/net/service_common.h
+++ b/packages/net/service_common.h
@@ -8,6 +8,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "base/event.h"
+#include "base/ids.h"
+#include "base/random.h"
 #include "net/http_server.h"
 #include "net/message_transport.h"
 #include "observe/event_log.h"
@@ -22,6 +24,10 @@
                      std::uint64_t aIncarnation,
                      const std::string& aSecretKey);
 
+// Hosts that start at the same moment draw different numbers.
+Random
+MakeRandom(const HostId& aHost, std::uint64_t aIncarnation);
+
 // Returns a log event with the messages and bytes that this host has sent since
 // its start, by kind of message, and the longest delay of its event loop since
 // the previous such event.
