Read messages whose text is no UTF-8

Change: messages are decoded as stored state is; escaped texts are counted.

Before: AMessageWithTextThatIsNotUtf8IsNotDropped, three checks failed. After: passed.

--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cerrno>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -9,6 +10,7 @@
 
 #include "net/address.h"
 #include "net/monotonic.h"
+#include "wire/decode.h"
 
 namespace fuchsiaramp {
 
@@ -353,8 +355,9 @@
 MessageTransport::OnPayload(const HostId& aFrom, const zmq::message_t& aPayload)
 {
   wire::Envelope envelope;
-  const bool valid = envelope.ParseFromArray(
-                       aPayload.data(), static_cast<int>(aPayload.size())) &&
+  const std::string_view bytes(static_cast<const char*>(aPayload.data()),
+                               aPayload.size());
+  const bool valid = Decode(bytes, envelope, m_counters.escapedTexts) &&
                      envelope.from() == aFrom.Value() && !aFrom.IsEmpty();
   ++m_counters.received;
   m_counters.receivedBytes += aPayload.size();
--- a/packages/net/message_transport.h
+++ b/packages/net/message_transport.h
@@ -10,6 +10,7 @@
 //   transport.Send(host, envelope);
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -56,6 +57,8 @@
   // Late, replayed, of an old incarnation, or not sent because of an error.
   std::uint64_t dropped = 0;
   std::uint64_t malformed = 0;
+  // Texts of received messages that are not valid UTF-8.
+  std::size_t escapedTexts = 0;
   std::uint64_t refusedKeys = 0;
   // Records of hosts without an address to connect to.
   std::uint64_t invalidAddresses = 0;
--- a/packages/net/message_transport_test.cc
+++ b/packages/net/message_transport_test.cc
@@ -151,6 +151,26 @@
   BOOST_TEST(Reaches(m_sender, HostId("peer"), m_peer));
 }
 
+// As an earlier build may send it.
+BOOST_FIXTURE_TEST_CASE(AMessageWithTextThatIsNotUtf8IsNotDropped,
+                        TransportFixture)
+{
+  m_sender.m_transport.SetPeer(HostId("peer"), m_first, "");
+  BOOST_TEST(Reaches(m_sender, HostId("peer"), m_peer));
+  wire::Envelope message;
+  message.mutable_lists_push()->add_group_leaders("control-\xff");
+  m_peer.m_received.clear();
+  m_sender.m_transport.Send(HostId("peer"), message);
+  for (int i = 0; i < 100 && m_peer.m_received.empty(); ++i) {
+    m_io.run_for(std::chrono::milliseconds(10));
+    m_io.restart();
+    m_peer.m_transport.Poll();
+  }
+  BOOST_TEST(m_peer.m_received.size() == 1u);
+  BOOST_TEST(m_peer.m_transport.Counters().malformed == 0u);
+  BOOST_TEST(m_peer.m_transport.Counters().escapedTexts == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(SignalsEndNoCall, TransportFixture)
 {
   std::signal(SIGUSR1, [](int) {});
