Send heartbeats only on connections that this host opened

Cause: where a newer connection names the same host, ZeroMQ takes the queue of the older one away and stops reading it, but keeps it and goes on sending heartbeats on it. If its peer closes it with bytes unread, the next heartbeat runs into the assertion. A host that was paused gets there when its peers have connected again meanwhile.

Change: only the side that opened a connection sends heartbeats. They carry a time to live, after which the accepting side closes a connection that none of them reaches, so that dead connections are found as soon as before.

The new test ended with SIGABRT in 3 of 3 runs before the change and passed in 3 of 3 after it.

--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -26,6 +26,8 @@
 // second after a partition ends.
 static constexpr int kHeartbeatMs = 1000;
 static constexpr int kHeartbeatTimeoutMs = 1500;
+// The accepting side closes a connection without heartbeats after this time.
+static constexpr int kHeartbeatTtlMs = kHeartbeatMs + kHeartbeatTimeoutMs;
 static constexpr int kUnackedTimeoutMs = 1500;
 static constexpr int kConnectTimeoutMs = 500;
 static constexpr int kReconnectMs = 100;
@@ -41,14 +43,23 @@
   aSocket.set(zmq::sockopt::sndhwm, kMaxUnsentMessages);
   aSocket.set(zmq::sockopt::rcvhwm, kMaxUnreadMessages);
   aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
-  aSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
-  aSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
   aSocket.set(zmq::sockopt::tcp_maxrt, kUnackedTimeoutMs);
   aSocket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
   aSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   aSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
 }
 
+// Only the side that opened a connection sends heartbeats. ZeroMQ no longer
+// reads an accepted connection that a newer one of the same host has replaced,
+// and a heartbeat on it after its peer has closed it would end the process.
+static void
+EnableHeartbeats(zmq::socket_t& aOutgoing)
+{
+  aOutgoing.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+  aOutgoing.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  aOutgoing.set(zmq::sockopt::heartbeat_ttl, kHeartbeatTtlMs);
+}
+
 // Repeats a call that a signal interrupted before it had an effect.
 template<class Call>
 static auto
@@ -159,6 +170,7 @@
   // The new connection of a restarted host takes over its routing id.
   m_incoming.set(zmq::sockopt::router_handover, true);
   m_outgoing.set(zmq::sockopt::routing_id, m_options.self.Value());
+  EnableHeartbeats(m_outgoing);
   m_zapSocket.set(zmq::sockopt::linger, 0);
   if (!m_options.secretKey.empty()) {
     m_zapSocket.bind("inproc://zeromq.zap.01");
--- a/packages/net/message_transport_test.cc
+++ b/packages/net/message_transport_test.cc
@@ -231,4 +231,35 @@
   BOOST_TEST(Reaches(m_sender, stalledHost, stalled));
 }
 
+// ZeroMQ aborted when it sent a heartbeat on such a connection.
+BOOST_FIXTURE_TEST_CASE(AConnectionThatANewerOneReplacedEndsNoProcess,
+                        TransportFixture)
+{
+  constexpr int kMessages = 1500;
+  const HostId peer("peer");
+  const auto settle = [this](int aMilliseconds) {
+    for (int i = 0; i < aMilliseconds / 10; ++i) {
+      m_io.run_for(std::chrono::milliseconds(10));
+      m_io.restart();
+      m_peer.m_transport.Poll();
+    }
+  };
+  TestHost newer(m_io, "twin", FreeAddress());
+  {
+    TestHost older(m_io, "twin", FreeAddress());
+    older.m_transport.SetPeer(peer, m_first, "");
+    BOOST_TEST(Reaches(older, peer, m_peer));
+    newer.m_transport.SetPeer(peer, m_first, "");
+    newer.m_transport.Send(peer, wire::Envelope());
+    settle(300);
+    for (int i = 0; i < kMessages; ++i) {
+      older.m_transport.Send(peer, wire::Envelope());
+    }
+  }
+  // Several heartbeats.
+  settle(3500);
+  m_sender.m_transport.SetPeer(peer, m_first, "");
+  BOOST_TEST(Reaches(m_sender, peer, m_peer));
+}
+
 } // namespace fuchsiaramp
