--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -55,7 +55,7 @@
   std::ostringstream text;
   // Unlike an iterator, this reports a read error as a state of the stream.
   text << file.rdbuf();
-  aText = std::move(text).str();
+  aText = text.str();
   return file.is_open() && !file.bad() && !text.bad();
 }
 
