--- /dev/null
+++ b/review/5/case.cc
@@ -0,0 +1,192 @@
+// A machine gets SIGTERM. A consumer that has just looked up its address keeps
+// using its connection for as long as the pages allow, and sends a request
+// whose work lasts longer than what is left of the grace period.
+#include <iostream>
+
+#include "../support/target.h"
+
+namespace review {
+
+static constexpr std::int64_t kGraceMs = 6000; // GracePeriodS
+// LOST excuses requests that are sent until then and still run at the end.
+static constexpr std::int64_t kExcusedMs = 3000;
+// PROTOCOL.md: "some of them three times as long" as TtlS says.
+static constexpr double kKeptFactor = 3.0;
+static constexpr std::int64_t kMarginMs = 8;
+static constexpr std::int64_t kWorkMs = 3500;
+static constexpr std::int64_t kDeadlineMs = 8000; // deadline of rev-stamp
+static constexpr int kTimeoutMs = 4000;           // its route's TimeoutMs
+static constexpr int kConsumers = 3;
+
+struct Outcome
+{
+  ReadResult result = ReadResult::kTimeout;
+  int status = 0;
+  std::int64_t sentAt = 0;
+  std::int64_t endedAt = 0;
+};
+
+struct Lookup
+{
+  bool isNamed = false;
+  double lifetimeMs = 0.0;
+};
+
+// Asks the directory of another machine for the entry hosts of zone-a.
+static Lookup
+LookUp(const Fleet& aFleet)
+{
+  const auto reply = Call({ aFleet.Ip(1), Fleet::kDirectoryPort },
+                          "GET",
+                          "/resolve?Name=calc.example&Region=here&Zone=zone-a",
+                          "",
+                          1000);
+  if (!reply) {
+    return {};
+  }
+  const std::string key = "\"TtlS\":";
+  const std::size_t at = reply->body.find(key);
+  Lookup lookup;
+  lookup.isNamed = reply->body.find('"' + aFleet.FrontAddress(0).Text() +
+                                    '"') != std::string::npos;
+  lookup.lifetimeMs =
+    at == std::string::npos
+      ? 0.0
+      : std::strtod(reply->body.c_str() + at + key.size(), nullptr) * 1000;
+  return lookup;
+}
+
+static int
+Main(const std::string& aFolder)
+{
+  Record record(aFolder + "/record.txt");
+  Fleet fleet(record, { .controls = 3, .machines = 3 });
+  if (!fleet.Start(SimpleConfiguration(kTimeoutMs, 1200))) {
+    return kCannotRun;
+  }
+  std::mutex lock;
+  std::map<std::string, std::int64_t> ranAt;
+  std::vector<std::unique_ptr<Target>> targets;
+  for (int i = 0; i < 6; ++i) {
+    TargetOptions options;
+    options.id = "i-" + std::to_string(i + 1);
+    options.zone = fleet.Zone(i);
+    options.address = fleet.TargetAddress(i);
+    options.controls = fleet.ControlAddresses();
+    targets.push_back(std::make_unique<Target>(record, options));
+    targets.back()->onRun = [&](const Message& aRequest) {
+      {
+        const std::lock_guard<std::mutex> hold(lock);
+        ranAt[aRequest.Header("x-attempt-id")] = NowMs();
+      }
+      if (aRequest.Target() == "/stamp/long") {
+        SleepMs(kWorkMs);
+      }
+    };
+  }
+  if (!StartTargets(targets)) {
+    record.Say("a target was not acknowledged");
+    return kCannotRun;
+  }
+  SleepMs(4000);
+  std::vector<Outcome> outcomes(kConsumers);
+  std::vector<std::thread> threads;
+  threads.reserve(kConsumers);
+  std::atomic<bool> warm{ true };
+  std::atomic<int> ready{ 0 };
+  std::atomic<std::int64_t> sendAt{ 0 };
+  for (int i = 0; i < kConsumers; ++i) {
+    threads.emplace_back([&, i] {
+      Outcome& outcome = outcomes[static_cast<std::size_t>(i)];
+      const std::string name = "c" + std::to_string(i);
+      const Socket socket = Connect(fleet.FrontAddress(0), 1000);
+      MessageReader reader;
+      Message reply;
+      warm =
+        socket.Write(
+          RequestText("POST", "/stamp/1", name + "-1", kDeadlineMs)) &&
+        reader.Read(socket, reply, NowMs() + 2000) == ReadResult::kComplete &&
+        warm;
+      ++ready;
+      while (sendAt == 0 || NowMs() < sendAt) {
+        SleepMs(2);
+      }
+      outcome.sentAt = NowMs();
+      record.Line("send " + name + "-2");
+      socket.Write(
+        RequestText("POST", "/stamp/long", name + "-2", kDeadlineMs));
+      outcome.result = reader.Read(socket, reply, outcome.sentAt + kDeadlineMs);
+      outcome.endedAt = NowMs();
+      outcome.status =
+        outcome.result == ReadResult::kComplete ? reply.Status() : 0;
+      record.Line("answer " + name + "-2 " + std::to_string(outcome.status));
+    });
+  }
+  while (ready < kConsumers) {
+    SleepMs(10);
+  }
+  const std::int64_t term = NowMs();
+  if (HasTrouble()) {
+    fleet.Kill(fleet.Entry(0), SIGTERM);
+  }
+  std::int64_t keptUntil = 0;
+  for (Lookup lookup = LookUp(fleet); lookup.isNamed; lookup = LookUp(fleet)) {
+    keptUntil =
+      NowMs() + static_cast<std::int64_t>(kKeptFactor * lookup.lifetimeMs);
+    if (NowMs() > term + 500) {
+      break;
+    }
+    SleepMs(2);
+  }
+  record.Say("the address may be used until " +
+             std::to_string(keptUntil - term) + " ms after the SIGTERM");
+  sendAt = keptUntil - kMarginMs;
+  bool ended = false;
+  while (NowMs() < term + kGraceMs) {
+    if (!ended && fleet.EndStatus(fleet.Entry(0))) {
+      ended = true;
+      record.Say("entry-1 ended " + std::to_string(NowMs() - term) +
+                 " ms after the SIGTERM");
+    }
+    SleepMs(5);
+  }
+  if (HasTrouble() && !ended) {
+    record.Say("SIGKILL at the end of the grace period");
+    fleet.Kill(fleet.Entry(0), SIGKILL);
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  if (!warm || sendAt <= term + kExcusedMs) {
+    return kCannotRun;
+  }
+  SleepMs(1500);
+  int lost = 0;
+  const std::lock_guard<std::mutex> hold(lock);
+  for (int i = 0; i < kConsumers; ++i) {
+    const Outcome& outcome = outcomes[static_cast<std::size_t>(i)];
+    const auto ran = ranAt.find("c" + std::to_string(i) + "-2");
+    const std::int64_t tookMs = outcome.endedAt - outcome.sentAt;
+    record.Say(
+      "sent " + std::to_string(outcome.sentAt - term) +
+      " ms after the SIGTERM, " +
+      (ran == ranAt.end()
+         ? "not run"
+         : "run at " + std::to_string(ran->second - term) + " ms") +
+      ", " +
+      (outcome.status == 0 ? "no answer" : std::to_string(outcome.status)) +
+      " after " + std::to_string(tookMs) + " ms");
+    const bool inTime = tookMs < kTimeoutMs;
+    lost += outcome.status == 0 && ran != ranAt.end() && inTime ? 1 : 0;
+  }
+  record.Say(lost > 0 ? "LOST broken" : "LOST held");
+  return lost > 0 ? kBroken : kHeld;
+}
+
+} // namespace review
+
+int
+main(int aCount, char** aArguments)
+{
+  return review::Main(aCount > 1 ? aArguments[1] : ".");
+}
