Stop safely where nobody names the grace period

Cause: the plan of a stop depends on the setting grace_period. Where no setting names it, the default was address_lifetime + 3 s + request_timeout + 1 s, 65 s with the template. And the templates' line for it could not be read where the renderer doesn't know its placeholder, so that no daemon started.

Change: an unknown grace period is a range. New work must end within the shortest time in which a stop can work, work in hand is not broken off before the longest.

--- a/packages/base/shutdown_plan.cc
+++ b/packages/base/shutdown_plan.cc
@@ -11,7 +11,13 @@
 // Of a shorter grace period, only the last sixth is taken from work in hand.
 static constexpr int kBreakOffFraction = 6;
 
-ShutdownPlan::ShutdownPlan(Duration aGracePeriod)
+static Duration
+DeliveryTime(Duration aGracePeriod)
+{
+  return std::min(kDeliveryTime, aGracePeriod / kDeliveryFraction);
+}
+
+ShutdownPlan::ShutdownPlan(GracePeriod aGracePeriod)
   : m_gracePeriod(aGracePeriod)
 {
 }
@@ -23,13 +29,12 @@
     return;
   }
   m_begun = true;
-  const Duration delivery =
-    std::min(kDeliveryTime, m_gracePeriod / kDeliveryFraction);
-  const TimePoint killedAt = aRequestedAt + m_gracePeriod;
-  m_finishBy = killedAt - delivery;
-  m_breakOffAt =
-    std::max(m_finishBy, killedAt - m_gracePeriod / kBreakOffFraction);
-  m_exitBy = killedAt - delivery / 2;
+  const auto [atLeast, atMost] = m_gracePeriod;
+  m_finishBy = aRequestedAt + atLeast - DeliveryTime(atLeast);
+  const TimePoint killedAt = aRequestedAt + atMost;
+  m_breakOffAt = std::max(killedAt - DeliveryTime(atMost),
+                          killedAt - atMost / kBreakOffFraction);
+  m_exitBy = killedAt - DeliveryTime(atMost) / 2;
   m_closesAt = std::min(aAddressesExpireAt, m_finishBy);
 }
 
--- a/packages/base/shutdown_plan.h
+++ b/packages/base/shutdown_plan.h
@@ -16,11 +16,30 @@
 
 namespace fuchsiaramp {
 
+// From the request to stop until the process is killed. Where the supervisor's
+// time is not known, the process is killed within a range of times.
+struct GracePeriod
+{
+  template<class Count, class Unit>
+  GracePeriod(std::chrono::duration<Count, Unit> aKnown)
+    : atLeast(aKnown)
+    , atMost(aKnown)
+  {
+  }
+  GracePeriod(Duration aAtLeast, Duration aAtMost)
+    : atLeast(aAtLeast)
+    , atMost(aAtMost)
+  {
+  }
+
+  Duration atLeast; // new work is certain to end within this
+  Duration atMost;  // work in hand is not broken off before its end
+};
+
 class ShutdownPlan
 {
 public:
-  // aGracePeriod: from the request to stop until the process is killed.
-  explicit ShutdownPlan(Duration aGracePeriod);
+  explicit ShutdownPlan(GracePeriod aGracePeriod);
 
   // aRequestedAt: the start of the grace period. aAddressesExpireAt: when no
   // caller holds the address of this host any more.
@@ -31,8 +50,9 @@
   bool IsClosed(TimePoint aNow) const;
   // Whether a new request that ends at aDeadline at the latest is accepted.
   bool Admits(TimePoint aDeadline, TimePoint aNow) const;
-  // Whether a request that ends at aDeadline at the latest ends before the
-  // process is killed. Others that are in hand are not started any more.
+  // Whether a request that ends at aDeadline at the latest is certain to end
+  // before the process is killed. Others that are in hand are not started any
+  // more.
   bool EndsInTime(TimePoint aDeadline) const;
   // Whether requests in hand are answered now, whatever their deadline.
   bool IsEnding(TimePoint aNow) const;
@@ -43,7 +63,7 @@
   TimePoint ExitBy() const { return m_exitBy; }
 
 private:
-  Duration m_gracePeriod;
+  GracePeriod m_gracePeriod;
   bool m_begun = false;
   TimePoint m_closesAt = kNever;
   TimePoint m_finishBy = kNever; // the latest deadline that is accepted
--- a/packages/base/shutdown_plan_test.cc
+++ b/packages/base/shutdown_plan_test.cc
@@ -111,4 +111,23 @@
   }
 }
 
+// A host that is told no grace period took work until it was killed.
+BOOST_AUTO_TEST_CASE(AdmitsOnlyWhatEndsInTheShortestOfTheLikelyGracePeriods)
+{
+  ShutdownPlan plan(GracePeriod(seconds(5), seconds(65)));
+  plan.Begin(kStart, kStart + seconds(4));
+  BOOST_TEST(plan.Admits(kStart + milliseconds(4500), kStart));
+  BOOST_TEST(!plan.Admits(kStart + milliseconds(4501), kStart));
+  BOOST_TEST(plan.IsClosed(kStart + seconds(4)));
+}
+
+BOOST_AUTO_TEST_CASE(BreaksNothingOffInTheShortestOfTheLikelyGracePeriods)
+{
+  ShutdownPlan plan(GracePeriod(seconds(5), seconds(65)));
+  plan.Begin(kStart, kStart + seconds(4));
+  BOOST_TEST(!plan.IsEnding(kStart + seconds(64)));
+  BOOST_TEST((plan.AnswerBy(kStart + seconds(60)) == kStart + seconds(60)));
+  BOOST_TEST((plan.ExitBy() > kStart + seconds(64)));
+}
+
 } // namespace fuchsiaramp
--- a/packages/control/control_shutdown.cc
+++ b/packages/control/control_shutdown.cc
@@ -7,7 +7,7 @@
 // For the last messages to other hosts, which another thread sends.
 static constexpr Duration kMessageDelivery = std::chrono::milliseconds(100);
 
-ControlShutdown::ControlShutdown(Duration aGracePeriod)
+ControlShutdown::ControlShutdown(GracePeriod aGracePeriod)
   : m_plan(aGracePeriod)
 {
 }
--- a/packages/control/control_shutdown.h
+++ b/packages/control/control_shutdown.h
@@ -33,8 +33,7 @@
 class ControlShutdown
 {
 public:
-  // aGracePeriod: from the request to stop until the process is killed.
-  explicit ControlShutdown(Duration aGracePeriod);
+  explicit ControlShutdown(GracePeriod aGracePeriod);
 
   // The grace period counts from aRequestedAt.
   void Begin(TimePoint aNow, TimePoint aRequestedAt);
--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -15,6 +15,8 @@
 static constexpr std::uint64_t kGibibyte = 1ULL << 30;
 // What a stop takes beyond the requests that it waits for.
 static constexpr Duration kStopMargin = std::chrono::seconds(1);
+// Longer than handing over the groups takes.
+static constexpr Duration kUnknownControlGracePeriod = std::chrono::seconds(5);
 
 static std::string
 Address(MapReader& aMap, const std::string& aKey, Findings& aFindings)
@@ -255,14 +257,45 @@
   return role == "control" ? Role::kControl : Role::kEntry;
 }
 
+// Whether a template was rendered without a value for this key, or by a
+// renderer that does not know the placeholder in it. Only for keys whose
+// default is safe.
+static bool
+IsLeftOut(MapReader& aMap, const std::string& aKey)
+{
+  const YAML::Node node = aMap.Map(aKey);
+  return !node.IsDefined() ||
+         (node.IsScalar() &&
+          (node.Scalar().empty() || node.Scalar().rfind("{{", 0) == 0));
+}
+
+// Without a setting, a stop is safe only if it counts on the shortest time in
+// which it can succeed, and breaks nothing off before the longest.
+static GracePeriod
+UnknownGracePeriod(const Settings& aSettings)
+{
+  if (aSettings.role == Role::kControl) {
+    return kUnknownControlGracePeriod;
+  }
+  const Duration withdrawn = aSettings.addressLifetime + kLeavePropagationTime;
+  return { withdrawn + kStopMargin,
+           withdrawn + aSettings.routing.requestTimeout + kStopMargin };
+}
+
 // The platform chooses its grace period itself; elsewhere, one in which no
 // caller's address can expire is a mistake.
-static Duration
-GracePeriod(const Settings& aSettings, MapReader& aMap, Findings& aFindings)
+static void
+ReadGracePeriod(MapReader& aMap, Settings& aSettings, Findings& aFindings)
 {
+  aSettings.gracePeriod = UnknownGracePeriod(aSettings);
+  aSettings.isGracePeriodNamed = !IsLeftOut(aMap, "grace_period");
+  if (!aSettings.isGracePeriodNamed) {
+    return;
+  }
   const Duration withdrawn = aSettings.addressLifetime + kLeavePropagationTime;
-  const Duration grace = aMap.Span(
-    "grace_period", withdrawn + aSettings.routing.requestTimeout + kStopMargin);
+  const Duration grace =
+    aMap.Span("grace_period", aSettings.gracePeriod.atMost);
+  aSettings.gracePeriod = grace;
   const bool chosenHere = aSettings.externalApi == ExternalApiKind::kNative;
   if (chosenHere && aSettings.role == Role::kEntry && grace < withdrawn) {
     aFindings.Add(aMap.PositionOfKey("grace_period"),
@@ -270,7 +303,6 @@
                   "'address_lifetime', since callers use an address for that "
                   "long after a stop has begun");
   }
-  return grace;
 }
 
 static void
@@ -418,7 +450,7 @@
     map.Span("address_lifetime", settings.addressLifetime);
   settings.announcementLifetime =
     map.Span("announcement_lifetime", settings.announcementLifetime);
-  settings.gracePeriod = internal::GracePeriod(settings, map, aFindings);
+  internal::ReadGracePeriod(map, settings, aFindings);
   internal::CheckConsistency(settings, map, aFindings);
   map.Finish();
   return settings;
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -12,6 +12,7 @@
 
 #include "base/findings.h"
 #include "base/ids.h"
+#include "base/shutdown_plan.h"
 #include "base/time.h"
 
 namespace fuchsiaramp {
@@ -150,9 +151,9 @@
   Duration pullInterval = std::chrono::seconds(1);
   Duration addressLifetime = std::chrono::seconds(30);
   Duration announcementLifetime = std::chrono::seconds(3);
-  // From SIGTERM until the process is killed. By default, as long as a stop
-  // takes at most.
-  Duration gracePeriod = std::chrono::seconds(44);
+  // From SIGTERM until the process is killed. A range if no setting names it.
+  GracePeriod gracePeriod{ std::chrono::seconds(44) };
+  bool isGracePeriodNamed = false;
 };
 
 // Reads and validates settings. Each error becomes a finding with its position.
--- a/packages/settings/settings_test.cc
+++ b/packages/settings/settings_test.cc
@@ -75,4 +75,44 @@
   }
 }
 
+static Settings
+ReadWith(const std::string& aLine)
+{
+  Findings findings("entry.yaml");
+  const Settings settings =
+    ReadSettings(kValidSettings + ("address_lifetime: 1s\n" + aLine), findings);
+  BOOST_TEST(findings.Text() == "");
+  return settings;
+}
+
+BOOST_AUTO_TEST_CASE(ReadsTheGracePeriod)
+{
+  const Settings settings = ReadWith("grace_period: '6s'\n");
+  BOOST_TEST(settings.isGracePeriodNamed);
+  BOOST_TEST(ToSeconds(settings.gracePeriod.atLeast) == 6.0);
+  BOOST_TEST(ToSeconds(settings.gracePeriod.atMost) == 6.0);
+}
+
+// A daemon that was told no grace period counted on more than a minute.
+BOOST_AUTO_TEST_CASE(CountsOnAShortStopIfNoSettingNamesTheGracePeriod)
+{
+  for (const char* const line :
+       { "",
+         "grace_period: ''\n",
+         "grace_period: '{{#Bounds.GracePeriodS}}{{.}}s"
+         "{{/Bounds.GracePeriodS}}'\n" }) {
+    const Settings settings = ReadWith(line);
+    BOOST_TEST(!settings.isGracePeriodNamed);
+    BOOST_TEST(ToSeconds(settings.gracePeriod.atLeast) == 5.0);
+    BOOST_TEST(ToSeconds(settings.gracePeriod.atMost) == 10.0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAGracePeriodThatIsNoDuration)
+{
+  Findings findings("entry.yaml");
+  ReadSettings(std::string(kValidSettings) + "grace_period: soon\n", findings);
+  BOOST_TEST(findings.Text().find("'grace_period'") != std::string::npos);
+}
+
 } // namespace fuchsiaramp
--- a/packages/testing/entry_fleet.h
+++ b/packages/testing/entry_fleet.h
@@ -89,7 +89,7 @@
   double openShare = 0.0;           // share of requests of open routes
   double giveUpShare = 0.0;         // share of callers that disconnect early
   std::size_t queueCapacity = 1000; // of each entry host
-  Duration gracePeriod = Settings().gracePeriod;
+  GracePeriod gracePeriod = Settings().gracePeriod;
 };
 
 // One finished request.
--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -229,6 +229,20 @@
   EndProcess(0);
 }
 
+static void
+WarnOfUnknownGracePeriod(const Settings& aSettings)
+{
+  if (aSettings.isGracePeriodNamed) {
+    return;
+  }
+  const auto seconds =
+    std::chrono::duration<double>(aSettings.gracePeriod.atLeast).count();
+  WriteError("event=grace_period_unknown " +
+             FormatField("assumed_s", std::to_string(seconds)) +
+             " action=\"set grace_period to the time from SIGTERM to "
+             "SIGKILL\"\n");
+}
+
 static int
 Run(const std::string& aSettingsFile)
 {
@@ -237,6 +251,7 @@
     return kExitUsage;
   }
   const Settings& settings = *loaded;
+  WarnOfUnknownGracePeriod(settings);
   std::string secretKey;
   if (!ReadSecretKey(settings, secretKey)) {
     WriteError(
