Answer pulls once a host and send updates within a budget a turn

Cause: at the start, all 447 entry hosts pull from the three control hosts that they know, and each change of the table of servers is pushed to all of them every 50 ms while 1,080 servers come in. One turn of the loop of a control host with a quarter of a core then took 0.4 to 2.0 s (loop_delayed; 13,866 pushes of 29.6 MB at the leader by 0.5 s), heartbeats came late, leaders stepped down at -5.2, -1.6 and 3.0 s, and every entry host asked for more (144 pulls a host in 8 s instead of 16).

Change: pulls wait in a queue in which a later pull of a host replaces its earlier one; one turn of the loop sends 32 updates or 128 KiB to entry hosts at most, so that messages of the consensus groups are handled in between; the interval of pushes grows by 1.5 ms for each host that receives them. A sent message is no longer copied. With few hosts the intervals are as before.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -1,5 +1,6 @@
 #include "control/control_node.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -7,8 +8,16 @@
 
 namespace fuchsiaramp {
 
-// Shortest interval between pushes of changes to entry hosts.
+// Shortest interval between pushes of changes to entry hosts. It grows with
+// their number, so that pushes take a bounded share of the processor while
+// changes come all the time, as when all servers of a fleet start.
 static constexpr Duration kPushInterval = std::chrono::milliseconds(50);
+static constexpr Duration kPushIntervalPerHost =
+  std::chrono::microseconds(1500);
+// What one turn of the loop sends to entry hosts at most. Messages of the
+// consensus groups that have arrived meanwhile are handled before the rest.
+static constexpr std::size_t kMaxUpdatesPerTurn = 32;
+static constexpr std::size_t kMaxUpdateBytesPerTurn = 128 << 10;
 // A follower confirms that its state is current while the last confirmation
 // from a leader with a lease is at most this old. That is up to two heartbeat
 // intervals where no message is lost.
@@ -165,7 +174,7 @@
       RelayEvidence(aFrom, aMessage.evidence(), aNow);
       break;
     case wire::Envelope::kListsPull:
-      OnListsPull(aFrom, aMessage.lists_pull(), aNow);
+      m_pulls.Add(aFrom, aMessage.lists_pull());
       break;
     default:
       break;
@@ -279,7 +288,7 @@
   for (const auto& group : m_groups) {
     group->node->Flush(aNow);
   }
-  PushChanges(aNow);
+  SendUpdates(aNow);
   m_evidence.Flush(aNow);
 }
 
@@ -379,9 +388,9 @@
 }
 
 void
-ControlNode::OnListsPull(const HostId& aFrom,
-                         const wire::ListsPull& aPull,
-                         TimePoint aNow)
+ControlNode::AnswerPull(const HostId& aFrom,
+                        const wire::ListsPull& aPull,
+                        TimePoint aNow)
 {
   const bool direct = aPull.relay_for().empty();
   // What a peer relays leaves the subscription of the entry host as it is.
@@ -411,7 +420,14 @@
   *envelope.mutable_lists_push() = MakePush(entryHost, aNow);
   envelope.mutable_lists_push()->set_pull_id(aPull.pull_id());
   AddControlHosts(*envelope.mutable_lists_push());
-  m_hooks.send(aFrom, envelope);
+  SendUpdate(aFrom, envelope);
+}
+
+void
+ControlNode::SendUpdate(const HostId& aTo, const wire::Envelope& aMessage)
+{
+  m_updateBytesSent += aMessage.ByteSizeLong();
+  m_hooks.send(aTo, aMessage);
 }
 
 wire::ListsPush
@@ -482,42 +498,73 @@
   }
 }
 
-// A lost push is repaired by the next pull, which reports the versions of the
-// lists and of the table of backend servers that the entry host has. Entry
-// hosts that join or fail cause no push: when all of them start at once, each
-// would cause a push to all others. They are reported with the reply to the
-// next pull at the latest.
+// Pulls go first: their answers carry all that a push would.
 void
-ControlNode::PushChanges(TimePoint aNow)
+ControlNode::SendUpdates(TimePoint aNow)
+{
+  SelectPushTargets(aNow);
+  m_updateBytesSent = 0;
+  for (std::size_t sent = 0;
+       sent < kMaxUpdatesPerTurn && m_updateBytesSent < kMaxUpdateBytesPerTurn;
+       ++sent) {
+    if (const auto waiting = m_pulls.Take()) {
+      AnswerPull(waiting->from, waiting->pull, aNow);
+      continue;
+    }
+    if (m_pushTargets.empty()) {
+      return;
+    }
+    const HostId host = m_pushTargets.front();
+    m_pushTargets.pop_front();
+    const auto it = m_entryHosts.find(host);
+    if (it != m_entryHosts.end() && IsBehind(it->second, aNow)) {
+      wire::Envelope envelope;
+      *envelope.mutable_lists_push() = MakePush(it->second, aNow);
+      SendUpdate(host, envelope);
+    }
+  }
+}
+
+// Whether a change is pushed to this entry host. A lost push is repaired by the
+// next pull, which reports the versions of the lists and of the table of
+// backend servers that the entry host has. Entry hosts that join or fail cause
+// no push: when all of them start at once, each would cause a push to all
+// others. They are reported with the reply to the next pull at the latest.
+bool
+ControlNode::IsBehind(const EntryHostStatus& aEntryHost, TimePoint aNow) const
+{
+  const GroupState& state = m_groups[kListsGroup]->state;
+  const bool behind =
+    aEntryHost.sentLists < state.ListsPart().Current().Version().Value() ||
+    aEntryHost.sentServers < state.ServersPart().FollowerVersion() ||
+    aEntryHost.sentHosts <
+      m_fleet.NearWithdrawnVersion(aEntryHost.region, aEntryHost.failureDomain);
+  const bool recent =
+    !IsDue(aEntryHost.reportedAt + kSubscriptionTimeout, aNow);
+  return behind && recent && aEntryHost.subscribed;
+}
+
+void
+ControlNode::SelectPushTargets(TimePoint aNow)
 {
   // Many changes come together when servers or hosts start. One push then
   // carries all of them.
-  if (!IsDue(m_nextPushAt, aNow)) {
+  if (!m_pushTargets.empty() || !IsDue(m_nextPushAt, aNow)) {
     return;
   }
-  m_nextPushAt = aNow + kPushInterval;
-  const GroupState& state = m_groups[kListsGroup]->state;
-  const auto lists = state.ListsPart().Current().Version().Value();
-  const std::uint64_t servers = state.ServersPart().FollowerVersion();
   for (auto it = m_entryHosts.begin(); it != m_entryHosts.end();) {
-    auto& [host, entryHost] = *it;
+    const auto& [host, entryHost] = *it;
     if (IsDue(entryHost.reportedAt + kEntryHostRetention, aNow)) {
       it = m_entryHosts.erase(it);
       continue;
     }
-    const bool behind =
-      entryHost.sentLists < lists || entryHost.sentServers < servers ||
-      entryHost.sentHosts <
-        m_fleet.NearWithdrawnVersion(entryHost.region, entryHost.failureDomain);
-    const bool recent =
-      !IsDue(entryHost.reportedAt + kSubscriptionTimeout, aNow);
-    if (behind && recent && entryHost.subscribed) {
-      wire::Envelope envelope;
-      *envelope.mutable_lists_push() = MakePush(entryHost, aNow);
-      m_hooks.send(host, envelope);
+    if (IsBehind(entryHost, aNow)) {
+      m_pushTargets.push_back(host);
     }
     ++it;
   }
+  const auto targets = static_cast<std::int64_t>(m_pushTargets.size());
+  m_nextPushAt = aNow + std::max(kPushInterval, targets * kPushIntervalPerHost);
 }
 
 void
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,7 @@
 #include "control/command_client.h"
 #include "control/evidence_relay.h"
 #include "control/fleet_table.h"
+#include "control/pull_queue.h"
 #include "control/server_reports.h"
 #include "control/server_watch.h"
 #include "state/group_state.h"
@@ -128,6 +130,12 @@
                  TimePoint aNow);
   void Tick(TimePoint aNow);
   void Flush(TimePoint aNow);
+  // Whether Flush() left updates for entry hosts, so that it is called again
+  // once messages that have arrived meanwhile are handled.
+  bool HasWaitingUpdates() const
+  {
+    return !m_pulls.IsEmpty() || !m_pushTargets.empty();
+  }
   // Takes no new work from now on. Transfers the leadership of every group that
   // this host leads once the commands that it has logged are applied.
   void Leave(TimePoint aNow);
@@ -180,14 +188,17 @@
                   TimePoint aNow);
   void Propose(std::uint32_t aGroup, wire::Command aCommand, ResultHook aDone);
   void OnRequest(const HostId& aFrom, const wire::ControlRequest& aRequest);
-  void OnListsPull(const HostId& aFrom,
-                   const wire::ListsPull& aPull,
-                   TimePoint aNow);
+  void AnswerPull(const HostId& aFrom,
+                  const wire::ListsPull& aPull,
+                  TimePoint aNow);
   wire::ListsPush MakePush(EntryHostStatus& aEntryHost, TimePoint aNow) const;
   // Only replies to pulls name the control hosts.
   void AddControlHosts(wire::ListsPush& aPush) const;
   void AddEntryHosts(EntryHostStatus& aEntryHost, wire::ListsPush& aPush) const;
-  void PushChanges(TimePoint aNow);
+  void SendUpdates(TimePoint aNow);
+  void SelectPushTargets(TimePoint aNow);
+  bool IsBehind(const EntryHostStatus& aEntryHost, TimePoint aNow) const;
+  void SendUpdate(const HostId& aTo, const wire::Envelope& aMessage);
   void RelayEvidence(const HostId& aFrom,
                      const wire::Evidence& aEvidence,
                      TimePoint aNow);
@@ -224,6 +235,9 @@
   ServerReports m_reports;
   FleetTable m_fleet;
   TimePoint m_nextPushAt;
+  PullQueue m_pulls;
+  std::deque<HostId> m_pushTargets;  // entry hosts that a change is pushed to
+  std::size_t m_updateBytesSent = 0; // in this turn
   std::map<HostId, wire::HostRecord> m_controlHostLocations;
   std::set<HostId> m_discoveredHosts; // passed to hostDiscovered
   TimePoint m_nextExpiryAt;
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -204,10 +204,19 @@
     m_flushScheduled = true;
     asio::post(m_io, [this] {
       m_flushScheduled = false;
-      m_node->Flush(MonotonicNow());
+      Flush();
     });
   }
 
+  // What is left is sent after other events that are due.
+  void Flush()
+  {
+    m_node->Flush(MonotonicNow());
+    if (m_node->HasWaitingUpdates()) {
+      ScheduleFlush();
+    }
+  }
+
   void ScheduleTick()
   {
     m_loop.Expect(MonotonicNow() + kTickInterval);
@@ -224,7 +233,7 @@
         m_log.Write(TrafficEvent(m_transport.Counters(), m_loop));
       }
       m_node->Tick(MonotonicNow());
-      m_node->Flush(MonotonicNow());
+      Flush();
       if (m_shutdown.HasBegun() && ContinueShutdown(MonotonicNow())) {
         return;
       }
--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -261,17 +261,20 @@
 void
 MessageTransport::Send(const HostId& aTo, const wire::Envelope& aMessage)
 {
-  wire::Envelope envelope = aMessage;
-  envelope.set_from(m_options.self.Value());
-  envelope.set_incarnation(m_options.incarnation);
-  envelope.set_sequence(++m_sequence);
-  envelope.set_sent_at_us(ToMicros(MonotonicNow()));
-  envelope.set_ttl_us(kMessageTtl.count());
-  envelope.set_clock(m_clock.Next());
+  wire::Envelope header;
+  header.set_from(m_options.self.Value());
+  header.set_incarnation(m_options.incarnation);
+  header.set_sequence(++m_sequence);
+  header.set_sent_at_us(ToMicros(MonotonicNow()));
+  header.set_ttl_us(kMessageTtl.count());
+  header.set_clock(m_clock.Next());
   const auto peer = m_peers.find(aTo);
   const bool direct = peer != m_peers.end() && Connect(aTo, peer->second);
   zmq::socket_t& socket = direct ? m_outgoing : m_incoming;
-  const std::string payload = envelope.SerializeAsString();
+  // Concatenated messages are read as one, which saves a copy of the body. The
+  // fields of the header replace those of the message.
+  std::string payload = aMessage.SerializeAsString();
+  header.AppendToString(&payload);
   ++m_counters.sent;
   m_counters.sentBytes += payload.size();
   TrafficCounter& kind = m_counters.sentByKind[BodyName(aMessage)];
