Ask further control hosts less often, and relay only where control is heard

While no control host could confirm the lists, each entry host sent five rounds of up to three pulls and three relays within a second, and each relay was another pull at the leader: some 6,000 in a second for 447 hosts.

Change: after two rounds the interval doubles, up to 2 s. A host relays a pull only while it hears from control itself; its own answer goes out as before.

--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -29,8 +29,9 @@
 static constexpr Duration kFreshFor = std::chrono::milliseconds(1300);
 static constexpr Duration kFurtherInterval = std::chrono::milliseconds(200);
 // While control cannot confirm anything, asking on that often would only add
-// load.
-static constexpr std::size_t kQuickRounds = 5;
+// load: when the leader is slow, all entry hosts ask at once. After the quick
+// rounds the interval doubles.
+static constexpr std::size_t kQuickRounds = 2;
 static constexpr Duration kSlowFurtherInterval = std::chrono::seconds(2);
 static constexpr std::size_t kControlHostsPerRound = 3;
 static constexpr std::size_t kPeersPerPull = 3;
@@ -174,7 +175,7 @@
 void
 ListsFollower::AskFurtherControlHosts(TimePoint aNow)
 {
-  if (!m_serving || !IsDue(FreshSince() + kFreshFor, aNow)) {
+  if (!m_serving || IsFresh(aNow)) {
     m_furtherPulls = 0;
     return;
   }
@@ -182,9 +183,11 @@
     return;
   }
   MarkMissedPulls(aNow);
-  m_askFurtherAt =
-    aNow +
-    (m_furtherPulls < kQuickRounds ? kFurtherInterval : kSlowFurtherInterval);
+  m_furtherInterval =
+    m_furtherPulls < kQuickRounds
+      ? kFurtherInterval
+      : std::min(2 * m_furtherInterval, kSlowFurtherInterval);
+  m_askFurtherAt = aNow + m_furtherInterval;
   std::vector<HostId> others;
   bool anyResponds = false;
   for (const auto& [host, control] : m_controlHosts) {
@@ -442,6 +445,12 @@
   return std::max(m_currentAsOf, m_servingSince);
 }
 
+bool
+ListsFollower::IsFresh(TimePoint aNow) const
+{
+  return m_serving && !IsDue(FreshSince() + kFreshFor, aNow);
+}
+
 std::optional<Duration>
 ListsFollower::ConfirmedAge(TimePoint aNow) const
 {
@@ -629,7 +638,9 @@
     }
   }
   m_hooks.sendPush(aFrom, push);
-  if (aPull.relay_for().empty() || m_leader.IsEmpty()) {
+  // A host that hears from no leader itself would only add to the load of one
+  // that is slow.
+  if (aPull.relay_for().empty() || m_leader.IsEmpty() || !IsFresh(aNow)) {
     return;
   }
   wire::ListsPull relayed = aPull;
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -161,6 +161,7 @@
   void ApplyLists(const wire::ListsPush& aPush);
   void StartServing(const char* aConfirmedBy, TimePoint aNow);
   TimePoint FreshSince() const;
+  bool IsFresh(TimePoint aNow) const;
   void PullFromControl(TimePoint aNow);
   void PullFromPeers(std::size_t aCount, TimePoint aNow);
   void OnConfirmed(const wire::ListsPush& aPush, TimePoint aNow);
@@ -186,6 +187,7 @@
   // Sizes of the failure domains that no confirmation came with or after yet.
   std::vector<std::size_t> m_unconfirmedSizes;
   TimePoint m_askFurtherAt;
+  Duration m_furtherInterval{};
   std::size_t m_furtherPulls = 0; // rounds since the last confirmation in time
   bool m_unconfirmed = false;     // recorded as an event
   TimePoint m_pullAt;
