Play disks that are full one after the other

Looked for here: an append that fails ends the process (Node::Stop), which the provider starts again; no path was found by reading that swallows the error.

The fault of the report is not shown here.

--- a/packages/disk/fake_files.cc
+++ b/packages/disk/fake_files.cc
@@ -14,6 +14,19 @@
   return file;
 }
 
+bool
+FakeFiles::TakeWrite()
+{
+  if (!m_writesUntilFull) {
+    return true;
+  }
+  if (*m_writesUntilFull == 0) {
+    return false;
+  }
+  --*m_writesUntilFull;
+  return true;
+}
+
 FileHooks
 FakeFiles::Hooks()
 {
@@ -29,16 +42,24 @@
     aData = Open(aName)->data;
     return std::error_code();
   };
-  hooks.append = [this](const std::string& aName, std::string_view aData) {
+  hooks.append = [this](const std::string& aName,
+                        std::string_view aData) -> std::error_code {
+    if (!TakeWrite()) {
+      return ErrorCode::kDiskFull;
+    }
     Open(aName)->data += aData;
     m_bytesWritten += aData.size();
-    return std::error_code();
+    return {};
   };
-  hooks.truncate = [this](const std::string& aName, std::size_t aSize) {
+  hooks.truncate = [this](const std::string& aName,
+                          std::size_t aSize) -> std::error_code {
+    if (!TakeWrite()) {
+      return ErrorCode::kDiskFull;
+    }
     const std::shared_ptr<File>& file = Open(aName);
     file->data.resize(aSize);
     file->synced = std::min(file->synced, aSize);
-    return std::error_code();
+    return {};
   };
   hooks.sync = [this](const std::string& aName) -> std::error_code {
     if (m_failSyncs) {
@@ -48,10 +69,14 @@
     file->synced = file->data.size();
     return {};
   };
-  hooks.rename = [this](const std::string& aFrom, const std::string& aTo) {
+  hooks.rename = [this](const std::string& aFrom,
+                        const std::string& aTo) -> std::error_code {
+    if (!TakeWrite()) {
+      return ErrorCode::kDiskFull;
+    }
     m_names[aTo] = Open(aFrom);
     m_names.erase(aFrom);
-    return std::error_code();
+    return {};
   };
   hooks.remove = [this](const std::string& aName) {
     m_names.erase(aName);
--- a/packages/disk/fake_files.h
+++ b/packages/disk/fake_files.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/random.h"
@@ -28,6 +29,11 @@
   bool FlipBit(Random& aRandom);
   // Makes every sync fail until the next Crash() or Wipe().
   void FailSyncs() { m_failSyncs = true; }
+  // Makes the disk refuse every write after the given number of further ones,
+  // until Free(). Names can still be removed.
+  void FillAfter(std::size_t aWrites) { m_writesUntilFull = aWrites; }
+  void Free() { m_writesUntilFull.reset(); }
+  bool IsFull() const { return m_writesUntilFull == 0; }
   std::size_t BytesWritten() const { return m_bytesWritten; }
 
 private:
@@ -39,10 +45,13 @@
   using Names = std::map<std::string, std::shared_ptr<File>>;
 
   std::shared_ptr<File>& Open(const std::string& aName);
+  // Counts a write; returns whether the disk takes it.
+  bool TakeWrite();
 
   Names m_names;        // as seen by the process
   Names m_durableNames; // as restored after a crash
   bool m_failSyncs = false;
+  std::optional<std::size_t> m_writesUntilFull;
   std::size_t m_bytesWritten = 0;
 };
 
--- a/tests/randomised/consensus_run_test.cc
+++ b/tests/randomised/consensus_run_test.cc
@@ -174,6 +174,29 @@
     Check(IsRepaired(), "a silent founder and a lost disk are repaired");
   }
 
+  // The disks of all hosts are full for a few seconds, one after the other. A
+  // process that ends by that is started again after a short delay.
+  void RunFullDisks()
+  {
+    RunUntilAllVotersJoined();
+    const std::size_t before = m_acknowledged.size();
+    std::vector<HostId> hosts = m_hosts;
+    m_random.Shuffle(hosts);
+    for (const HostId& host : hosts) {
+      FakeFiles& disk = *m_members[host].disk;
+      disk.FillAfter(m_random.Below(kWritesOfSnapshot));
+      RunWithRestarts(std::chrono::milliseconds(2000 + m_random.Below(1000)));
+      disk.Free();
+    }
+    Check(m_acknowledged.size() > before,
+          "commands are acknowledged while one disk after the other is full");
+    const std::size_t needed = m_acknowledged.size() + 10;
+    RunWithRestarts(std::chrono::seconds(4));
+    Check(m_acknowledged.size() >= needed,
+          "commands are acknowledged once all disks have room");
+    RunUntilConverged();
+  }
+
   // A probe that a host sent before it lost its disk arrives late.
   void RunLateProbeOfLostDisk()
   {
@@ -215,6 +238,48 @@
 private:
   static constexpr std::size_t kFoundingHosts = 3;
   static constexpr int kMaxVoters = 5;
+  // More than saving a snapshot and appending take together.
+  static constexpr std::uint64_t kWritesOfSnapshot = 12;
+  static constexpr Duration kRestartDelay = std::chrono::milliseconds(300);
+
+  void RunWithRestarts(Duration aSpan)
+  {
+    const TimePoint end = m_now + aSpan;
+    while (m_now < end) {
+      Step();
+      for (const HostId& host : m_hosts) {
+        Member& member = m_members[host];
+        if (member.hasFailed) {
+          member.hasFailed = false;
+          member.node.reset();
+          member.startAt = m_now + kRestartDelay;
+        } else if (!member.node && IsDue(member.startAt, m_now)) {
+          Start(host);
+          member.startAt = m_now + kRestartDelay;
+        }
+      }
+    }
+  }
+
+  // Checks that every host that runs applies what was acknowledged.
+  void RunUntilConverged()
+  {
+    const TimePoint limit = m_now + std::chrono::seconds(30);
+    const std::set<std::string> before = m_acknowledged;
+    const auto keeps = [&before](const auto& aMember) {
+      const std::set<std::string> applied(aMember.second.applied.begin(),
+                                          aMember.second.applied.end());
+      return aMember.second.node &&
+             std::includes(
+               applied.begin(), applied.end(), before.begin(), before.end());
+    };
+    while (m_now < limit &&
+           !std::all_of(m_members.begin(), m_members.end(), keeps)) {
+      RunWithRestarts(std::chrono::milliseconds(100));
+    }
+    Check(std::all_of(m_members.begin(), m_members.end(), keeps),
+          "every member keeps every acknowledged command");
+  }
 
   void RunFor(Duration aSpan)
   {
@@ -275,6 +340,8 @@
     std::unique_ptr<SegmentLog> log;
     std::unique_ptr<Node> node; // null while down
     bool paused = false;
+    bool hasFailed = false; // its storage, so that the process ends
+    TimePoint startAt;      // of a process that ended
     std::deque<FakeNetwork<wire::RaftMessage>::Delivery> heldMessages;
     std::vector<std::string> applied;
   };
@@ -295,6 +362,9 @@
     member.log = std::make_unique<SegmentLog>(
       member.disk->Hooks(), Random(m_random.Bits()), kMaxSegment);
     if (member.log->Open(stored)) {
+      if (member.disk->IsFull()) {
+        return; // the process ends again
+      }
       // A corrupt log is replaced by an empty folder.
       member.disk->Wipe();
       ++m_lostDisks;
@@ -361,7 +431,7 @@
           m_acknowledged.insert(aResult);
         }
       };
-    hooks.fatal = [](std::error_code) {};
+    hooks.fatal = [&member](std::error_code) { member.hasFailed = true; };
     hooks.record = [this, aHost](const Event& aEvent) {
       if (aEvent.Name() == "leader_elected") {
         const std::string& term = aEvent.Fields()[1].value;
@@ -665,6 +735,21 @@
   return options;
 }
 
+// Other operators saw changes refused long after full disks had room again.
+BOOST_AUTO_TEST_CASE(ChangesAreAcceptedAfterOneDiskAfterTheOtherWasFull)
+{
+  const SeedRange seeds = SeedRangeFromEnvironment(100);
+  for (std::uint64_t i = 0; i < seeds.count; ++i) {
+    const std::uint64_t seed = seeds.first + i;
+    try {
+      Group group(seed, 6, DeployedOptions());
+      group.RunFullDisks();
+    } catch (const std::exception& error) {
+      BOOST_ERROR("seed " << seed << ": " << error.what());
+    }
+  }
+}
+
 static void
 CheckTimeToLeader(const GroupOptions& aOptions, std::uint64_t aDefaultCount)
 {
