--- a/packages/settings/settings_test.cc
+++ b/packages/settings/settings_test.cc
@@ -79,7 +79,7 @@
 ReadWith(const std::string& aLine)
 {
   Findings findings("entry.yaml");
-  const Settings settings =
+  Settings settings =
     ReadSettings(kValidSettings + ("address_lifetime: 1s\n" + aLine), findings);
   BOOST_TEST(findings.Text() == "");
   return settings;
--- a/tests/randomised/fleet_start_run_test.cc
+++ b/tests/randomised/fleet_start_run_test.cc
@@ -135,6 +135,7 @@
   std::vector<HostId> Seeds() const
   {
     std::vector<HostId> seeds;
+    seeds.reserve(kSeeds);
     for (int i = 0; i < kSeeds; ++i) {
       seeds.push_back(m_controls[static_cast<std::size_t>(i)]->id);
     }
