Say of nothing that it is not listed while a change may be missing

Cause: an entry host whose last confirmation is seconds old keeps its lists, and answered 404 (401, 403 on the native API) for what they do not name. It can't know that: the change that adds it may be in force elsewhere.

Ruled out: nothing in the follower makes the lists go back; the host of the record had never received the version.

Change: without a confirmation for 2 s such a request is refused with 503 (not run, use another entry host). What the lists allow is served as before.

Before: AHostThatMayHaveMissedAChangeSaysOfNothingThatItIsNotListed failed (403 instead of 503). After: it passes.

--- a/packages/entry/entry_filters.cc
+++ b/packages/entry/entry_filters.cc
@@ -64,6 +64,28 @@
   return FilterResult::kDone;
 }
 
+// Refuses what the lists here do not allow. A host that may have missed a
+// change cannot say that they never did.
+void
+EntryNode::RefuseUnlisted(Request& aRequest,
+                          std::uint32_t aStatus,
+                          const std::string& aReason,
+                          TimePoint aNow)
+{
+  if (m_lists->MayBeOutdated(aNow)) {
+    Refuse(aRequest,
+           CallerOutcome::kNotRun,
+           503,
+           "this host cannot confirm that its lists are current; use another "
+           "entry host",
+           Jitter(kRetryAtOtherHost),
+           aNow);
+    return;
+  }
+  Refuse(
+    aRequest, CallerOutcome::kNotRun, aStatus, aReason, std::nullopt, aNow);
+}
+
 // A caller without a token may use the open routes, which are selected by Host
 // header and path.
 EntryNode::FilterResult
@@ -79,12 +101,10 @@
     if (!head.tokenless) {
       return FilterResult::kContinue;
     }
-    Refuse(aRequest,
-           CallerOutcome::kNotRun,
-           404,
-           "no open route has this host and a prefix of this path",
-           std::nullopt,
-           aNow);
+    RefuseUnlisted(aRequest,
+                   404,
+                   "no open route has this host and a prefix of this path",
+                   aNow);
     return FilterResult::kDone;
   }
   aRequest.usesOpenRoute = true;
@@ -138,12 +158,8 @@
                              customer != nullptr &&
                              EqualConstantTime(customer->token_hash(), hash);
   if (!authenticated) {
-    Refuse(aRequest,
-           CallerOutcome::kNotRun,
-           401,
-           "the bearer token is missing or unknown",
-           std::nullopt,
-           aNow);
+    RefuseUnlisted(
+      aRequest, 401, "the bearer token is missing or unknown", aNow);
     return FilterResult::kDone;
   }
   aRequest.customer = customer->id();
@@ -162,12 +178,10 @@
   const wire::Route* route =
     lists.FindRoute(*customer, aRequest.head.service, aRequest.head.path);
   if (route == nullptr) {
-    Refuse(aRequest,
-           CallerOutcome::kNotRun,
-           403,
-           "the customer's plan has no route for this service and path",
-           std::nullopt,
-           aNow);
+    RefuseUnlisted(aRequest,
+                   403,
+                   "the customer's plan has no route for this service and path",
+                   aNow);
     return FilterResult::kDone;
   }
   aRequest.repeatable = route->repeatable();
--- a/packages/entry/entry_node.h
+++ b/packages/entry/entry_node.h
@@ -254,6 +254,10 @@
   FilterResult Authenticate(Request& aRequest, TimePoint aNow);
   FilterResult FindRoute(Request& aRequest, TimePoint aNow);
   FilterResult CheckShutdown(Request& aRequest, TimePoint aNow);
+  void RefuseUnlisted(Request& aRequest,
+                      std::uint32_t aStatus,
+                      const std::string& aReason,
+                      TimePoint aNow);
   FilterResult FindOpenRoute(Request& aRequest, TimePoint aNow);
   ServiceName ChooseService(const wire::Route& aRoute);
   FilterResult CheckKey(Request& aRequest, TimePoint aNow);
--- a/packages/entry/entry_node_test.cc
+++ b/packages/entry/entry_node_test.cc
@@ -357,4 +357,24 @@
   BOOST_TEST(host.Node().Counters().attempts == attempts + 3);
 }
 
+// A route that was added while this host heard from no control host was
+// answered with 404.
+BOOST_AUTO_TEST_CASE(
+  AHostThatMayHaveMissedAChangeSaysOfNothingThatItIsNotListed)
+{
+  LoneHost host;
+  host.SendWithoutKey("/added/1", seconds(8));
+  BOOST_REQUIRE(host.Responses().size() == 1u);
+  BOOST_TEST(host.Responses()[0].status == 403);
+  host.RunFor(seconds(3));
+  host.SendWithoutKey("/added/1", seconds(8));
+  BOOST_REQUIRE(host.Responses().size() == 2u);
+  BOOST_TEST(host.Responses()[1].status == 503);
+  BOOST_TEST((host.Responses()[1].outcome == CallerOutcome::kNotRun));
+  host.Send("/read/1", seconds(8));
+  host.RunFor(seconds(1));
+  BOOST_REQUIRE(host.Responses().size() == 3u);
+  BOOST_TEST(host.Responses()[2].status == 200);
+}
+
 } // namespace fuchsiaramp
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -49,6 +49,8 @@
 static constexpr Duration kSentPullLifetime = std::chrono::seconds(3);
 static constexpr Duration kOverdueConfirmation =
   std::chrono::milliseconds(1500);
+// Shorter than the 2.5 s in which a change must be in force.
+static constexpr Duration kOutdatedAfter = std::chrono::seconds(2);
 
 ListsFollower::ListsFollower(ListsFollowerOptions aOptions,
                              ListsFollowerHooks aHooks,
@@ -183,10 +185,9 @@
     return;
   }
   MarkMissedPulls(aNow);
-  m_furtherInterval =
-    m_furtherPulls < kQuickRounds
-      ? kFurtherInterval
-      : std::min(2 * m_furtherInterval, kSlowFurtherInterval);
+  m_furtherInterval = m_furtherPulls < kQuickRounds
+                        ? kFurtherInterval
+                        : std::min(2 * m_furtherInterval, kSlowFurtherInterval);
   m_askFurtherAt = aNow + m_furtherInterval;
   std::vector<HostId> others;
   bool anyResponds = false;
@@ -451,6 +452,12 @@
   return m_serving && !IsDue(FreshSince() + kFreshFor, aNow);
 }
 
+bool
+ListsFollower::MayBeOutdated(TimePoint aNow) const
+{
+  return IsDue(FreshSince() + kOutdatedAfter, aNow);
+}
+
 std::optional<Duration>
 ListsFollower::ConfirmedAge(TimePoint aNow) const
 {
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -107,6 +107,8 @@
   // How long ago everything that was acknowledged by then was surely in force
   // here; empty if control never confirmed it.
   std::optional<Duration> ConfirmedAge(TimePoint aNow) const;
+  // Whether a change that must be in force by now may be missing here.
+  bool MayBeOutdated(TimePoint aNow) const;
 
 private:
   struct Relay
