Start with a safe default where an optional setting cannot be read

Cause: put the section of the grace period inside quotes. The other optional sections ended entry hosts where a renderer does not know them.

Change: the templates name their optional settings after a line "---", one a line; each line is read by itself. grace_period, retry_budget, retry_slack and link_mbps that cannot be read are logged as setting_ignored, and their defaults hold, which keep every promise. A grace period that is too short for callers to learn of a stop stays an error.

--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -2,17 +2,21 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
+#include <set>
 
+#include "settings/settings_document.h"
 #include "settings/yaml_reader.h"
 
 namespace fuchsiaramp {
 
-static constexpr double kMaxLinkMbps = 1e6;
 namespace internal {
 
 static constexpr std::size_t kPublicKeyChars = 40; // Z85 text of 32 bytes
 static constexpr std::size_t kSha256HexChars = 64; // hexadecimal SHA-256
 static constexpr std::uint64_t kGibibyte = 1ULL << 30;
+static constexpr double kMaxLinkMbps = 1e6;
+static constexpr double kMaxRetrySlack = 1e6;
 // What a stop takes beyond the requests that it waits for.
 static constexpr Duration kStopMargin = std::chrono::seconds(1);
 // Longer than handing over the groups takes.
@@ -101,8 +105,17 @@
   return keys;
 }
 
+static void
+ReadRetryLimits(MapReader& aMap, RoutingSettings& aRouting)
+{
+  aRouting.retryBudget =
+    aMap.Real("retry_budget", aRouting.retryBudget, 0.0, 1.0);
+  aRouting.retrySlack =
+    aMap.Real("retry_slack", aRouting.retrySlack, 0.0, kMaxRetrySlack);
+}
+
 static RoutingSettings
-Routing(MapReader& aMap, Findings& aFindings)
+Routing(MapReader& aMap, Findings& aFindings, Findings& aIgnored)
 {
   RoutingSettings routing;
   const YAML::Node node = aMap.Map("routing");
@@ -113,12 +126,13 @@
   routing.ejectionThreshold =
     map.Real("ejection_threshold", routing.ejectionThreshold, 2.0, 100.0);
   routing.floor = map.Real("floor", routing.floor, 0.1, 1.0);
-  routing.retryBudget = map.Real("retry_budget", routing.retryBudget, 0.0, 1.0);
+  MapReader optional(node, "'routing'", aIgnored);
+  ReadRetryLimits(optional, routing);
+  map.MarkAsRead(optional);
   routing.sharesOutcomes = map.Flag("shares_beliefs", routing.sharesOutcomes);
   routing.domainCost = map.Real("domain_cost", routing.domainCost, 0.0, 10.0);
   routing.regionCost = map.Real("region_cost", routing.regionCost, 0.0, 10.0);
   routing.connectTimeout = map.Span("connect_timeout", routing.connectTimeout);
-  routing.retrySlack = map.Real("retry_slack", routing.retrySlack, 0.0, 1e6);
   routing.maxLocalWait = map.Span("stays_near", routing.maxLocalWait);
   routing.requestTimeout = map.Span("request_timeout", routing.requestTimeout);
   routing.attemptTimeout = map.Span("attempt_timeout", routing.attemptTimeout);
@@ -257,18 +271,6 @@
   return role == "control" ? Role::kControl : Role::kEntry;
 }
 
-// Whether a template was rendered without a value for this key, or by a
-// renderer that does not know the placeholder in it. Only for keys whose
-// default is safe.
-static bool
-IsLeftOut(MapReader& aMap, const std::string& aKey)
-{
-  const YAML::Node node = aMap.Map(aKey);
-  return !node.IsDefined() ||
-         (node.IsScalar() &&
-          (node.Scalar().empty() || node.Scalar().rfind("{{", 0) == 0));
-}
-
 // Without a setting, a stop is safe only if it counts on the shortest time in
 // which it can succeed, and breaks nothing off before the longest.
 static GracePeriod
@@ -282,23 +284,72 @@
            withdrawn + aSettings.routing.requestTimeout + kStopMargin };
 }
 
+// The settings whose defaults keep every promise, beside those of 'routing'.
+struct OptionalSettings
+{
+  double linkMbps = 0.0;
+  std::optional<Duration> gracePeriod;
+  SourcePosition gracePeriodPosition;
+};
+
+static void
+ReadOptionalSettings(MapReader& aMap, OptionalSettings& aOptional)
+{
+  aOptional.linkMbps =
+    aMap.Real("link_mbps", aOptional.linkMbps, 0.0, kMaxLinkMbps);
+  const Duration grace = aMap.Span("grace_period", Duration::zero());
+  if (grace != Duration::zero()) {
+    aOptional.gracePeriod = grace;
+    aOptional.gracePeriodPosition = aMap.PositionOfKey("grace_period");
+  }
+}
+
+// Reads the optional settings of the document and those after it, which go
+// first. Findings are collected in aIgnored: a daemon with a default here is
+// better than no daemon.
+static OptionalSettings
+ReadAllOptionalSettings(MapReader& aDocument,
+                        const YAML::Node& aRoot,
+                        const SettingsText& aText,
+                        RoutingSettings& aRouting,
+                        Findings& aIgnored)
+{
+  OptionalSettings optional;
+  MapReader document(aRoot, "settings", aIgnored);
+  ReadOptionalSettings(document, optional);
+  aDocument.MarkAsRead(document);
+  std::set<std::string> keys;
+  for (const YAML::Node& node : ParseOptionalLines(aText, aIgnored)) {
+    MapReader line(node, "the optional settings", aIgnored);
+    if (!keys.insert(node.begin()->first.Scalar()).second) {
+      aIgnored.Add(PositionOf(node), "an optional setting is defined twice");
+      continue;
+    }
+    ReadRetryLimits(line, aRouting);
+    ReadOptionalSettings(line, optional);
+    line.Finish();
+  }
+  return optional;
+}
+
 // The platform chooses its grace period itself; elsewhere, one in which no
 // caller's address can expire is a mistake.
 static void
-ReadGracePeriod(MapReader& aMap, Settings& aSettings, Findings& aFindings)
+SetGracePeriod(const OptionalSettings& aOptional,
+               Settings& aSettings,
+               Findings& aFindings)
 {
-  aSettings.gracePeriod = UnknownGracePeriod(aSettings);
-  aSettings.isGracePeriodNamed = !IsLeftOut(aMap, "grace_period");
-  if (!aSettings.isGracePeriodNamed) {
+  aSettings.isGracePeriodNamed = aOptional.gracePeriod.has_value();
+  if (!aOptional.gracePeriod) {
+    aSettings.gracePeriod = UnknownGracePeriod(aSettings);
     return;
   }
+  aSettings.gracePeriod = *aOptional.gracePeriod;
   const Duration withdrawn = aSettings.addressLifetime + kLeavePropagationTime;
-  const Duration grace =
-    aMap.Span("grace_period", aSettings.gracePeriod.atMost);
-  aSettings.gracePeriod = grace;
   const bool chosenHere = aSettings.externalApi == ExternalApiKind::kNative;
-  if (chosenHere && aSettings.role == Role::kEntry && grace < withdrawn) {
-    aFindings.Add(aMap.PositionOfKey("grace_period"),
+  if (chosenHere && aSettings.role == Role::kEntry &&
+      *aOptional.gracePeriod < withdrawn) {
+    aFindings.Add(aOptional.gracePeriodPosition,
                   "'grace_period' must be at least 3s longer than "
                   "'address_lifetime', since callers use an address for that "
                   "long after a stop has begun");
@@ -400,10 +451,11 @@
 }
 
 Settings
-ReadSettings(const std::string& aText, Findings& aFindings)
+ReadSettings(const std::string& aText, Findings& aFindings, Findings& aIgnored)
 {
   Settings settings;
-  const auto root = ParseYaml(aText, aFindings);
+  const SettingsText text = SplitSettings(aText);
+  const auto root = ParseYaml(text.document, aFindings);
   if (!root) {
     return settings;
   }
@@ -434,7 +486,7 @@
   settings.regions = internal::Regions(map, aFindings);
   internal::ReadSeedMachines(map, settings, aFindings);
   settings.group = internal::Group(map, aFindings);
-  settings.routing = internal::Routing(map, aFindings);
+  settings.routing = internal::Routing(map, aFindings, aIgnored);
   settings.limits = internal::Limits(map, aFindings);
   settings.ledger = internal::Ledger(map, aFindings);
   settings.membershipByControl =
@@ -444,13 +496,14 @@
     map.Number("nearby_addresses", settings.minSameDomainAddresses, 1, 64);
   settings.sameDomainShare =
     map.Real("nearby_share", settings.sameDomainShare, 0.0, 1.0);
-  settings.linkMbps =
-    map.Real("link_mbps", settings.linkMbps, 0.0, kMaxLinkMbps);
   settings.addressLifetime =
     map.Span("address_lifetime", settings.addressLifetime);
   settings.announcementLifetime =
     map.Span("announcement_lifetime", settings.announcementLifetime);
-  internal::ReadGracePeriod(map, settings, aFindings);
+  const internal::OptionalSettings optional = internal::ReadAllOptionalSettings(
+    map, *root, text, settings.routing, aIgnored);
+  settings.linkMbps = optional.linkMbps;
+  internal::SetGracePeriod(optional, settings, aFindings);
   internal::CheckConsistency(settings, map, aFindings);
   map.Finish();
   return settings;
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -1,8 +1,10 @@
 // The settings of one daemon, which are read from a YAML document.
 //
 //   Findings findings("entry-1.yaml");
-//   Settings settings = ReadSettings(text, findings);
-//   if (!findings.IsEmpty()) { std::cerr << findings.Text(); return 2; }
+//   Findings ignored("entry-1.yaml");
+//   Settings settings = ReadSettings(text, findings, ignored);
+//   std::cerr << findings.Text() << ignored.Text();
+//   if (!findings.IsEmpty()) { return 2; }
 #pragma once
 
 #include <cstdint>
@@ -156,9 +158,11 @@
   bool isGracePeriodNamed = false;
 };
 
-// Reads and validates settings. Each error becomes a finding with its position.
+// Reads and validates settings. Each error becomes a finding with its position:
+// in aIgnored if the setting has a default that keeps every promise, which then
+// holds, and in aFindings if no daemon may start with these settings.
 Settings
-ReadSettings(const std::string& aText, Findings& aFindings);
+ReadSettings(const std::string& aText, Findings& aFindings, Findings& aIgnored);
 
 // Returns the host at the given port of the machine with the given address. The
 // id of the host is its message address.
--- a/packages/settings/yaml_reader.cc
+++ b/packages/settings/yaml_reader.cc
@@ -269,6 +269,12 @@
   return Find(aKey);
 }
 
+void
+MapReader::MarkAsRead(const MapReader& aOther)
+{
+  m_readKeys.insert(aOther.m_readKeys.begin(), aOther.m_readKeys.end());
+}
+
 void
 MapReader::Finish()
 {
--- a/packages/settings/yaml_reader.h
+++ b/packages/settings/yaml_reader.h
@@ -64,6 +64,9 @@
   // key is missing.
   YAML::Node Map(const std::string& aKey);
 
+  // Counts the keys that another reader of the same map has read as read here.
+  void MarkAsRead(const MapReader& aOther);
+
   // Reports keys that were not read (unknown keys) and duplicate keys.
   void Finish();
 
--- a/programs/fuchsiaramp/commands.cc
+++ b/programs/fuchsiaramp/commands.cc
@@ -318,9 +318,10 @@
     return kExitUsage;
   }
   Findings findings(aFile);
-  ReadSettings(*text, findings);
-  std::cerr << findings.Text();
-  if (!findings.IsEmpty()) {
+  Findings ignored(aFile);
+  ReadSettings(*text, findings, ignored);
+  std::cerr << findings.Text() << ignored.Text();
+  if (!findings.IsEmpty() || !ignored.IsEmpty()) {
     return kExitFailed;
   }
   std::cout << aFile << ": valid\n";
--- a/programs/fuchsiarampd/main.cc
+++ b/programs/fuchsiarampd/main.cc
@@ -73,6 +73,18 @@
   return aKey.size() == kKeyCharacters;
 }
 
+static void
+WarnOfIgnoredSettings(const std::string& aFile, const Findings& aIgnored)
+{
+  for (const Finding& finding : aIgnored.All()) {
+    const std::string line = std::to_string(finding.position.line);
+    WriteError("event=setting_ignored " + FormatField("file", aFile) + ' ' +
+               FormatField("line", line) + ' ' +
+               FormatField("reason", finding.text) +
+               " action=\"correct it; its default holds meanwhile\"\n");
+  }
+}
+
 // Reads the settings; prints findings to standard error.
 static std::optional<Settings>
 LoadSettings(const std::string& aFile)
@@ -83,7 +95,9 @@
     return std::nullopt;
   }
   Findings findings(aFile);
-  Settings settings = ReadSettings(text, findings);
+  Findings ignored(aFile);
+  Settings settings = ReadSettings(text, findings, ignored);
+  WarnOfIgnoredSettings(aFile, ignored);
   if (!findings.IsEmpty()) {
     WriteError(findings.Text());
     return std::nullopt;
