Close connections between hosts whose handshake does not end within 2 s

Cause: a faulty link dropped the bytes of a handshake. The connection then looked healthy to TCP, heartbeats had not begun, and ZeroMQ waits for a handshake for 30 s. The peer was the new leader, so that every command of the host was lost.

Ruled out: the ledger and the leader (the other three entry hosts got outcomes from it at the same time); established connections (heartbeats close them after 2.5 s).

Change: a handshake timeout of 2 s on both sides. 3 s is the window in which hosts must be in touch again.

--- a/packages/net/message_transport.cc
+++ b/packages/net/message_transport.cc
@@ -30,6 +30,9 @@
 static constexpr int kHeartbeatTtlMs = kHeartbeatMs + kHeartbeatTimeoutMs;
 static constexpr int kUnackedTimeoutMs = 1500;
 static constexpr int kConnectTimeoutMs = 500;
+// The library waits for 30 s by default. Neither heartbeats nor unacknowledged
+// bytes reveal a connection whose handshake was lost on the way.
+static constexpr int kHandshakeTimeoutMs = 2000;
 static constexpr int kReconnectMs = 100;
 static constexpr int kReconnectMaxMs = 500;
 // Bounds one batch of reads, so that other events are handled in between.
@@ -45,6 +48,7 @@
   aSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   aSocket.set(zmq::sockopt::tcp_maxrt, kUnackedTimeoutMs);
   aSocket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  aSocket.set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
   aSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   aSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
 }
--- a/packages/net/message_transport_test.cc
+++ b/packages/net/message_transport_test.cc
@@ -262,4 +262,22 @@
   BOOST_TEST(Reaches(m_sender, peer, m_peer));
 }
 
+// The bytes of a handshake were lost on a link whose fault ended later, and
+// nothing was sent to the peer for 30 s.
+BOOST_FIXTURE_TEST_CASE(AConnectionThatIsSilentSinceItOpenedIsReplaced,
+                        TransportFixture)
+{
+  const HostId peer("silent");
+  tcp::acceptor acceptor(m_io,
+                         { asio::ip::address_v4::loopback(),
+                           static_cast<std::uint16_t>(std::stoi(
+                             m_second.substr(m_second.rfind(':') + 1))) });
+  m_sender.m_transport.SetPeer(peer, m_second, "");
+  m_sender.m_transport.Send(peer, wire::Envelope());
+  const tcp::socket silent = acceptor.accept();
+  acceptor.close();
+  TestHost host(m_io, "silent", m_second);
+  BOOST_TEST(Reaches(m_sender, peer, host));
+}
+
 } // namespace fuchsiaramp
