--- a/tests/process/build_old.sh
+++ b/tests/process/build_old.sh
@@ -6,8 +6,8 @@
 set -eu
 cd "$(dirname "$0")/../.."
 # The commit that was landed before the current work.
-commit=$(git rev-parse --verify "${1:-65be897e6e6a7a33fc898b67e66f07fac82da497}^{commit}" 2>/dev/null) || {
-  echo "the earlier commit ${1:-65be897e6e6a7a33fc898b67e66f07fac82da497} is not in this checkout; a full clone is needed" >&2
+commit=$(git rev-parse --verify "${1:-6254ef37376fa7f0b85bcce8a217d1bbe8d4f0de}^{commit}" 2>/dev/null) || {
+  echo "the earlier commit ${1:-6254ef37376fa7f0b85bcce8a217d1bbe8d4f0de} is not in this checkout; a full clone is needed" >&2
   exit 1
 }
 folder=run/old-build/$commit
