Apply settings that were appended after the optional ones

An operator or a stand-in that appends a line to a rendered file, such as "log_level: DEBUG", would have had it ignored since, with a log line only. Such lines count as those of the document now, so that a wrong value ends the daemon as it did before. A key that this build does not know is ignored there and logged, since a later build may have further optional settings.

--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "settings/settings_document.h"
 #include "settings/yaml_reader.h"
@@ -304,13 +305,53 @@
   }
 }
 
+static bool
+IsOptional(const std::string& aKey)
+{
+  return aKey == "grace_period" || aKey == "link_mbps" ||
+         aKey == "retry_budget" || aKey == "retry_slack";
+}
+
+static std::string
+KeyOf(const YAML::Node& aLine)
+{
+  return aLine.begin()->first.Scalar();
+}
+
+// Adds the lines after the document that hold none of the optional settings.
+// Someone appended them to the file.
+static void
+AppendLines(const std::vector<YAML::Node>& aLines, YAML::Node& aDocument)
+{
+  for (const YAML::Node& line : aLines) {
+    if (!IsOptional(KeyOf(line))) {
+      aDocument.force_insert(line.begin()->first, line.begin()->second);
+    }
+  }
+}
+
+// A later build may have further optional settings.
+static void
+IgnoreUnknownLines(const std::vector<YAML::Node>& aLines,
+                   MapReader& aDocument,
+                   Findings& aIgnored)
+{
+  for (const YAML::Node& line : aLines) {
+    const std::string key = KeyOf(line);
+    if (!IsOptional(key) && !aDocument.IsKnown(key)) {
+      aIgnored.Add(PositionOf(line), "unknown key '" + key + "'");
+      aDocument.Has(key);
+    }
+  }
+}
+
 // Reads the optional settings of the document and those after it, which go
 // first. Findings are collected in aIgnored: a daemon with a default here is
 // better than no daemon.
 static OptionalSettings
 ReadAllOptionalSettings(MapReader& aDocument,
                         const YAML::Node& aRoot,
-                        const SettingsText& aText,
+                        const std::vector<YAML::Node>& aLines,
                         RoutingSettings& aRouting,
                         Findings& aIgnored)
 {
@@ -319,15 +360,18 @@
   ReadOptionalSettings(document, optional);
   aDocument.MarkAsRead(document);
   std::set<std::string> keys;
-  for (const YAML::Node& node : ParseOptionalLines(aText, aIgnored)) {
-    MapReader line(node, "the optional settings", aIgnored);
-    if (!keys.insert(node.begin()->first.Scalar()).second) {
-      aIgnored.Add(PositionOf(node), "an optional setting is defined twice");
+  for (const YAML::Node& node : aLines) {
+    if (!IsOptional(KeyOf(node))) {
       continue;
     }
+    if (!keys.insert(KeyOf(node)).second) {
+      aIgnored.Add(PositionOf(node),
+                   "'" + KeyOf(node) + "' is defined twice after '---'");
+      continue;
+    }
+    MapReader line(node, "the lines after '---'", aIgnored);
     ReadRetryLimits(line, aRouting);
     ReadOptionalSettings(line, optional);
-    line.Finish();
   }
   return optional;
 }
@@ -455,10 +499,14 @@
 {
   Settings settings;
   const SettingsText text = SplitSettings(aText);
-  const auto root = ParseYaml(text.document, aFindings);
+  auto root = ParseYaml(text.document, aFindings);
   if (!root) {
     return settings;
   }
+  const std::vector<YAML::Node> lines = ParseLines(text, aIgnored);
+  if (root->IsMap()) {
+    internal::AppendLines(lines, *root);
+  }
   MapReader map(*root, "settings", aFindings);
   settings.host = HostId(map.RequiredText("host"));
   settings.role = internal::ReadRole(map, aFindings);
@@ -501,10 +549,11 @@
   settings.announcementLifetime =
     map.Span("announcement_lifetime", settings.announcementLifetime);
   const internal::OptionalSettings optional = internal::ReadAllOptionalSettings(
-    map, *root, text, settings.routing, aIgnored);
+    map, *root, lines, settings.routing, aIgnored);
   settings.linkMbps = optional.linkMbps;
   internal::SetGracePeriod(optional, settings, aFindings);
   internal::CheckConsistency(settings, map, aFindings);
+  internal::IgnoreUnknownLines(lines, map, aIgnored);
   map.Finish();
   return settings;
 }
--- a/packages/settings/settings_document.cc
+++ b/packages/settings/settings_document.cc
@@ -39,27 +39,27 @@
   std::istringstream lines(aText);
   std::string line;
   bool hasContent = false;
-  bool isOptional = false;
+  bool hasEnded = false; // the document
   while (std::getline(lines, line)) {
     // A separator before all content only starts the document.
     const bool isSeparator = internal::WithoutTrailingBlanks(line) == "---";
-    if (!isOptional && isSeparator && hasContent) {
-      isOptional = true;
+    if (!hasEnded && isSeparator && hasContent) {
+      hasEnded = true;
       ++parts.linesBefore;
       continue;
     }
     hasContent = hasContent || (!isSeparator && internal::HasContent(line));
-    (isOptional ? parts.optionalLines : parts.document) += line + '\n';
-    parts.linesBefore += isOptional ? 0 : 1;
+    (hasEnded ? parts.lines : parts.document) += line + '\n';
+    parts.linesBefore += hasEnded ? 0 : 1;
   }
   return parts;
 }
 
 std::vector<YAML::Node>
-ParseOptionalLines(const SettingsText& aText, Findings& aFindings)
+ParseLines(const SettingsText& aText, Findings& aFindings)
 {
   std::vector<YAML::Node> nodes;
-  std::istringstream lines(aText.optionalLines);
+  std::istringstream lines(aText.lines);
   std::string line;
   // Precedes each line, so that the parser reports positions in the file.
   std::string padding(static_cast<std::size_t>(aText.linesBefore), '\n');
@@ -74,7 +74,7 @@
       nodes.push_back(*node);
     } else {
       aFindings.Add({ static_cast<int>(padding.size()) + 1, 1 },
-                    "an optional setting must be 'key: value', not '" + line +
+                    "a line after '---' must be 'key: value', not '" + line +
                       "'");
     }
   }
--- a/packages/settings/settings_document_test.cc
+++ b/packages/settings/settings_document_test.cc
@@ -10,14 +10,14 @@
 {
   const SettingsText text = SplitSettings("a: 1\nb: 2\n");
   BOOST_TEST(text.document == "a: 1\nb: 2\n");
-  BOOST_TEST(text.optionalLines == "");
+  BOOST_TEST(text.lines == "");
 }
 
 BOOST_AUTO_TEST_CASE(ASeparatorBeforeAllContentStartsTheDocument)
 {
   const SettingsText text = SplitSettings("# c\n\n---\na: 1\n--- \nb: 2\n");
   BOOST_TEST(text.document == "# c\n\n---\na: 1\n");
-  BOOST_TEST(text.optionalLines == "b: 2\n");
+  BOOST_TEST(text.lines == "b: 2\n");
   BOOST_TEST(text.linesBefore == 5);
 }
 
@@ -34,7 +34,7 @@
                                           "g: \xff\n"
                                           "h: '4'");
   Findings findings("f");
-  const std::vector<YAML::Node> nodes = ParseOptionalLines(text, findings);
+  const std::vector<YAML::Node> nodes = ParseLines(text, findings);
   BOOST_REQUIRE(nodes.size() == 2U);
   BOOST_TEST(nodes[0]["d"].as<std::string>() == "2");
   BOOST_TEST(nodes[1]["h"].as<std::string>() == "4");
--- a/packages/settings/settings_test.cc
+++ b/packages/settings/settings_test.cc
@@ -160,6 +160,35 @@
   BOOST_TEST(text.find("entry.yaml:16:14: 'retry_slack'") != std::string::npos);
 }
 
+// Lines that were appended to a file that a template had made.
+BOOST_AUTO_TEST_CASE(ReadsSettingsThatWereAppended)
+{
+  const LineResult result =
+    ReadWith("---\ngrace_period: 6s\nlog_level: DEBUG\nfuture: 1\n");
+  BOOST_TEST(result.settings.logLevel == "DEBUG");
+  BOOST_TEST(ToSeconds(result.settings.gracePeriod.atMost) == 6.0);
+  BOOST_TEST(result.ignored.Text() ==
+             "entry.yaml:16:1: unknown key 'future'\n");
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAppendedSettingsThatAreWrong)
+{
+  for (const std::string line : { "pull_interval: often", "role: entry" }) {
+    Findings findings("entry.yaml");
+    Findings ignored("entry.yaml");
+    ReadSettings(kValidSettings + ("---\n" + line), findings, ignored);
+    BOOST_TEST(!findings.IsEmpty(), line);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheFirstOfTwoOptionalLinesHolds)
+{
+  const LineResult result =
+    ReadWith("---\ngrace_period: 6s\ngrace_period: 9s\n");
+  BOOST_TEST(ToSeconds(result.settings.gracePeriod.atMost) == 6.0);
+  BOOST_TEST(result.ignored.All().size() == 1U);
+}
+
 // Too short for callers to learn of the stop: no default may replace it.
 BOOST_AUTO_TEST_CASE(RefusesAGracePeriodThatEndsBeforeCallersLeave)
 {
--- a/packages/settings/yaml_reader.cc
+++ b/packages/settings/yaml_reader.cc
@@ -112,6 +112,12 @@
   return Find(aKey).IsDefined();
 }
 
+bool
+MapReader::IsKnown(const std::string& aKey) const
+{
+  return m_readKeys.count(aKey) != 0;
+}
+
 SourcePosition
 MapReader::PositionOfKey(const std::string& aKey) const
 {
--- a/packages/settings/yaml_reader.h
+++ b/packages/settings/yaml_reader.h
@@ -39,6 +39,8 @@
             Findings& aFindings);
 
   bool Has(const std::string& aKey);
+  // Whether the key was read or asked for.
+  bool IsKnown(const std::string& aKey) const;
   // Returns the position of the value of a key, or of the map if the key is
   // missing.
   SourcePosition PositionOfKey(const std::string& aKey) const;
