--- a/packages/settings/settings.cc
+++ b/packages/settings/settings.cc
@@ -330,7 +330,9 @@
   }
 }
 
-// A later build may have further optional settings.
+// Reports keys that no reader of the document asked for, and keeps Finish()
+// from reporting them as errors: a later build may have further optional
+// settings.
 static void
 IgnoreUnknownLines(const std::vector<YAML::Node>& aLines,
                    MapReader& aDocument,
