review/6: a version without an ack may be in force when it is read back

The check took any other version than the newest acknowledged one for older. It reads the number now, as the rule does.

--- a/review/6/memory_of_changes.cc
+++ b/review/6/memory_of_changes.cc
@@ -193,17 +193,21 @@
   bool ReadBack()
   {
     const std::int64_t until = NowMs() + kContactWindowMs + kReadBackMs;
-    const std::string newest =
-      "\"Version\":\"r" + std::to_string(m_acknowledged) + '"';
     while (NowMs() < until) {
       for (const Address& control : m_fleet.ControlAddresses()) {
         const auto reply =
           Call(control, "POST", "/rpc?call=configuration.get", "", 2000);
         if (reply && reply->Status() == 200) {
-          const bool isNewest = reply->body.find(newest) != std::string::npos;
-          m_record.Say(control.Text() + " answers with " +
-                       (isNewest ? "the newest version" : "another version"));
-          return isNewest;
+          const std::string key = "\"Version\":\"r";
+          const std::size_t at = reply->body.find(key);
+          const int version =
+            at == std::string::npos
+              ? 0
+              : std::atoi(reply->body.c_str() + at + key.size());
+          m_record.Say(control.Text() + " answers with r" +
+                       std::to_string(version));
+          // An order without an ack may be in force.
+          return version >= m_acknowledged;
         }
       }
       SleepMs(100);
