--- a/review/support-2/target.h
+++ b/review/support-2/target.h
@@ -29,6 +29,7 @@
 {
   std::int64_t bytesPerSecond = 0; // that it reads; 0: as fast as they come
   std::int64_t born = UnixMs();    // by the clock of its machine
+  bool reports = true;             // by itself, each kHeartbeatMs
 };
 
 class Target
@@ -45,6 +46,7 @@
     , m_controls(aFleet.ControlAddresses())
     , m_rate(aOptions.bytesPerSecond)
     , m_born(aOptions.born)
+    , m_reports(aOptions.reports)
   {
   }
   Target(const Target&) = delete;
@@ -87,6 +89,9 @@
                  &kReceiveBuffer,
                  sizeof(kReceiveBuffer));
     m_acceptor = std::thread([this] { AcceptLoop(); });
+    if (!m_reports) {
+      return true;
+    }
     m_reporter = std::thread([this] { ReportLoop(); });
     const std::int64_t until = NowMs() + 10'000;
     while (!m_acknowledged && NowMs() < until) {
@@ -111,6 +116,41 @@
     return -1;
   }
 
+  // Says that it leaves without having said that it drains. Returns when that
+  // was acknowledged, or -1.
+  std::int64_t Deregister()
+  {
+    const std::int64_t until = NowMs() + 10'000;
+    for (std::size_t i = 0; NowMs() < until; ++i) {
+      const Address& control = m_controls[i % m_controls.size()];
+      const auto reply = Call(control,
+                              "POST",
+                              "/rpc?call=instances.deregister&of=" + m_id,
+                              "",
+                              kHeartbeatAnswerMs);
+      if (reply && reply->Status() / 100 == 2) {
+        m_draining = true;
+        m_record.Say(m_id + " deregistered at " + control.Text() +
+                     ", acknowledged");
+        return NowMs();
+      }
+      SleepMs(50);
+    }
+    return -1;
+  }
+
+  // The body of its next heartbeat.
+  std::string Heartbeat()
+  {
+    const std::string state = m_draining ? "draining" : "ready";
+    return "{\"Service\":\"calc\",\"Address\":\"" + m_address.Text() +
+           "\",\"Zone\":\"" + m_zone +
+           "\",\"Version\":\"v1\",\"Slots\":6,\"State\":\"" + state +
+           "\",\"ColdRemainingMs\":0,\"Sequence\":" +
+           std::to_string(++m_sequence) +
+           ",\"born\":" + std::to_string(m_born) + '}';
+  }
+
   // When the request arrived, or -1.
   std::int64_t ArrivedAt(const std::string& aAttempt)
   {
@@ -219,16 +259,10 @@
   bool Report(const Address& aControl)
   {
     const std::lock_guard<std::mutex> hold(m_reportLock);
-    const std::string state = m_draining ? "draining" : "ready";
     const auto reply = Call(aControl,
                             "POST",
                             "/rpc?call=instances.heartbeat&of=" + m_id,
-                            "{\"Service\":\"calc\",\"Address\":\"" +
-                              m_address.Text() + "\",\"Zone\":\"" + m_zone +
-                              "\",\"Version\":\"v1\",\"Slots\":6,\"State\":\"" +
-                              state + "\",\"ColdRemainingMs\":0,\"Sequence\":" +
-                              std::to_string(++m_sequence) +
-                              ",\"born\":" + std::to_string(m_born) + '}',
+                            Heartbeat(),
                             kHeartbeatAnswerMs);
     return reply && reply->Status() / 100 == 2;
   }
@@ -256,6 +290,7 @@
   std::vector<Address> m_controls;
   std::int64_t m_rate;
   std::int64_t m_born;
+  bool m_reports;
   std::int64_t m_drainingAt = -1;
   std::uint64_t m_sequence = 0;
   Socket m_listener;
