--- a/review/support-2/target.h
+++ b/review/support-2/target.h
@@ -7,6 +7,8 @@
 
 // The program that deploy/system.toml names.
 #define FUCHSIARAMP_DAEMON "target/programs/fuchsiarampd"
+#include <condition_variable>
+
 #include "../../platform/process/stand_in_server.h"
 
 namespace fuchsiaramp::fleet_test {
@@ -15,7 +17,6 @@
 static constexpr std::int64_t kHeartbeatAnswerMs = 1000; // PROTOCOL.md
 static constexpr std::int64_t kConnectionIdleMs = 10'000;
 static constexpr int kReceiveBuffer = 64 << 10;
-static constexpr std::int64_t kWorkMs = 20;
 
 inline std::int64_t
 UnixMs()
@@ -30,6 +31,9 @@
   std::int64_t bytesPerSecond = 0; // that it reads; 0: as fast as they come
   std::int64_t born = UnixMs();    // by the clock of its machine
   bool reports = true;             // by itself, each kHeartbeatMs
+  std::int64_t workMs = 20;
+  int slots = 6;
+  int queue = 8; // requests that wait for a slot; others are rejected
 };
 
 class Target
@@ -47,6 +51,9 @@
     , m_rate(aOptions.bytesPerSecond)
     , m_born(aOptions.born)
     , m_reports(aOptions.reports)
+    , m_workMs(aOptions.workMs)
+    , m_slots(aOptions.slots)
+    , m_queue(aOptions.queue)
   {
   }
   Target(const Target&) = delete;
@@ -145,12 +152,26 @@
     const std::string state = m_draining ? "draining" : "ready";
     return "{\"Service\":\"calc\",\"Address\":\"" + m_address.Text() +
            "\",\"Zone\":\"" + m_zone +
-           "\",\"Version\":\"v1\",\"Slots\":6,\"State\":\"" + state +
-           "\",\"ColdRemainingMs\":0,\"Sequence\":" +
+           "\",\"Version\":\"v1\",\"Slots\":" + std::to_string(m_slots) +
+           ",\"State\":\"" + state + "\",\"ColdRemainingMs\":0,\"Sequence\":" +
            std::to_string(++m_sequence) +
            ",\"born\":" + std::to_string(m_born) + '}';
   }
 
+  const std::string& Id() const { return m_id; }
+  const Address& Where() const { return m_address; }
+
+  // How many requests arrived within the time.
+  int Arrivals(std::int64_t aFromMs, std::int64_t aUntilMs)
+  {
+    const std::lock_guard<std::mutex> hold(m_lock);
+    int count = 0;
+    for (const auto& [attempt, at] : m_arrivals) {
+      count += at >= aFromMs && at < aUntilMs ? 1 : 0;
+    }
+    return count;
+  }
+
   // When the request arrived, or -1.
   std::int64_t ArrivedAt(const std::string& aAttempt)
   {
@@ -233,7 +254,7 @@
                     attempt + "\r\nContent-Length: 0\r\n\r\n");
       return false;
     }
-    m_record.Say("request " + attempt + " reaches " + m_id);
+    m_record.Line("request " + attempt + " reaches " + m_id);
     {
       const std::lock_guard<std::mutex> hold(m_lock);
       m_arrivals[attempt] = NowMs();
@@ -246,7 +267,11 @@
         return false;
       }
     }
-    SleepMs(kWorkMs);
+    if (!Work()) {
+      return aSocket.Write(
+        "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: " + attempt +
+        "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    }
     const std::string body = std::to_string(length) + " bytes";
     // Letter 5: a target that leaves says so in its answers, too.
     return aSocket.Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt +
@@ -267,6 +292,25 @@
     return reply && reply->Status() / 100 == 2;
   }
 
+  // Works on a request as soon as a slot is free. Returns whether it did.
+  bool Work()
+  {
+    std::unique_lock<std::mutex> hold(m_lock);
+    if (m_held >= m_slots + m_queue) {
+      return false;
+    }
+    ++m_held;
+    m_slotFree.wait(hold, [this] { return m_atWork < m_slots; });
+    ++m_atWork;
+    hold.unlock();
+    SleepMs(m_workMs);
+    hold.lock();
+    --m_atWork;
+    --m_held;
+    m_slotFree.notify_one();
+    return true;
+  }
+
   void ReportLoop()
   {
     for (std::size_t i = 0; !m_stopped;) {
@@ -291,6 +335,12 @@
   std::int64_t m_rate;
   std::int64_t m_born;
   bool m_reports;
+  std::int64_t m_workMs;
+  int m_slots;
+  int m_queue;
+  int m_held = 0; // requests that run or wait
+  int m_atWork = 0;
+  std::condition_variable m_slotFree;
   std::int64_t m_drainingAt = -1;
   std::uint64_t m_sequence = 0;
   Socket m_listener;
