--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,5 +3,5 @@
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-[ -x review/build-2/drain_with_waiting_body ] || exit 2
-exec timeout -k 5 118 review/build-2/drain_with_waiting_body "$here"
+[ -x review/build-2/odd_heartbeat_at_an_address ] || exit 2
+exec timeout -k 5 118 review/build-2/odd_heartbeat_at_an_address "$here"
