--- a/packages/consensus/log.cc
+++ b/packages/consensus/log.cc
@@ -7,6 +7,8 @@
 
 namespace fuchsiaramp {
 
+static constexpr std::uint64_t kEntryOverheadBytes = 96;
+
 Log::Log(std::uint64_t aSnapshotIndex,
          std::uint64_t aSnapshotTerm,
          const std::vector<wire::LogEntry>& aEntries)
@@ -67,12 +69,26 @@
   return entries;
 }
 
+std::uint64_t
+Log::Bytes(std::uint64_t aAfter, std::uint64_t aLast) const
+{
+  const auto upTo = [this](std::uint64_t aIndex) {
+    return m_entries.empty() || aIndex < FirstIndex()
+             ? m_bytesBefore
+             : m_bytesUpTo[std::min(aIndex, LastIndex()) - FirstIndex()];
+  };
+  return aLast > aAfter ? upTo(aLast) - upTo(aAfter) : 0;
+}
+
 void
 Log::Append(wire::LogEntry aEntry)
 {
   CheckInvariant(m_entries.empty() ? aEntry.index() <= m_snapshotIndex + 1
                                    : aEntry.index() == LastIndex() + 1,
                  "log entries have consecutive indices");
+  m_bytesUpTo.push_back(
+    (m_entries.empty() ? m_bytesBefore : m_bytesUpTo.back()) +
+    aEntry.command().size() + kEntryOverheadBytes);
   m_entries.push_back(std::move(aEntry));
 }
 
@@ -83,6 +99,7 @@
                  "entries covered by a snapshot are never truncated");
   while (!m_entries.empty() && m_entries.back().index() >= aIndex) {
     m_entries.pop_back();
+    m_bytesUpTo.pop_back();
   }
 }
 
@@ -94,6 +111,8 @@
   const std::uint64_t keepFrom = std::min(aKeepFrom, aIndex + 1);
   while (!m_entries.empty() && m_entries.front().index() < keepFrom) {
     m_entries.pop_front();
+    m_bytesBefore = m_bytesUpTo.front();
+    m_bytesUpTo.pop_front();
   }
 }
 
@@ -101,6 +120,8 @@
 Log::Reset(std::uint64_t aIndex, std::uint64_t aTerm)
 {
   m_entries.clear();
+  m_bytesUpTo.clear();
+  m_bytesBefore = 0;
   m_snapshotIndex = aIndex;
   m_snapshotTerm = aTerm;
 }
--- a/packages/consensus/log.h
+++ b/packages/consensus/log.h
@@ -34,6 +34,11 @@
   std::optional<std::uint64_t> TermAt(std::uint64_t aIndex) const;
   const wire::LogEntry& At(std::uint64_t aIndex) const;
   std::vector<wire::LogEntry> EntriesFrom(std::uint64_t aIndex) const;
+  // The bytes of the entries in memory after aAfter up to aLast, including an
+  // estimate of what each entry takes besides its command.
+  std::uint64_t Bytes(std::uint64_t aAfter, std::uint64_t aLast) const;
+  // The same of all entries in memory.
+  std::uint64_t Bytes() const { return Bytes(FirstIndex() - 1, LastIndex()); }
 
   // The index of the entry must be LastIndex() + 1; without entries in memory,
   // it may be lower.
@@ -50,6 +55,9 @@
   std::uint64_t m_snapshotIndex;
   std::uint64_t m_snapshotTerm;
   std::deque<wire::LogEntry> m_entries;
+  // For each entry, the bytes of all entries appended up to it.
+  std::deque<std::uint64_t> m_bytesUpTo;
+  std::uint64_t m_bytesBefore = 0; // of the entries dropped at the front
 };
 
 } // namespace fuchsiaramp
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -128,6 +128,7 @@
   std::uint64_t Commit() const { return m_commit; }
   std::uint64_t Applied() const { return m_applied; }
   const Log& Entries() const { return m_log; }
+  std::size_t SnapshotBytes() const { return m_snapshotData->size(); }
   const wire::Configuration& Members() const { return m_configuration; }
   MemberId Self() const;
 
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -443,6 +443,16 @@
                           { "groups", groups } });
   }
 
+  template<class BytesOf>
+  double SumOverGroups(const BytesOf& aBytesOf) const
+  {
+    std::uint64_t sum = 0;
+    for (std::size_t i = 0; i < m_node->GroupCount(); ++i) {
+      sum += aBytesOf(m_node->GroupNode(i));
+    }
+    return static_cast<double>(sum);
+  }
+
   void AddMetrics()
   {
     AddProcessMetrics(m_metrics, m_transport, m_loop, m_log);
@@ -462,6 +472,18 @@
     m_metrics.Gauge("stored_texts_escaped_total", [this] {
       return static_cast<double>(m_node->EscapedTexts());
     });
+    m_metrics.Gauge("log_entry_bytes", [this] {
+      return SumOverGroups(
+        [](const Node& aNode) { return aNode.Entries().Bytes(); });
+    });
+    m_metrics.Gauge("snapshot_bytes", [this] {
+      return SumOverGroups(
+        [](const Node& aNode) { return aNode.SnapshotBytes(); });
+    });
+    m_metrics.Gauge("lists_history_bytes", [this] {
+      return static_cast<double>(
+        m_node->State(kListsGroup).ListsPart().HistoryBytes());
+    });
     m_metrics.Gauge("lists_version", [this] {
       return static_cast<double>(
         m_node->State(kListsGroup).ListsPart().Current().Version().Value());
--- a/packages/state/lists_state.cc
+++ b/packages/state/lists_state.cc
@@ -90,6 +90,16 @@
   return chain;
 }
 
+std::size_t
+ListsState::HistoryBytes() const
+{
+  std::size_t bytes = 0;
+  for (const wire::ListsDelta& delta : m_history) {
+    bytes += delta.ByteSizeLong();
+  }
+  return bytes;
+}
+
 void
 ListsState::Save(wire::StateSnapshot& aSnapshot) const
 {
--- a/packages/state/lists_state.h
+++ b/packages/state/lists_state.h
@@ -31,6 +31,8 @@
   const Lists& Current() const { return m_lists; }
   const std::deque<wire::ChangeRecord>& Changes() const { return m_changes; }
   const std::deque<wire::ListsDelta>& History() const { return m_history; }
+  // The serialised size of the history.
+  std::size_t HistoryBytes() const;
 
   void Save(wire::StateSnapshot& aSnapshot) const;
   void Restore(const wire::StateSnapshot& aSnapshot);
