Bound the log and the history of changes by bytes

All control hosts passed their 160 MB, were killed by the platform, read the same log and were killed again.

Cause: the log was compacted after 20,000 entries and the history held 4,096 changes, whatever their size; entry hosts held 256. A change of 1400 routes takes 83 KB in the log, and 83 KB serialised, about five times that decoded, in the history.

Uncommitted entries and entries on their way to a member are bounded by bytes, too. ListsHistory, used on control and entry hosts, holds at most as many bytes as the lists themselves (at least 1 MiB): a host that lacks more gets the lists, the shorter message.

--- a/packages/consensus/node.cc
+++ b/packages/consensus/node.cc
@@ -169,7 +169,9 @@
     m_hooks.finished(aId, ProposalOutcome::kNotLeader, "");
     return;
   }
-  if (m_log.LastIndex() - m_commit >= m_options.maxUncommittedEntries) {
+  if (m_log.LastIndex() - m_commit >= m_options.maxUncommittedEntries ||
+      m_log.Bytes(m_commit, m_log.LastIndex()) >=
+        m_options.maxUncommittedBytes) {
     m_hooks.finished(aId, ProposalOutcome::kOverloaded, "");
     return;
   }
--- a/packages/consensus/node.h
+++ b/packages/consensus/node.h
@@ -58,15 +58,21 @@
   std::uint64_t maxAppendBytes = 256 << 10;
   std::uint64_t snapshotChunkBytes = 256 << 10;
   std::uint64_t snapshotAfterEntries = 20'000;
+  // A snapshot is also taken once the entries in memory take as many bytes as
+  // this and as the last snapshot.
+  std::uint64_t snapshotAfterBytes = 8 << 20;
   std::uint64_t retainedEntries = 4'000;
   std::uint64_t maxUncommittedEntries = 20'000;
+  std::uint64_t maxUncommittedBytes = 16 << 20;
+  // To one member; at least one entry is sent.
+  std::uint64_t maxInFlightBytes = 4 << 20;
 };
 
 enum class ProposalOutcome
 {
   kApplied,
   kNotLeader,  // not the leader; the command was not logged
-  kOverloaded, // too many uncommitted entries; the command was not logged
+  kOverloaded, // too much is uncommitted; the command was not logged
   kUnknown,    // leadership was lost; the command may still be applied
 };
 
@@ -146,6 +152,7 @@
   {
     std::uint64_t match = 0;
     std::uint64_t next = 1;
+    std::uint64_t sentAfter = 0; // later entries were sent by this leader
     TimePoint ackedSendTime; // leader's send time of the newest acked message
     // The member's own time of the newest reply received from it.
     std::int64_t repliedAtUs = 0;
@@ -224,6 +231,8 @@
   void AppendLocal(wire::LogEntry aEntry);
   void AdvanceCommit();
   void ApplyCommitted();
+  std::uint64_t MaxLogBytes(std::uint64_t aSnapshotBytes) const;
+  std::uint64_t FirstRetainedIndex(std::uint64_t aMaxBytes) const;
   void TakeSnapshot();
   void FailPending();
 
--- a/packages/consensus/node_election.cc
+++ b/packages/consensus/node_election.cc
@@ -149,6 +149,7 @@
   SyncProgress();
   for (auto& [member, progress] : m_progress) {
     progress.next = m_log.LastIndex() + 1;
+    progress.sentAfter = m_log.LastIndex();
   }
   AppendLocal(wire::LogEntry());
   m_hooks.record(Event("leader_elected")
--- a/packages/consensus/node_members.cc
+++ b/packages/consensus/node_members.cc
@@ -357,6 +357,7 @@
       progress[id] = existing->second;
     } else {
       progress[id].next = m_log.LastIndex() + 1;
+      progress[id].sentAfter = m_log.LastIndex();
     }
   }
   m_progress = std::move(progress);
--- a/packages/consensus/node_replication.cc
+++ b/packages/consensus/node_replication.cc
@@ -7,6 +7,8 @@
 namespace fuchsiaramp {
 
 static constexpr std::uint64_t kMaxInFlightEntries = 8192; // per member
+// The part of the log's maximum size that stays in memory after a snapshot.
+static constexpr std::uint64_t kRetainedPart = 4;
 static constexpr Duration kChunkRetryInterval = std::chrono::milliseconds(500);
 
 void
@@ -61,7 +63,10 @@
   std::uint64_t bytes = 0;
   const std::uint64_t last =
     std::min(m_log.LastIndex(), aProgress.match + kMaxInFlightEntries);
-  while (aProgress.next <= last && bytes < m_options.maxAppendBytes) {
+  const std::uint64_t received = std::max(aProgress.match, aProgress.sentAfter);
+  while (aProgress.next <= last && bytes < m_options.maxAppendBytes &&
+         m_log.Bytes(received, aProgress.next - 1) <
+           m_options.maxInFlightBytes) {
     const wire::LogEntry& entry = m_log.At(aProgress.next);
     bytes += entry.command().size() + 32;
     *message.add_entries() = entry;
@@ -209,6 +214,7 @@
   }
   progress.next = std::max(progress.match, aMessage.match_index()) + 1;
   progress.next = std::min(progress.next, m_log.LastIndex() + 1);
+  progress.sentAfter = progress.next - 1;
   SendAppend(member, progress, aNow);
 }
 
@@ -374,11 +380,37 @@
     m_progress.clear();
     FailPending();
   }
-  if (m_applied - m_snapshotMeta.index() >= m_options.snapshotAfterEntries) {
+  const std::uint64_t sinceSnapshot = m_applied - m_snapshotMeta.index();
+  if (sinceSnapshot >= m_options.snapshotAfterEntries ||
+      (sinceSnapshot > 0 &&
+       m_log.Bytes(0, m_applied) >= MaxLogBytes(m_snapshotData->size()))) {
     TakeSnapshot();
   }
 }
 
+// A snapshot costs as much as its state is large. A log that is at least as
+// large keeps this cost in proportion to the commands.
+std::uint64_t
+Node::MaxLogBytes(std::uint64_t aSnapshotBytes) const
+{
+  return std::max(m_options.snapshotAfterBytes, aSnapshotBytes);
+}
+
+// The first entry that stays in memory after a snapshot of the applied state,
+// for members that lag slightly.
+std::uint64_t
+Node::FirstRetainedIndex(std::uint64_t aMaxBytes) const
+{
+  std::uint64_t first = m_applied > m_options.retainedEntries
+                          ? m_applied - m_options.retainedEntries
+                          : 0;
+  first = std::max(first, m_log.FirstIndex());
+  while (first <= m_applied && m_log.Bytes(first - 1, m_applied) > aMaxBytes) {
+    ++first;
+  }
+  return first;
+}
+
 void
 Node::TakeSnapshot()
 {
@@ -387,10 +419,9 @@
   meta.set_term(*m_log.TermAt(m_applied));
   *meta.mutable_configuration() = m_appliedConfiguration;
   auto data = std::make_shared<std::string>(m_hooks.snapshot());
-  const std::uint64_t keepFrom = m_applied > m_options.retainedEntries
-                                   ? m_applied - m_options.retainedEntries
-                                   : 0;
-  m_log.Compact(meta.index(), meta.term(), keepFrom);
+  m_log.Compact(meta.index(),
+                meta.term(),
+                FirstRetainedIndex(MaxLogBytes(data->size()) / kRetainedPart));
   const std::error_code error = m_hooks.storage.saveSnapshot(
     m_hardState, meta, *data, m_log.EntriesFrom(m_log.FirstIndex()));
   if (error) {
--- a/packages/entry/lists_follower.cc
+++ b/packages/entry/lists_follower.cc
@@ -60,6 +60,7 @@
   : m_options(std::move(aOptions))
   , m_hooks(std::move(aHooks))
   , m_random(aRandom)
+  , m_history(kMaxHistoryDeltas)
   , m_startedAt(aNow)
   , m_pullAt(aNow)
   , m_startInterval(m_options.startInterval)
@@ -546,12 +547,9 @@
     CheckInvariant(m_lists.Version().Value() > before,
                    "an entry host never goes back to an older version");
     if (delta.full()) {
-      m_history.clear();
+      m_history.Clear();
     } else {
-      m_history.push_back(delta);
-    }
-    if (m_history.size() > kMaxHistoryDeltas) {
-      m_history.pop_front();
+      m_history.Add(std::move(delta), m_lists);
     }
     m_hooks.record(Event("lists_in_force").With("version", m_lists.Version()));
   }
@@ -662,15 +660,11 @@
   push.set_pull_id(aPull.pull_id());
   push.set_current_version(m_lists.Version().Value());
   push.set_serving(m_serving);
-  const std::uint64_t have = aPull.have_version();
-  if (have < m_lists.Version().Value()) {
-    const bool reaches =
-      !m_history.empty() && m_history.front().from_version() <= have;
-    if (reaches) {
-      for (const wire::ListsDelta& delta : m_history) {
-        if (delta.from_version() >= have) {
-          *push.add_deltas() = delta;
-        }
+  const ListsVersion have(aPull.have_version());
+  if (have < m_lists.Version()) {
+    if (m_history.Reaches(have)) {
+      for (wire::ListsDelta& delta : m_history.Since(have)) {
+        *push.add_deltas() = std::move(delta);
       }
     } else {
       *push.add_deltas() = m_lists.ToFullDelta();
--- a/packages/entry/lists_follower.h
+++ b/packages/entry/lists_follower.h
@@ -17,7 +17,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -30,6 +29,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "state/lists.h"
+#include "state/lists_history.h"
 #include "wire/messages.h"
 
 namespace fuchsiaramp {
@@ -94,6 +94,7 @@
 
   bool IsServing() const { return m_serving && m_lists.Version().Value() > 0; }
   const Lists& Current() const { return m_lists; }
+  const ListsHistory& History() const { return m_history; }
   // Pulls on the next tick, to send a change of this host's record to control.
   void PullNow() { m_pullAt = TimePoint(); }
   // Adds control hosts to pull from, such as those of new settings.
@@ -179,7 +180,7 @@
   ListsFollowerHooks m_hooks;
   Random m_random;
   Lists m_lists;
-  std::deque<wire::ListsDelta> m_history;
+  ListsHistory m_history;
   bool m_serving = false;
   TimePoint m_servingSince;
   TimePoint m_startedAt;
--- a/packages/entry/lists_follower_test.cc
+++ b/packages/entry/lists_follower_test.cc
@@ -556,4 +556,41 @@
   BOOST_TEST(test.m_follower.IsServing());
 }
 
+// Guards against entry hosts that outgrow their memory because the history that
+// they hold for their peers was bounded only by the number of changes.
+BOOST_AUTO_TEST_CASE(LargeChangesAreHeldForPeersOnlyUpToTheSizeOfTheLists)
+{
+  FollowerTest test;
+  const auto apply = [&test](std::uint64_t aVersion) {
+    wire::ListsPush push;
+    wire::ListsDelta* delta = push.add_deltas();
+    delta->set_from_version(aVersion - 1);
+    delta->set_to_version(aVersion);
+    for (int i = 0; i < 1400; ++i) {
+      wire::Route* route = delta->add_open_routes();
+      route->set_name("route-" + std::to_string(i));
+      route->set_host("shop.example");
+      route->set_path_prefix("/route-" + std::to_string(i) + '/');
+      route->set_service("profile");
+      route->set_max_servers(1 + static_cast<std::uint32_t>(aVersion % 2));
+    }
+    push.set_current_version(aVersion);
+    test.m_follower.OnPush(HostId("near"), push, test.m_now);
+    return delta->ByteSizeLong();
+  };
+  std::size_t bytesOfLists = 0;
+  for (std::uint64_t version = 1; version <= 100; ++version) {
+    bytesOfLists = apply(version);
+  }
+  const auto answerTo = [&test](std::uint64_t aHave) {
+    wire::ListsPull pull;
+    pull.set_have_version(aHave);
+    test.m_follower.OnPull(HostId("peer"), pull, test.m_now);
+    return test.m_pushes.back();
+  };
+  BOOST_TEST(answerTo(98).deltas_size() == 2);
+  BOOST_TEST(answerTo(1).deltas_size() == 1);
+  BOOST_TEST(answerTo(1).ByteSizeLong() < 2 * bytesOfLists);
+}
+
 } // namespace fuchsiaramp
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -482,7 +482,7 @@
     });
     m_metrics.Gauge("lists_history_bytes", [this] {
       return static_cast<double>(
-        m_node->State(kListsGroup).ListsPart().HistoryBytes());
+        m_node->State(kListsGroup).ListsPart().History().Bytes());
     });
     m_metrics.Gauge("lists_version", [this] {
       return static_cast<double>(
--- a/packages/state/group_state.cc
+++ b/packages/state/group_state.cc
@@ -61,7 +61,7 @@
   wire::StateSnapshot snapshot;
   CheckInvariant(Decode(aSnapshot, snapshot, m_escapedTexts),
                  "a snapshot that passed its checksum can be decoded");
-  m_lists.Restore(snapshot);
+  m_escapedTexts += m_lists.Restore(snapshot);
   m_ledger.Restore(snapshot);
   m_servers.Restore(snapshot);
   m_time = snapshot.time_us();
--- a/packages/state/lists_state.cc
+++ b/packages/state/lists_state.cc
@@ -1,12 +1,20 @@
 #include "state/lists_state.h"
 
+#include <utility>
+
 #include "base/invariant.h"
+#include "wire/decode.h"
 
 namespace fuchsiaramp {
 
 static constexpr std::size_t kMaxHistoryDeltas = 4096;
 static constexpr std::size_t kMaxChangeRecords = 200'000;
 
+ListsState::ListsState()
+  : m_history(kMaxHistoryDeltas)
+{
+}
+
 wire::CommandResult
 ListsState::Put(const wire::PutLists& aPut, std::int64_t aTime)
 {
@@ -37,10 +45,7 @@
     return result;
   }
   m_lists.Apply(aPut.delta());
-  m_history.push_back(aPut.delta());
-  if (m_history.size() > kMaxHistoryDeltas) {
-    m_history.pop_front();
-  }
+  m_history.Add(aPut.delta(), m_lists);
   wire::ChangeRecord change;
   change.set_change_id(aPut.change_id());
   change.set_version(m_lists.Version().Value());
@@ -70,59 +75,54 @@
 std::vector<wire::ListsDelta>
 ListsState::Since(ListsVersion aVersion) const
 {
-  std::vector<wire::ListsDelta> chain;
   if (aVersion >= m_lists.Version()) {
-    return chain;
+    return {};
   }
   // A host without lists needs none of the changes that others have replaced.
-  const bool coversVersion =
-    aVersion.Value() > 0 && !m_history.empty() &&
-    m_history.front().from_version() <= aVersion.Value();
-  if (!coversVersion) {
-    chain.push_back(m_lists.ToFullDelta());
-    return chain;
+  if (aVersion.Value() == 0 || !m_history.Reaches(aVersion)) {
+    return { m_lists.ToFullDelta() };
   }
-  for (const wire::ListsDelta& delta : m_history) {
-    if (delta.from_version() >= aVersion.Value()) {
-      chain.push_back(delta);
-    }
-  }
-  return chain;
-}
-
-std::size_t
-ListsState::HistoryBytes() const
-{
-  std::size_t bytes = 0;
-  for (const wire::ListsDelta& delta : m_history) {
-    bytes += delta.ByteSizeLong();
-  }
-  return bytes;
+  return m_history.Since(aVersion);
 }
 
 void
 ListsState::Save(wire::StateSnapshot& aSnapshot) const
 {
   *aSnapshot.mutable_lists() = m_lists.ToFullDelta();
-  for (const wire::ListsDelta& delta : m_history) {
-    *aSnapshot.add_history() = delta;
+  for (const wire::ListsDelta& delta : m_history.Deltas()) {
+    aSnapshot.add_history(delta.SerializeAsString());
   }
   for (const wire::ChangeRecord& change : m_changes) {
     *aSnapshot.add_changes() = change;
   }
 }
 
-void
+std::size_t
 ListsState::Restore(const wire::StateSnapshot& aSnapshot)
 {
   *this = ListsState();
   m_lists.Apply(aSnapshot.lists());
-  for (const wire::ListsDelta& delta : aSnapshot.history()) {
-    m_history.push_back(delta);
-  }
   for (const wire::ChangeRecord& change : aSnapshot.changes()) {
     RecordChange(change);
   }
+  return RestoreHistory(aSnapshot);
+}
+
+// An earlier build stored a history of any size. Each change is decoded by
+// itself, so that those that are not kept take no memory.
+std::size_t
+ListsState::RestoreHistory(const wire::StateSnapshot& aSnapshot)
+{
+  std::size_t escapedTexts = 0;
+  for (const std::string& stored : aSnapshot.history()) {
+    wire::ListsDelta delta;
+    if (Decode(stored, delta, escapedTexts)) {
+      m_history.Add(std::move(delta), m_lists);
+    } else {
+      m_history.Clear(); // a follower needs all changes after its version
+    }
+  }
+  return escapedTexts;
 }
 
 } // namespace fuchsiaramp
--- a/packages/state/lists_state.h
+++ b/packages/state/lists_state.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "state/lists.h"
+#include "state/lists_history.h"
 #include "wire/messages.h"
 
 namespace fuchsiaramp {
@@ -20,6 +21,8 @@
 class ListsState
 {
 public:
+  ListsState();
+
   // aTime is the leader's wall clock in microseconds, only for the change
   // history.
   wire::CommandResult Put(const wire::PutLists& aPut, std::int64_t aTime);
@@ -30,18 +33,18 @@
 
   const Lists& Current() const { return m_lists; }
   const std::deque<wire::ChangeRecord>& Changes() const { return m_changes; }
-  const std::deque<wire::ListsDelta>& History() const { return m_history; }
-  // The serialised size of the history.
-  std::size_t HistoryBytes() const;
+  const ListsHistory& History() const { return m_history; }
 
   void Save(wire::StateSnapshot& aSnapshot) const;
-  void Restore(const wire::StateSnapshot& aSnapshot);
+  // Returns the number of texts of the history that were not valid UTF-8.
+  std::size_t Restore(const wire::StateSnapshot& aSnapshot);
 
 private:
   void RecordChange(const wire::ChangeRecord& aChange);
+  std::size_t RestoreHistory(const wire::StateSnapshot& aSnapshot);
 
   Lists m_lists;
-  std::deque<wire::ListsDelta> m_history;
+  ListsHistory m_history;
   std::deque<wire::ChangeRecord> m_changes;
   std::unordered_map<std::string, wire::ChangeRecord> m_changeById;
 };
--- a/packages/state/lists_state_test.cc
+++ b/packages/state/lists_state_test.cc
@@ -49,7 +49,7 @@
   }
   for (std::uint64_t have = 0; have <= 5; ++have) {
     Lists lists;
-    for (const auto& delta : state.History()) {
+    for (const auto& delta : state.History().Deltas()) {
       if (delta.to_version() <= have) {
         lists.Apply(delta);
       }
@@ -85,6 +85,73 @@
   BOOST_TEST(!state.Since(ListsVersion(29)).front().full());
 }
 
+static wire::PutLists
+PutOfManyRoutes(std::uint64_t aVersion)
+{
+  wire::PutLists put;
+  put.set_change_id("c" + std::to_string(aVersion));
+  put.mutable_delta()->set_from_version(aVersion - 1);
+  put.set_expected_version(aVersion - 1);
+  put.mutable_delta()->set_to_version(aVersion);
+  put.mutable_delta()->add_services()->set_name("profile");
+  for (int i = 0; i < 1400; ++i) {
+    wire::Route* route = put.mutable_delta()->add_open_routes();
+    route->set_name("route-" + std::to_string(i));
+    route->set_host("shop.example");
+    route->set_path_prefix("/route-" + std::to_string(i) + '/');
+    route->set_service("profile");
+    route->set_timeout_us(4'000'000 + static_cast<std::int64_t>(aVersion % 2));
+  }
+  return put;
+}
+
+// Guards against control hosts that outgrow their memory because the history
+// of changes was bounded only by their number.
+BOOST_AUTO_TEST_CASE(LargeChangesDoNotGrowTheStateWithoutBound)
+{
+  ListsState state;
+  wire::PutLists put;
+  for (std::uint64_t version = 1; version <= 100; ++version) {
+    put = PutOfManyRoutes(version);
+    BOOST_REQUIRE(state.Put(put, 1).code() == wire::CommandResult::OK);
+  }
+  const std::size_t bytesOfLists = put.delta().ByteSizeLong();
+  wire::StateSnapshot snapshot;
+  state.Save(snapshot);
+  BOOST_TEST(snapshot.ByteSizeLong() < 2 * bytesOfLists + (2 << 20));
+  // A host that lacks few changes gets them, and one that lacks many gets the
+  // lists.
+  BOOST_TEST(state.Since(ListsVersion(98)).size() == 2u);
+  const std::vector<wire::ListsDelta> full = state.Since(ListsVersion(1));
+  BOOST_REQUIRE(full.size() == 1u);
+  BOOST_TEST(full.front().full());
+  BOOST_TEST(full.front().ByteSizeLong() < 2 * bytesOfLists);
+}
+
+// Guards against a host that is killed for its memory when it starts with a
+// snapshot of an earlier build, whose history has any size.
+BOOST_AUTO_TEST_CASE(OfALongStoredHistoryOnlyTheNewestChangesAreRestored)
+{
+  constexpr std::uint64_t versions = 100;
+  ListsState state;
+  wire::StateSnapshot snapshot;
+  std::string history;
+  for (std::uint64_t version = 1; version <= versions; ++version) {
+    const wire::PutLists put = PutOfManyRoutes(version);
+    state.Put(put, 1);
+    history += put.delta().SerializeAsString();
+    snapshot.add_history(put.delta().SerializeAsString());
+  }
+  *snapshot.mutable_lists() = state.Current().ToFullDelta();
+  ListsState restored;
+  restored.Restore(snapshot);
+  wire::StateSnapshot saved;
+  restored.Save(saved);
+  BOOST_TEST(saved.ByteSizeLong() < history.size() / 4);
+  BOOST_TEST(restored.Since(ListsVersion(versions - 2)).size() == 2u);
+  BOOST_TEST(restored.Since(ListsVersion(1)).front().full());
+}
+
 BOOST_AUTO_TEST_CASE(RefusesToRemoveAPlanThatIsInUse)
 {
   ListsState state;
--- a/tests/process/build_old.sh
+++ b/tests/process/build_old.sh
@@ -6,8 +6,8 @@
 set -eu
 cd "$(dirname "$0")/../.."
 # The commit that was landed before the current work.
-commit=$(git rev-parse --verify "${1:-6254ef37376fa7f0b85bcce8a217d1bbe8d4f0de}^{commit}" 2>/dev/null) || {
-  echo "the earlier commit ${1:-6254ef37376fa7f0b85bcce8a217d1bbe8d4f0de} is not in this checkout; a full clone is needed" >&2
+commit=$(git rev-parse --verify "${1:-a80405b2a696ad0c8d9f4bef0927758851325aaa}^{commit}" 2>/dev/null) || {
+  echo "the earlier commit ${1:-a80405b2a696ad0c8d9f4bef0927758851325aaa} is not in this checkout; a full clone is needed" >&2
   exit 1
 }
 folder=run/old-build/$commit
--- a/tests/randomised/consensus_run_test.cc
+++ b/tests/randomised/consensus_run_test.cc
@@ -24,6 +24,7 @@
 
 static constexpr Duration kStep = std::chrono::milliseconds(10);
 static constexpr std::uint64_t kMaxSegment = 1 << 26;
+static constexpr std::uint64_t kMaxLogBytes = 4'000; // about 40 commands
 
 struct GroupOptions
 {
@@ -33,6 +34,9 @@
   // Whether all hosts draw the same random numbers after a loss of power, as if
   // the seed depended on the time of the start only.
   bool sameRandom = false;
+  // Whether the log and the entries on their way are bounded by bytes instead
+  // of by their number.
+  bool boundedByBytes = false;
   Duration electionTimeout = std::chrono::milliseconds(1000);
   Duration heartbeatInterval = std::chrono::milliseconds(150);
   FakeNetworkOptions network;
@@ -384,8 +388,13 @@
       options.mayBootstrap =
         std::count(options.hosts.begin(), options.hosts.end(), aHost) != 0;
     }
-    options.snapshotAfterEntries = 40;
-    options.retainedEntries = 10;
+    if (m_options.boundedByBytes) {
+      options.snapshotAfterBytes = kMaxLogBytes;
+      options.maxInFlightBytes = kMaxLogBytes / 4;
+    } else {
+      options.snapshotAfterEntries = 40;
+      options.retainedEntries = 10;
+    }
     options.snapshotChunkBytes = 64;
     member.applied.clear();
     const Random random(m_lostPower && m_options.sameRandom ? 1
@@ -638,7 +647,9 @@
 };
 
 static void
-RunSeeds(std::size_t aSize, std::uint64_t aDefaultCount)
+RunSeeds(std::size_t aSize,
+         std::uint64_t aDefaultCount,
+         const GroupOptions& aOptions = {})
 {
   const SeedRange seeds = SeedRangeFromEnvironment(aDefaultCount);
   std::size_t acknowledged = 0;
@@ -646,7 +657,7 @@
   for (std::uint64_t i = 0; i < seeds.count; ++i) {
     const std::uint64_t seed = seeds.first + i;
     try {
-      Group group(seed, aSize);
+      Group group(seed, aSize, aOptions);
       group.Run(std::chrono::seconds(40));
       acknowledged += group.AcknowledgedCount();
       lostDisks += group.LostDisks();
@@ -666,6 +677,13 @@
   RunSeeds(3, 600);
 }
 
+BOOST_AUTO_TEST_CASE(ThreeMembersWithALogThatIsBoundedByBytes)
+{
+  GroupOptions options;
+  options.boundedByBytes = true;
+  RunSeeds(3, 200, options);
+}
+
 BOOST_AUTO_TEST_CASE(FiveMembers)
 {
   RunSeeds(5, 200);
