Let only servers of defined services take over an address

Heartbeats of the servers were acknowledged without effect.

Cause: the latest start holds an address, whatever service it names, and the former holder counts as deregistered, so that nothing but a new start brings it back.

Evidence: with the check taken out, control_node_test shows the server GONE at the moment of the report at each of three hosts.

Change: AdmitReport decides at the leader before a report is logged. What is logged means the same to members of earlier builds, so that tables do not differ. Each refusal is logged (report_refused) and counted (reports_refused_total).

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "control/report_admission.h"
 #include "state/lists_document.h"
 
 namespace fuchsiaramp {
@@ -487,16 +488,20 @@
     reply(result);
     return;
   }
-  Propose(group,
-          command,
-          [this, command, reply](ProposalOutcome,
-                                 const wire::CommandResult& aResult) {
-            wire::CommandResult result = aResult;
-            if (EndsNothing(command, aResult)) {
-              result.set_code(wire::CommandResult::RESULT_UNKNOWN);
-            }
-            reply(result);
-          });
+  const ResultHook done =
+    [this, command, reply](ProposalOutcome,
+                           const wire::CommandResult& aResult) {
+      wire::CommandResult result = aResult;
+      if (EndsNothing(command, aResult)) {
+        result.set_code(wire::CommandResult::RESULT_UNKNOWN);
+      }
+      reply(result);
+    };
+  if (command.has_server()) {
+    ProposeReport(command, done);
+  } else {
+    Propose(group, command, done);
+  }
 }
 
 void
@@ -710,17 +715,69 @@
     ForwardReport(std::move(command), aDeadline, aNow, aDone);
     return;
   }
-  Propose(kListsGroup,
-          command,
-          [this, command, aDeadline, aNow, aDone](
-            ProposalOutcome aOutcome, const wire::CommandResult& aResult) {
-            if (aOutcome == ProposalOutcome::kNotLeader ||
-                aOutcome == ProposalOutcome::kUnknown) {
-              ForwardReport(command, aDeadline, aNow, aDone);
-              return;
-            }
-            aDone(aResult.code());
-          });
+  ProposeReport(
+    command,
+    [this, command, aDeadline, aNow, aDone](
+      ProposalOutcome aOutcome, const wire::CommandResult& aResult) {
+      if (aOutcome == ProposalOutcome::kNotLeader ||
+          aOutcome == ProposalOutcome::kUnknown) {
+        ForwardReport(command, aDeadline, aNow, aDone);
+        return;
+      }
+      aDone(aResult.code());
+    });
+}
+
+// Reports that other control hosts received are checked here, too: their tables
+// may lag, and those of earlier builds log any report.
+void
+ControlNode::ProposeReport(wire::Command aCommand, const ResultHook& aDone)
+{
+  const Group& group = *m_groups[kListsGroup];
+  const wire::BackendServerRecord& report = aCommand.server();
+  if (!group.node->IsLeader()) {
+    Propose(kListsGroup, std::move(aCommand), aDone);
+    return;
+  }
+  const ReportAdmission admission =
+    AdmitReport(group.state.ListsPart().Current(),
+                group.state.ServersPart(),
+                report,
+                group.node->HasLease(m_now));
+  if (admission.code != wire::CommandResult::OK) {
+    ++m_refusedReports;
+    m_hooks.record(
+      Event("report_refused")
+        .With("server", report.id())
+        .With("service", report.service())
+        .With("address", report.address())
+        .With("incarnation", report.incarnation())
+        .With("lists_version", group.state.ListsPart().Current().Version())
+        .With("reason", admission.reason));
+    wire::CommandResult result;
+    result.set_code(admission.code);
+    result.set_text(admission.reason);
+    const bool unknown = admission.code == wire::CommandResult::RESULT_UNKNOWN;
+    aDone(unknown ? ProposalOutcome::kUnknown : ProposalOutcome::kApplied,
+          result);
+    return;
+  }
+  if (admission.formerHolder) {
+    m_hooks.record(
+      Event("address_taken_over")
+        .With("address", report.address())
+        .With("server", report.id())
+        .With("incarnation", report.incarnation())
+        .With("former", admission.formerHolder->id())
+        .With("former_service", admission.formerHolder->service())
+        .With("former_incarnation", admission.formerHolder->incarnation()));
+    wire::Command ending;
+    *ending.mutable_server() = *admission.formerHolder;
+    Propose(kListsGroup,
+            std::move(ending),
+            [](ProposalOutcome, const wire::CommandResult&) {});
+  }
+  Propose(kListsGroup, std::move(aCommand), aDone);
 }
 
 void
--- a/packages/control/control_node.h
+++ b/packages/control/control_node.h
@@ -142,6 +142,8 @@
   // this host leads once the commands that it has logged are applied.
   void Leave(TimePoint aNow);
   bool IsLeaving() const { return m_leaving; }
+  // Reports of backend servers that this host, as the leader, did not log.
+  std::uint64_t RefusedReports() const { return m_refusedReports; }
   // The number of commands and reports whose outcome is awaited.
   std::size_t InHand() const;
   // Replies to all of them that the outcome is unknown.
@@ -223,6 +225,7 @@
                      TimePoint aDeadline,
                      TimePoint aNow,
                      const ServerReportsHooks::DoneHook& aDone);
+  void ProposeReport(wire::Command aCommand, const ResultHook& aDone);
   bool EndsNothing(const wire::Command& aCommand,
                    const wire::CommandResult& aResult) const;
   void ExpireServers(TimePoint aNow);
@@ -261,6 +264,7 @@
   std::map<HostId, wire::HostRecord> m_controlHostLocations;
   std::set<HostId> m_discoveredHosts; // passed to hostDiscovered
   TimePoint m_nextExpiryAt;
+  std::uint64_t m_refusedReports = 0;
   std::size_t m_recordedEscapedTexts = 0;
   bool m_leaving = false;
 };
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -806,6 +806,91 @@
   }
 }
 
+// Puts lists that define the service "profile" into force.
+static void
+DefineProfileService(ControlGroup& aGroup)
+{
+  ListsChange change;
+  change.changeId = "define";
+  change.operatorName = "op";
+  change.content.emplace().set_full(true);
+  change.content->add_services()->set_name("profile");
+  std::optional<ListsChangeReply> reply;
+  aGroup.Leader(0)->ChangeLists(
+    change, aGroup.m_now, [&](const ListsChangeReply& aReply) {
+      reply = aReply;
+    });
+  aGroup.Run(std::chrono::milliseconds(300));
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_REQUIRE(reply->result.code() == wire::CommandResult::OK);
+}
+
+static wire::BackendServerRecord
+OddReport()
+{
+  wire::BackendServerRecord odd = ServerReport(900, 1);
+  odd.set_id("odd");
+  odd.set_service("agents");
+  return odd;
+}
+
+// Guards against servers that get no requests any more, though they report that
+// they are ready, since another program named their address once.
+BOOST_AUTO_TEST_CASE(AReportOfAnUndefinedServiceEndsNoServerAtAnyHost)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  DefineProfileService(group);
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
+  for (const HostId& host : group.m_hosts) {
+    std::optional<bool> durable;
+    group.m_nodes.at(host)->ReportServer(
+      OddReport(), group.m_now, [&](bool aDurable) { durable = aDurable; });
+    group.Run(std::chrono::milliseconds(300));
+    BOOST_TEST((durable == false));
+    BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::UP);
+  }
+}
+
+// The same report, as the leader receives it from a host of an earlier build.
+BOOST_AUTO_TEST_CASE(AForwardedReportOfAnUndefinedServiceIsNotLogged)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  DefineProfileService(group);
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
+  wire::Envelope request;
+  *request.mutable_control_request()->mutable_command()->mutable_server() =
+    OddReport();
+  group.m_network.Send(HostId("older-build"),
+                       group.Leader(0)->GroupNode(0).Self().host,
+                       request,
+                       group.m_now);
+  group.Run(std::chrono::milliseconds(300));
+  BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::UP);
+}
+
+// Guards against a server that stays out for good after a record with a later
+// start took its address and then stopped reporting.
+BOOST_AUTO_TEST_CASE(AServerThatStillReportsReturnsWhenTheNewHolderHasGone)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
+  wire::BackendServerRecord other = ServerReport(900, 1);
+  other.set_id("other");
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, other));
+  BOOST_REQUIRE(CurrentServer(group).state() ==
+                wire::BackendServerRecord::GONE);
+  const HostId& host = group.m_hosts.front();
+  for (std::uint64_t sequence = 2; sequence < 16; ++sequence) {
+    group.m_nodes.at(host)->ReportServer(
+      ServerReport(5, sequence), group.m_now, [](bool) {});
+    group.Run(std::chrono::milliseconds(1500));
+  }
+  BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::UP);
+}
+
 // The leader takes over the servers of a host that it cannot reach, and their
 // registrations expire.
 BOOST_AUTO_TEST_CASE(AnIsolatedHostDoesNotAcknowledgeHeartbeats)
--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -469,6 +469,9 @@
     m_metrics.Gauge("evidence_dropped_total", [this] {
       return static_cast<double>(m_node->DroppedEvidence());
     });
+    m_metrics.Gauge("reports_refused_total", [this] {
+      return static_cast<double>(m_node->RefusedReports());
+    });
     m_metrics.Gauge("stored_texts_escaped_total", [this] {
       return static_cast<double>(m_node->EscapedTexts());
     });
--- a/packages/state/lists.cc
+++ b/packages/state/lists.cc
@@ -396,6 +396,15 @@
   return it == m_teamByKeyHash.end() ? nullptr : FindTeam(TeamName(it->second));
 }
 
+bool
+Lists::DefinesService(const ServiceName& aService) const
+{
+  return FindService(aService) != nullptr ||
+         std::any_of(m_plans.begin(), m_plans.end(), [&](const auto& aPlan) {
+           return aPlan.second.routesByService.count(aService.Value()) != 0;
+         });
+}
+
 const wire::Service*
 Lists::FindService(const ServiceName& aService) const
 {
--- a/packages/state/lists.h
+++ b/packages/state/lists.h
@@ -58,6 +58,10 @@
   const wire::Team* FindTeam(const TeamName& aTeam) const;
   // aKeyHash: the SHA-256 of the key, lower-case hexadecimal.
   const wire::Team* FindTeamByKeyHash(const std::string& aKeyHash) const;
+  // Whether the lists define any services of open routes.
+  bool DefinesServices() const { return !m_services.empty(); }
+  // Whether they define this one, or a plan has routes to it.
+  bool DefinesService(const ServiceName& aService) const;
   // Null if the lists do not define the service.
   const wire::Service* FindService(const ServiceName& aService) const;
   const wire::RequestLimits& Limits() const { return m_limits; }
--- a/packages/state/servers_state.cc
+++ b/packages/state/servers_state.cc
@@ -24,6 +24,17 @@
   return it == m_servers.end() ? nullptr : &it->second.record;
 }
 
+const Record*
+ServersState::FindHolder(const std::string& aAddress) const
+{
+  const auto holder = m_holderOfAddress.find(aAddress);
+  const Record* record =
+    holder == m_holderOfAddress.end() ? nullptr : Find(holder->second);
+  const bool holds = record != nullptr && record->state() != Record::GONE &&
+                     record->address() == aAddress;
+  return holds ? record : nullptr;
+}
+
 std::vector<const Record*>
 ServersState::Live() const
 {
@@ -161,24 +172,19 @@
 void
 ServersState::RemoveOlderHolder(const Record& aRecord)
 {
-  const auto holder = m_holderOfAddress.find(aRecord.address());
-  if (holder != m_holderOfAddress.end() && holder->second != aRecord.id()) {
-    const Record* former = Find(holder->second);
-    const bool live = former != nullptr && former->state() != Record::GONE &&
-                      former->address() == aRecord.address();
-    if (live) {
-      const bool formerIsNewer = former->incarnation() > aRecord.incarnation();
-      Record older = formerIsNewer ? aRecord : *former;
-      if (!formerIsNewer) {
-        m_holderOfAddress[aRecord.address()] = aRecord.id();
-      }
-      older.set_state(Record::GONE);
-      older.set_lapsed(false);
-      Put(older);
-      return;
-    }
+  const Record* former = FindHolder(aRecord.address());
+  if (former == nullptr || former->id() == aRecord.id()) {
+    m_holderOfAddress[aRecord.address()] = aRecord.id();
+    return;
+  }
+  const bool formerIsNewer = former->incarnation() > aRecord.incarnation();
+  Record older = formerIsNewer ? aRecord : *former;
+  if (!formerIsNewer) {
+    m_holderOfAddress[aRecord.address()] = aRecord.id();
   }
-  m_holderOfAddress[aRecord.address()] = aRecord.id();
+  older.set_state(Record::GONE);
+  older.set_lapsed(false);
+  Put(older);
 }
 
 void
--- a/packages/state/servers_state.h
+++ b/packages/state/servers_state.h
@@ -42,6 +42,9 @@
   // to another control host is none.
   std::uint64_t FollowerVersion() const { return m_followerVersion; }
   const wire::BackendServerRecord* Find(const std::string& aId) const;
+  // The server that runs at the address; null if there is none.
+  const wire::BackendServerRecord* FindHolder(
+    const std::string& aAddress) const;
   // The servers that are not GONE. Pointers are valid until the next change.
   std::vector<const wire::BackendServerRecord*> Live() const;
   std::size_t size() const { return m_servers.size(); }
