Store a deregistration of a server whose first heartbeat is under way

It had left half a second after its start; its first heartbeat arrived 3.5 s after the deregistration and brought it into use.

Cause: a deregistration of a server that is not in the table was acknowledged and dropped. One of a server that had run before under its id was taken for one of the former start. A leaving server whose reports stopped for 12 s lost that it leaves.

Evidence: after the acknowledgement the table has no record of the server (server_reports_test, control_node_test before this change); the heartbeat arrives seconds later, so that the log cannot have reordered them.

Change: a deregistration without a start names the time until which it ends all starts (ends_before), and is stored under that number, also for an unknown server. A server that starts again is accepted with its first heartbeat; where its clock lags so far that it seems to have ended, once its reports have gone on for 30 s (LateStarts). A leaving server that stops reporting ends for good.

--- a/packages/control/control_node.cc
+++ b/packages/control/control_node.cc
@@ -803,15 +803,16 @@
 ControlNode::EndsNothing(const wire::Command& aCommand,
                          const wire::CommandResult& aResult) const
 {
-  if (aResult.code() != wire::CommandResult::STALE_ATTEMPT ||
-      !NamesNoIncarnation(aCommand.server())) {
+  const bool isApplied = aResult.code() == wire::CommandResult::OK ||
+                         aResult.code() == wire::CommandResult::STALE_ATTEMPT;
+  if (!isApplied || !NamesNoIncarnation(aCommand.server())) {
     return false;
   }
   const wire::BackendServerRecord* existing =
     m_groups[kListsGroup]->state.ServersPart().Find(aCommand.server().id());
-  return existing != nullptr &&
-         (existing->state() != wire::BackendServerRecord::GONE ||
-          existing->lapsed());
+  return existing == nullptr ||
+         existing->state() != wire::BackendServerRecord::GONE ||
+         existing->lapsed();
 }
 
 void
--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -806,6 +806,27 @@
   }
 }
 
+// Guards against requests to a server that deregistered before its first
+// heartbeat arrived: the heartbeat brought it back.
+BOOST_AUTO_TEST_CASE(ADeregistrationBeforeTheFirstHeartbeatHoldsAfterARestart)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  wire::BackendServerRecord deregistration = NamelessDeregistration();
+  deregistration.set_ends_before(7);
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, deregistration));
+  group.RestartAll();
+  group.Run(std::chrono::seconds(6));
+  for (const HostId& host : group.m_hosts) {
+    group.m_nodes.at(host)->ReportServer(
+      ServerReport(5, 1), group.m_now, [](bool) {});
+    group.Run(std::chrono::seconds(1));
+    BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::GONE);
+  }
+  BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(9, 1)));
+  BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::UP);
+}
+
 // Puts lists that define the service "profile" into force.
 static void
 DefineProfileService(ControlGroup& aGroup)
--- a/packages/control/server_reports.cc
+++ b/packages/control/server_reports.cc
@@ -8,6 +8,10 @@
 
 using Record = wire::BackendServerRecord;
 
+// The service of a server that deregistered before it reported one. The table
+// stores no record of an unknown server without a service.
+static constexpr char kUnknownService[] = "unknown";
+
 ServerReports::ServerReports(ServerReportsHooks aHooks, Duration aMaxAge)
   : m_hooks(std::move(aHooks))
   , m_maxAge(aMaxAge)
@@ -22,7 +26,7 @@
 {
   const std::uint64_t id = m_nextId++;
   Pending& pending = m_pending[id];
-  pending.record = aRecord;
+  pending.record = WithCurrentStart(aRecord, aNow);
   pending.deadline = aDeadline;
   pending.reply = std::move(aReply);
   if (NamesNoIncarnation(aRecord)) {
@@ -69,6 +73,53 @@
   }
 }
 
+// A server that runs, although a deregistration has ended its start, is stored
+// as a start after the one that has ended.
+Record
+ServerReports::WithCurrentStart(const Record& aRecord, TimePoint aNow)
+{
+  Record record = aRecord;
+  const Record* existing = m_hooks.table().Find(aRecord.id());
+  const bool hasEnded =
+    existing != nullptr && existing->state() == Record::GONE &&
+    !existing->lapsed() && aRecord.incarnation() < existing->incarnation();
+  if (hasEnded && aRecord.state() == Record::UP &&
+      m_lateStarts.IsRunning(aRecord, aNow)) {
+    record.set_reported_incarnation(aRecord.incarnation());
+    record.set_incarnation(existing->incarnation() + 1);
+  }
+  return record;
+}
+
+// A deregistration holds for a start that is not in the table yet: its first
+// report may arrive later. The stored record keeps what is known of the server.
+static Record
+ResolvedEnd(const Record& aRecord, const Record* aExisting)
+{
+  Record ended = aRecord;
+  if (NamesNoIncarnation(aRecord)) {
+    ended.set_incarnation(
+      std::max(aRecord.ends_before(),
+               aExisting == nullptr ? 0 : aExisting->incarnation()));
+  }
+  ended.clear_ends_before();
+  if (aExisting == nullptr) {
+    if (ended.service().empty() && ended.incarnation() != 0) {
+      ended.set_service(kUnknownService);
+    }
+  } else if (ended.incarnation() > aExisting->incarnation()) {
+    const std::uint64_t incarnation = ended.incarnation();
+    ended = *aExisting;
+    ended.set_incarnation(incarnation);
+    ended.clear_reported_incarnation();
+    ended.clear_revision();
+    ended.set_state(Record::GONE);
+    ended.set_lapsed(false);
+    ended.set_watcher(aRecord.watcher());
+  }
+  return ended;
+}
+
 // Reports of an incarnation may overtake each other. One that the incarnation
 // leaves holds whatever was reported later, so it takes over the latest
 // number.
@@ -77,12 +128,17 @@
 {
   Record record = aRecord;
   const Record* existing = m_hooks.table().Find(aRecord.id());
+  if (existing != nullptr && existing->reported_incarnation() != 0 &&
+      existing->reported_incarnation() == aRecord.incarnation()) {
+    record.set_incarnation(existing->incarnation());
+    record.set_reported_incarnation(existing->reported_incarnation());
+  }
+  if (record.state() == Record::GONE && !record.lapsed()) {
+    return ResolvedEnd(record, existing);
+  }
   if (existing == nullptr) {
     return record;
   }
-  if (NamesNoIncarnation(aRecord)) {
-    record.set_incarnation(existing->incarnation());
-  }
   if (record.state() == Record::LEAVING &&
       record.incarnation() == existing->incarnation()) {
     record.set_revision(std::max(record.revision(), existing->revision()));
--- a/packages/control/server_reports.h
+++ b/packages/control/server_reports.h
@@ -6,11 +6,13 @@
 // it, or if the table shows that a newer one does, in a state that is current
 // as far as the report needs it.
 //
-// A deregistration that names no incarnation ends the current one. The host
-// that receives it names the incarnation before the command is logged, and
-// names another if the command was outdated when it was applied. The command is
-// thus the same for all members that apply it, and ends nothing else when it is
-// sent again.
+// A deregistration that names no incarnation ends the current one, and all that
+// started before the time that it names. The host that receives it names the
+// incarnation before the command is logged, and names another if the command
+// was outdated when it was applied. The command is thus the same for all
+// members that apply it, and ends nothing else when it is sent again. It is
+// stored also for a server that is not known, whose first report may be on its
+// way.
 //
 //   ServerReports reports(hooks);
 //   reports.Accept(record, deadline, now, [](bool durable) {});
@@ -23,6 +25,7 @@
 #include <optional>
 
 #include "base/time.h"
+#include "control/late_starts.h"
 #include "state/servers_state.h"
 #include "wire/messages.h"
 
@@ -79,6 +82,9 @@
     ReplyHook reply;
   };
 
+  wire::BackendServerRecord WithCurrentStart(
+    const wire::BackendServerRecord& aRecord,
+    TimePoint aNow);
   wire::BackendServerRecord Resolved(
     const wire::BackendServerRecord& aRecord) const;
   void Continue(std::uint64_t aId, TimePoint aNow);
@@ -90,6 +96,7 @@
   Duration m_maxAge;
   std::map<std::uint64_t, Pending> m_pending;
   std::uint64_t m_nextId = 1;
+  LateStarts m_lateStarts;
 };
 
 } // namespace fuchsiaramp
--- a/packages/control/server_reports_test.cc
+++ b/packages/control/server_reports_test.cc
@@ -172,4 +172,119 @@
   BOOST_TEST((host.m_reply == true));
 }
 
+// Logs what was submitted last, as the group does.
+static void
+Apply(Host& aHost)
+{
+  BOOST_REQUIRE(!aHost.m_logged.empty());
+  const auto result = aHost.m_table.Report(aHost.m_logged.back());
+  aHost.m_done.back()(result.code());
+}
+
+// Guards against requests to a server that deregistered before its first
+// heartbeat arrived: the heartbeat brought it back.
+BOOST_AUTO_TEST_CASE(ADeregistrationOfAServerThatIsNotKnownIsStored)
+{
+  for (const bool namesIncarnation : { false, true }) {
+    Host host;
+    host.m_asOf = host.m_now;
+    Record deregistration = NamelessDeregistration();
+    if (namesIncarnation) {
+      deregistration.set_incarnation(5);
+    } else {
+      deregistration.set_ends_before(7);
+    }
+    host.Accept(deregistration);
+    Apply(host);
+    BOOST_TEST((host.m_reply == true));
+    host.m_table.Report(Report(5));
+    BOOST_REQUIRE(host.m_table.Find("s") != nullptr);
+    BOOST_TEST(host.m_table.Find("s")->state() == Record::GONE);
+    host.m_table.Report(Report(9));
+    BOOST_TEST(host.m_table.Find("s")->state() == Record::UP);
+  }
+}
+
+// Guards against the same where the server had run before under its id.
+BOOST_AUTO_TEST_CASE(ADeregistrationHoldsForAStartWhoseHeartbeatIsUnderWay)
+{
+  for (const bool hasEnded : { false, true }) {
+    Host host;
+    host.m_asOf = host.m_now;
+    host.m_table.Report(Report(2));
+    if (hasEnded) {
+      Record ended = NamelessDeregistration();
+      ended.set_incarnation(2);
+      host.m_table.Report(ended);
+    }
+    Record deregistration = NamelessDeregistration();
+    deregistration.set_ends_before(7);
+    host.Accept(deregistration);
+    Apply(host);
+    BOOST_TEST((host.m_reply == true));
+    host.m_table.Report(Report(5));
+    BOOST_TEST(host.m_table.Find("s")->state() == Record::GONE);
+  }
+}
+
+// The clock of the server's machine may lag, or that of the host may have been
+// ahead when the server deregistered.
+BOOST_AUTO_TEST_CASE(AStoredDeregistrationDoesNotKeepANewStartOut)
+{
+  Host host;
+  host.m_asOf = host.m_now;
+  Record deregistration = NamelessDeregistration();
+  deregistration.set_ends_before(700);
+  host.Accept(deregistration);
+  Apply(host);
+  Record report = Report(50);
+  for (std::uint64_t sequence = 1; sequence <= 30; ++sequence) {
+    report.set_revision(sequence);
+    host.m_asOf = host.m_now;
+    host.Accept(report);
+    if (host.m_logged.size() > 1) {
+      break;
+    }
+    BOOST_TEST((host.m_reply == true));
+    host.Advance(std::chrono::milliseconds(1500));
+  }
+  Apply(host);
+  BOOST_TEST(host.m_table.Find("s")->state() == Record::UP);
+  // What the server reports from then on concerns the same start.
+  host.m_asOf = host.m_now;
+  report.set_revision(40);
+  host.Accept(report);
+  BOOST_TEST((host.m_reply == true));
+  BOOST_TEST(host.m_table.Find("s")->state() == Record::UP);
+  report.set_revision(41);
+  report.set_state(Record::LEAVING);
+  host.Accept(report);
+  Apply(host);
+  BOOST_TEST(host.m_table.Find("s")->state() == Record::LEAVING);
+  Record named = NamelessDeregistration();
+  named.set_incarnation(50);
+  host.Accept(named);
+  Apply(host);
+  BOOST_TEST(host.m_table.Find("s")->state() == Record::GONE);
+}
+
+// A server that serves on for many seconds after it deregistered may go on
+// reporting, and late heartbeats may come together.
+BOOST_AUTO_TEST_CASE(ReportsOfAnEndedStartDoNotBringItBack)
+{
+  Host host;
+  host.m_table.Report(Report(5));
+  Record ended = NamelessDeregistration();
+  ended.set_incarnation(6);
+  host.m_table.Report(ended);
+  Record report = Report(5);
+  for (std::uint64_t sequence = 10; sequence <= 40; ++sequence) {
+    report.set_revision(sequence);
+    host.m_asOf = host.m_now;
+    host.Accept(report);
+    BOOST_TEST(host.m_logged.empty());
+    host.Advance(std::chrono::milliseconds(1500));
+  }
+}
+
 } // namespace fuchsiaramp
--- a/packages/control/server_watch.cc
+++ b/packages/control/server_watch.cc
@@ -38,7 +38,8 @@
     if (IsDue(expiresAt, aNow)) {
       wire::BackendServerRecord record = *server;
       record.set_state(wire::BackendServerRecord::GONE);
-      record.set_lapsed(true);
+      // One that was leaving does not return with a late report.
+      record.set_lapsed(server->state() == wire::BackendServerRecord::UP);
       expired.push_back(record);
       watched[server->id()] = aNow + m_lifetime;
     }
--- a/packages/control/server_watch.h
+++ b/packages/control/server_watch.h
@@ -29,7 +29,8 @@
 
   void RecordRenewal(const wire::BackendServerRecord& aRecord, TimePoint aNow);
 
-  // Returns the records of the expired servers, marked as gone and lapsed.
+  // Returns the records of the expired servers, marked as gone. Those that were
+  // not leaving are marked as lapsed, too.
   // aWatchesFor returns whether this host takes over from the given watcher.
   std::vector<wire::BackendServerRecord> TakeExpired(
     const ServersState& aServers,
--- a/packages/membership/directory.cc
+++ b/packages/membership/directory.cc
@@ -147,7 +147,9 @@
                     existing->second.state == server.state &&
                     existing->second.address == server.address &&
                     existing->second.slots == server.slots;
-  if (same) {
+  const bool neverKnown =
+    existing == m_servers.end() && server.state == ServerState::kGone;
+  if (same || neverKnown) {
     return;
   }
   if (server.state == ServerState::kGone) {
