Bound the bodies that a control host receives

Cause: the server of the control addresses allowed 256 MB for each call, as for a configuration, and had no bound on all bodies together.

Change: the interface says from the header whether a request carries a document. A length beyond the limit is answered with 413 before the body is read.

--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -15,6 +15,7 @@
 #include "control/control_shutdown.h"
 #include "disk/posix_files.h"
 #include "disk/segment_log.h"
+#include "net/buffer_budget.h"
 #include "net/http_responses.h"
 #include "net/http_server.h"
 #include "net/message_transport.h"
@@ -31,7 +32,12 @@
 
 static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 static constexpr Duration kTrafficLogInterval = std::chrono::seconds(10);
-static constexpr std::uint64_t kMaxDocumentBytes = 256 << 20;
+static constexpr std::uint64_t kMaxDocumentBytes = 64 << 20;
+// Of all other calls, such as reports of backend servers.
+static constexpr std::uint64_t kMaxCallBytes = 16 << 10;
+// Of all bodies that are received at once, where the settings do not say how
+// much memory the process may use.
+static constexpr std::uint64_t kDefaultBufferedBytes = 2 * kMaxDocumentBytes;
 static constexpr std::uint64_t kSegmentSlackBytes = 256 << 20;
 
 class ControlService::Impl
@@ -58,6 +64,7 @@
                     m_node->OnMessage(aFrom, aMessage, MonotonicNow());
                     ScheduleFlush();
                   })
+    , m_budget(MakeBudget())
     , m_timer(aIo)
     , m_loop([this](const Event& aEvent) { m_log.Write(aEvent); })
     , m_shutdown(aSettings.gracePeriod)
@@ -96,6 +103,10 @@
     HttpServerOptions server;
     server.address = m_settings.callerAddress;
     server.limits.bodyBytes = kMaxDocumentBytes;
+    server.bodyLimit = [this](const HttpExchange::Request& aHeader) {
+      return m_api.carriesDocument(aHeader) ? kMaxDocumentBytes : kMaxCallBytes;
+    };
+    server.budget = m_budget;
     server.onRejected = MakeRejectHook(m_log);
     m_server.emplace(aIo, server, [this](const HttpExchangePtr& aExchange) {
       OnExchange(aExchange);
@@ -104,6 +115,11 @@
     ScheduleTick();
   }
 
+  // Waits hold connections, which hold the budget.
+  ~Impl() { m_budget->Close(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
   void Leave(TimePoint aRequestedAt)
   {
     if (m_shutdown.HasBegun()) {
@@ -133,6 +149,25 @@
   std::error_code FatalError() const { return m_fatal; }
 
 private:
+  // One bound on the bodies of all callers together.
+  std::shared_ptr<BufferBudget> MakeBudget()
+  {
+    BufferBudgetOptions options;
+    options.limit = m_settings.limits.bufferedBytes == 0
+                      ? kDefaultBufferedBytes
+                      : m_settings.limits.bufferedBytes;
+    options.record = [this](const Event& aEvent) { m_log.Write(aEvent); };
+    // Releases occur within other work, such as the end of a connection.
+    options.onRoom = [this] {
+      asio::post(m_io, [budget = std::weak_ptr<BufferBudget>(m_budget)] {
+        if (const auto held = budget.lock()) {
+          held->ServeWaiting(MonotonicNow());
+        }
+      });
+    };
+    return std::make_shared<BufferBudget>(std::move(options));
+  }
+
   std::vector<GroupStorage> OpenStorage(std::error_code& aError)
   {
     std::vector<GroupStorage> storage;
@@ -228,6 +263,7 @@
       m_loop.OnTick(MonotonicNow());
       m_log.Flush();
       m_transport.Poll();
+      m_budget->ServeWaiting(MonotonicNow());
       if (IsDue(m_nextTrafficLogAt, MonotonicNow())) {
         m_nextTrafficLogAt = MonotonicNow() + kTrafficLogInterval;
         m_log.Write(TrafficEvent(m_transport.Counters(), m_loop));
@@ -475,6 +511,17 @@
     m_metrics.Gauge("stored_texts_escaped_total", [this] {
       return static_cast<double>(m_node->EscapedTexts());
     });
+    const auto bufferValue =
+      [this](const char* aName, std::uint64_t (BufferBudget::*aValue)() const) {
+        m_metrics.Gauge(aName, [this, aValue] {
+          return static_cast<double>((*m_budget.*aValue)());
+        });
+      };
+    bufferValue("buffered_bytes", &BufferBudget::Used);
+    bufferValue("buffered_bytes_peak", &BufferBudget::Peak);
+    bufferValue("buffered_bytes_limit", &BufferBudget::Limit);
+    bufferValue("buffer_waits_total", &BufferBudget::Waits);
+    bufferValue("buffer_rejections_total", &BufferBudget::Rejected);
     m_metrics.Gauge("log_entry_bytes", [this] {
       return SumOverGroups(
         [](const Node& aNode) { return aNode.Entries().Bytes(); });
@@ -501,6 +548,7 @@
   mutable EventLog m_log;
   Metrics m_metrics;
   MessageTransport m_transport;
+  std::shared_ptr<BufferBudget> m_budget;
   asio::steady_timer m_timer;
   LoopMonitor m_loop;
   TimePoint m_nextTrafficLogAt;
--- a/packages/net/external_api.h
+++ b/packages/net/external_api.h
@@ -139,6 +139,9 @@
 struct ControlApi
 {
   std::function<ControlRequest(const HttpExchange::Request&)> parseRequest;
+  // Whether the body of the request with this header is a document with lists,
+  // which may be large.
+  std::function<bool(const HttpExchange::Request& aHeader)> carriesDocument;
   std::function<HttpResponse(const Lists&)> writeLists;
   std::function<HttpResponse(const ListsChangeReply&)> writeChange;
   // Used when this host does not lead or has no lease. aLeader is empty when no
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -257,11 +257,27 @@
     const beast::error_code error = ParseHeader();
     if (error || m_parser->is_done()) {
       OnRead(error);
+    } else if (!ApplyBodyLimit()) {
+      RejectBody(413, "the body exceeds the size limit");
     } else {
       ReserveBody(m_parser->content_length().value_or(m_buffer.size()));
     }
   }
 
+  // Limits the body by what the header asks for. Returns whether the length
+  // that the header gives is allowed; the parser counts a body without one.
+  bool ApplyBodyLimit()
+  {
+    const auto& bodyLimit = m_state->options.bodyLimit;
+    if (!bodyLimit) {
+      return true;
+    }
+    const std::uint64_t limit =
+      std::min(m_state->options.limits.bodyBytes, bodyLimit(m_parser->get()));
+    m_parser->body_limit(limit);
+    return m_parser->content_length().value_or(0) <= limit;
+  }
+
   // Reserves room for a body of aCapacity bytes and for the bytes that are read
   // at a time, before any memory is used for them.
   void ReserveBody(std::uint64_t aCapacity)
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -54,10 +54,16 @@
 
 using HttpStallHook = std::function<void(const StalledResponse& aResponse)>;
 
+// Returns the maximum size of the body that the request with this header may
+// have.
+using HttpBodyLimit = std::function<std::uint64_t(
+  const boost::beast::http::request<boost::beast::http::string_body>& aHeader)>;
+
 struct HttpServerOptions
 {
   std::string address; // IP:port
   HttpLimits limits;
+  HttpBodyLimit bodyLimit; // besides the one of limits; may be null
   std::uint64_t maxConnections = 4096;
   HttpRejectHook onRejected;
   HttpStallHook onStalled;
--- a/packages/net/http_server_test.cc
+++ b/packages/net/http_server_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -25,6 +26,8 @@
 
 // A server on a free port that responds with 200 and records the paths of its
 // requests.
+static constexpr std::uint64_t kMaxReportBytes = 1000;
+
 class TestServer
 {
 public:
@@ -47,6 +50,9 @@
     options.limits.headerBytes = 2048;
     options.maxConnections = aMaxConnections;
     options.budget = m_budget;
+    options.bodyLimit = [this](const HttpExchange::Request& aHeader) {
+      return aHeader.target() == "/report" ? kMaxReportBytes : m_bodyLimit;
+    };
     options.limits.bodyBytes = aBudget == 0 ? 1 << 20 : 64 << 20;
     options.onStalled = [this](const StalledResponse& aResponse) {
       m_stalled.push_back(aResponse);
@@ -169,6 +175,7 @@
   std::string m_body;
   bool m_holds = false;
   std::shared_ptr<BufferBudget> m_budget;
+  std::uint64_t m_bodyLimit = std::numeric_limits<std::uint64_t>::max();
   std::vector<std::pair<HttpExchangePtr, BufferedBodyPtr>> m_held;
   std::vector<StalledResponse> m_stalled;
   std::vector<std::string> m_paths;
@@ -597,6 +604,34 @@
 }
 
 // Without a length, the rejection comes when the room is exceeded.
+// Guards against a host whose memory is filled by bodies that are far larger
+// than what their calls need.
+BOOST_AUTO_TEST_CASE(ABodyIsLimitedByWhatItsHeaderAsksFor)
+{
+  const std::string chunk = "1f4\r\n" + std::string(500, 'x') + "\r\n";
+  const auto post = [](const std::string& aPath, const std::string& aRest) {
+    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\n" + aRest;
+  };
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  TestServer server;
+  BOOST_TEST(
+    server
+      .Exchange(post("/report",
+                     "Content-Length: 1000\r\n\r\n" + std::string(1000, 'x')))
+      .starts_with("HTTP/1.1 200"));
+  BOOST_TEST(
+    server.Exchange(post("/report", chunked + chunk + chunk + "0\r\n\r\n"))
+      .starts_with("HTTP/1.1 200"));
+  BOOST_TEST(server.Exchange(post("/report", "Content-Length: 1001\r\n\r\n"))
+               .starts_with("HTTP/1.1 413"));
+  BOOST_TEST(server.Exchange(post("/report", chunked + chunk + chunk + chunk))
+               .starts_with("HTTP/1.1 413"));
+  BOOST_TEST(
+    server
+      .Exchange(post("/lists", chunked + chunk + chunk + chunk + "0\r\n\r\n"))
+      .starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(AChunkedBodyIsHeldToTheBudget)
 {
   TestServer server(4096, 8 * kMega);
--- a/packages/net/native_api.cc
+++ b/packages/net/native_api.cc
@@ -354,6 +354,14 @@
   control.parseRequest = [aSettings](const Request& aRequest) {
     return ParseControlRequest(aSettings, aRequest);
   };
+  control.carriesDocument = [aSettings](const Request& aHeader) {
+    const std::string_view target = aHeader.target();
+    if (!target.starts_with(kSystemPrefix)) {
+      return false;
+    }
+    const auto [path, query] = SplitTarget(target.substr(kSystemPrefix.size()));
+    return path == "lists" && IsOperator(aHeader, aSettings);
+  };
   control.writeLists = ListsResponse;
   control.writeChange = WriteChange;
   control.writeNotLeader = WriteNotLeader;
