Count answers without end against their server

An answer that had waited for room was no evidence against its server, also where it had no end and filled the room itself. The server kept its share of the requests, and each of its answers held the room of sound ones for 2 s at a time.

Cause: ReportedOutcome takes each attempt that was held for cancelled, whatever ended it; an answer without a length reserved up to twice the largest one.

Change: an answer without a length waits for more room only up to a quarter of the largest one. Beyond that it ends, gives its room to others and counts against its server. It reserves no more than the largest answer may take. The end of such an attempt is logged with oversized=true.

Tests, seen failing before: entry_node_test (AServerThatAnswersWithoutEndLosesItsRequests), backend_client_test (AnAnswerWithoutEndDoesNotWaitForRoom, AnAnswerWithoutLengthReservesNoMoreThanTheLargestOne).

--- a/packages/entry/entry_attempts.cc
+++ b/packages/entry/entry_attempts.cc
@@ -102,12 +102,13 @@
 }
 
 // What ends an attempt whose response finds no room says nothing about its
-// server.
+// server, unless the response itself takes the room.
 static AttemptOutcome
 ReportedOutcome(const AttemptEnd& aEnd, bool aWasHeld)
 {
-  const bool ownFault = aWasHeld && (aEnd.outcome == AttemptOutcome::kBroken ||
-                                     aEnd.outcome == AttemptOutcome::kTimeout);
+  const bool ownFault = aWasHeld && !aEnd.isOversized &&
+                        (aEnd.outcome == AttemptOutcome::kBroken ||
+                         aEnd.outcome == AttemptOutcome::kTimeout);
   return ownFault ? AttemptOutcome::kCancelled : aEnd.outcome;
 }
 
@@ -191,6 +192,9 @@
   event.Add("outcome", ToText(aEnd.outcome));
   event.Add("status", aEnd.status);
   event.Add("ms", aLatency.count() / 1000);
+  if (aEnd.isOversized) {
+    event.Add("oversized", true);
+  }
   if (aAttempt.heldAt) {
     event.Add("held_ms", (aNow - *aAttempt.heldAt).count() / 1000);
   }
--- a/packages/entry/entry_node_test.cc
+++ b/packages/entry/entry_node_test.cc
@@ -2,6 +2,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "base/digest.h"
@@ -126,6 +128,11 @@
         attempt.id = id;
         attempt.outcome = m_outcome;
         attempt.status = m_outcome == AttemptOutcome::kSuccess ? 200 : 503;
+        if (m_endless.erase(id) != 0) {
+          m_node.OnAttemptHeld(id, m_now);
+          attempt.outcome = AttemptOutcome::kBroken;
+          attempt.isOversized = true;
+        }
         m_node.OnAttemptEnd(attempt, m_now);
       }
       m_node.Tick(m_now);
@@ -151,6 +158,19 @@
     m_latency = aLatency;
   }
 
+  // The responses of the server at this address have no end from now on: each
+  // waits for room, and ends once it is too large for that.
+  void AnswerWithoutEnd(const std::string& aAddress)
+  {
+    m_endlessAddress = aAddress;
+  }
+
+  // Returns the number of attempts at the address since the last call.
+  std::size_t TakeAttempts(const std::string& aAddress)
+  {
+    return std::exchange(m_attemptsAt[aAddress], 0);
+  }
+
   // Lets the servers be known to take as long.
   void ServeReads(Duration aLatency)
   {
@@ -204,6 +224,10 @@
     };
     hooks.startAttempt = [this](const AttemptStart& aStart) {
       m_running[aStart.id] = m_now + m_latency;
+      ++m_attemptsAt[aStart.address];
+      if (aStart.address == m_endlessAddress) {
+        m_endless.insert(aStart.id);
+      }
       return ConnectionKind::kNew;
     };
     hooks.cancelAttempt = [this](AttemptId aId) { m_running.erase(aId); };
@@ -222,6 +246,9 @@
   TimePoint m_stopAt = kNever;
   std::uint64_t m_lastRequest = 0;
   std::map<AttemptId, TimePoint> m_running;
+  std::string m_endlessAddress;
+  std::set<AttemptId> m_endless;
+  std::map<std::string, std::size_t> m_attemptsAt;
   std::vector<FinalResponse> m_responses;
   std::vector<wire::ControlRequest> m_commands;
   EntryNode m_node;
@@ -299,6 +326,26 @@
   }
 }
 
+// Guards against a server that answers without end and keeps its share of the
+// requests, since no answer that waited for room counted against it.
+BOOST_AUTO_TEST_CASE(AServerThatAnswersWithoutEndLosesItsRequests)
+{
+  const std::string address = "10.0.0.1:8000";
+  LoneHost host;
+  host.ServeReads(milliseconds(10));
+  host.AnswerWithoutEnd(address);
+  const auto sendReads = [&host](int aCount) {
+    for (int i = 0; i < aCount; ++i) {
+      host.SendWithoutKey("/read/1", seconds(60));
+      host.RunFor(kTurn);
+    }
+  };
+  sendReads(100);
+  BOOST_TEST(host.TakeAttempts(address) > 0u);
+  sendReads(100);
+  BOOST_TEST(host.TakeAttempts(address) < 10u); // its share is 25
+}
+
 // Hosts of former builds stored whatever a server answered; a caller would get
 // status 000.
 BOOST_AUTO_TEST_CASE(AStoredResponseWithoutAFinalStatusIsNotSent)
--- a/packages/entry/request.h
+++ b/packages/entry/request.h
@@ -85,6 +85,9 @@
   AttemptId id;
   AttemptOutcome outcome = AttemptOutcome::kSuccess;
   std::uint32_t status = 0;
+  // The response had no length and was already too large to wait for room, so
+  // that its end is no fault of a host that is short of room.
+  bool isOversized = false;
   std::optional<std::uint32_t> reportedLoad;
   bool serverIsLeaving = false;
   // For how long the server wants no requests from this host, if it says so.
--- a/packages/net/backend_client.cc
+++ b/packages/net/backend_client.cc
@@ -38,6 +38,9 @@
 // How long a response of unknown length waits for more room. It holds what it
 // has meanwhile, so that two of them could wait for each other.
 static constexpr Duration kGrowthWait = std::chrono::seconds(2);
+// A response without a length waits for more room only up to this part of the
+// largest one. Beyond that it gives its room to others, as it may have no end.
+static constexpr std::uint64_t kOversizedPart = 4;
 // A chunked response may be this many times as long as its body.
 static constexpr std::uint64_t kFramingFactor = 2;
 // Late responses to earlier requests that one attempt skips.
@@ -303,6 +306,11 @@
     BufferRequest request;
     request.use = BufferUse::kResponse;
     request.bytes = aCapacity;
+    if (IsOversized()) {
+      budget->RecordRejected(request);
+      End(AttemptOutcome::kBroken, false);
+      return;
+    }
     request.deadline = m_held.Bytes() == 0
                          ? m_deadline
                          : std::min(m_deadline, MonotonicNow() + kGrowthWait);
@@ -354,7 +362,9 @@
     const std::uint64_t size = m_parser->get().body().size();
     if (!m_parser->content_length() &&
         size + kMaxBufferedBytes > m_bodyCapacity) {
-      ReserveBody(std::max(2 * m_bodyCapacity, size + kMaxBufferedBytes));
+      ReserveBody(
+        std::min(std::max(2 * m_bodyCapacity, size + kMaxBufferedBytes),
+                 m_owner.m_options.maxResponseBytes + kMaxBufferedBytes));
       return;
     }
     http::async_read_some(
@@ -375,6 +385,15 @@
       });
   }
 
+  // Whether the response has no length and may have no end.
+  bool IsOversized()
+  {
+    // Bytes of a body are counted once its header was read.
+    return m_receivedBytes >
+             m_owner.m_options.maxResponseBytes / kOversizedPart &&
+           !m_parser->content_length();
+  }
+
   std::uint64_t MaxReceivedBytes() const
   {
     return kFramingFactor * m_owner.m_options.maxResponseBytes +
@@ -477,6 +496,7 @@
     AttemptEnd end;
     end.id = m_attempt;
     end.outcome = aOutcome;
+    end.isOversized = IsOversized();
     BackendResponse* response = nullptr;
     const bool complete = aOutcome == AttemptOutcome::kSuccess ||
                           aOutcome == AttemptOutcome::kServerError ||
--- a/packages/net/backend_client_test.cc
+++ b/packages/net/backend_client_test.cc
@@ -197,10 +197,12 @@
     std::string body;
     Duration after{};
     ConnectionKind connection = ConnectionKind::kNew;
+    bool isOversized = false;
   };
 
   // A budget of 0 bytes has no limit.
-  explicit ClientFixture(std::uint64_t aBudget = 0)
+  explicit ClientFixture(std::uint64_t aBudget = 0,
+                         std::uint64_t aMaxResponseBytes = kMaxResponseBytes)
     : m_server(m_io)
     , m_address(m_server.Address())
   {
@@ -210,7 +212,7 @@
     BackendClientOptions options;
     options.budget = m_budget;
     options.serverBytes = kServerBytes;
-    options.maxResponseBytes = kMaxResponseBytes;
+    options.maxResponseBytes = aMaxResponseBytes;
     options.acceptsUnframedResponses = true;
     m_client = std::make_unique<BackendClient>(
       m_io,
@@ -224,7 +226,8 @@
         m_ended = Ended{ aEnd.outcome,
                          aResponse == nullptr ? "" : aResponse->body(),
                          MonotonicNow() - m_startedAt,
-                         ConnectionKind::kNew };
+                         ConnectionKind::kNew,
+                         aEnd.isOversized };
       });
   }
 
@@ -1011,6 +1014,47 @@
   BOOST_TEST(fixture.m_client->IdleCount() == 0U);
 }
 
+// Guards against a server that answers without end and is never found faulty,
+// since its own answers fill the room that they wait for.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutEndDoesNotWaitForRoom)
+{
+  const std::string chunk = "64\r\n" + std::string(100, 'x') + "\r\n";
+  for (const bool chunked : { false, true }) {
+    ClientFixture fixture(4'000'000, 1'000'000);
+    fixture.m_server.m_scripts = { { chunked
+                                       ? "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n"
+                                       : "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+                                     chunked ? chunk : std::string(1000, 'x'),
+                                     "",
+                                     false,
+                                     false } };
+    // Leaves room for half of the largest answer.
+    std::vector<BufferReservation> held(1);
+    BOOST_REQUIRE(
+      fixture.m_budget->TryReserve(BufferUse::kResponse, 2'300'000, held[0]));
+    const ClientFixture::Ended ended = fixture.Send("1");
+    BOOST_TEST((ended.outcome == AttemptOutcome::kBroken));
+    BOOST_TEST(ended.isOversized);
+    BOOST_TEST(fixture.m_budget->Waits() == 0U);
+    BOOST_TEST(fixture.m_budget->Used() == held[0].Bytes());
+  }
+}
+
+// An answer takes no room beyond what it may have.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthReservesNoMoreThanTheLargestOne)
+{
+  ClientFixture fixture;
+  fixture.m_server.m_scripts = { { "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n",
+                                   std::string(1000, 'x'),
+                                   "",
+                                   false,
+                                   false } };
+  BOOST_TEST(fixture.Send("1").isOversized);
+  // While a body is moved to more room, it holds both.
+  BOOST_TEST(fixture.m_budget->Peak() <= 2 * (kMaxResponseBytes + (64 << 10)));
+}
+
 BOOST_AUTO_TEST_CASE(ACancelledAttemptWaitsForNoRoom)
 {
   ClientFixture fixture(1'000'000);
