--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -777,6 +777,25 @@
   BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::UP);
 }
 
+// The host of an older build would confirm and forget it.
+BOOST_AUTO_TEST_CASE(AForwardedDeregistrationOfAnUnknownServerIsNotConfirmed)
+{
+  ControlGroup group;
+  group.Run(std::chrono::seconds(6));
+  wire::Envelope request;
+  *request.mutable_control_request()->mutable_command()->mutable_server() =
+    NamelessDeregistration();
+  group.m_toEntryHosts.clear();
+  group.m_network.Send(HostId("older-build"),
+                       group.Leader(0)->GroupNode(0).Self().host,
+                       request,
+                       group.m_now);
+  group.Run(std::chrono::milliseconds(300));
+  BOOST_REQUIRE(group.m_toEntryHosts.size() == 1u);
+  BOOST_TEST(group.m_toEntryHosts.front().control_reply().result().code() ==
+             wire::CommandResult::RESULT_UNKNOWN);
+}
+
 BOOST_AUTO_TEST_CASE(ADrainingReportWithALateNumberIsAppliedWhenAcknowledged)
 {
   ControlGroup group;
--- a/packages/state/lists_history.cc
+++ b/packages/state/lists_history.cc
@@ -9,6 +9,8 @@
 
 // In memory, a change takes several times its serialised size.
 static constexpr std::size_t kMinBytes = 1 << 20;
+// The part of the size of the lists that the changes may take.
+static constexpr std::size_t kPartOfLists = 4;
 
 ListsHistory::ListsHistory(std::size_t aMaxDeltas)
   : m_maxDeltas(aMaxDeltas)
@@ -40,7 +42,8 @@
     return;
   }
   m_bytesSinceUpdate = 0;
-  m_maxBytes = std::max(kMinBytes, aLists.ToFullDelta().ByteSizeLong());
+  m_maxBytes =
+    std::max(kMinBytes, aLists.ToFullDelta().ByteSizeLong() / kPartOfLists);
 }
 
 void
--- a/packages/state/lists_history.h
+++ b/packages/state/lists_history.h
@@ -1,8 +1,8 @@
 // The latest changes of the lists, for followers that lack only those.
 //
-// The history is bounded by bytes: it holds the newest changes that together
-// are no larger than the lists themselves or a fixed minimum. A follower that
-// lacks more than that is sent the lists, which are then the shorter message.
+// The history is bounded by bytes, since it takes memory beside the lists: it
+// holds the newest changes that together are no larger than a part of the lists
+// or a fixed minimum. A follower that lacks more than that is sent the lists.
 //
 //   ListsHistory history(maxDeltas);
 //   history.Add(delta, lists);
@@ -42,7 +42,7 @@
   void UpdateMaxBytes(const Lists& aLists, std::size_t aAddedBytes);
 
   std::size_t m_maxDeltas;
-  std::size_t m_maxBytes;
+  std::size_t m_maxBytes; // of several changes
   std::size_t m_bytes = 0;
   // Added since m_maxBytes was last updated.
   std::size_t m_bytesSinceUpdate = 0;
--- a/packages/state/lists_state.cc
+++ b/packages/state/lists_state.cc
@@ -80,7 +80,9 @@
   }
   // A host without lists needs none of the changes that others have replaced.
   if (aVersion.Value() == 0 || !m_history.Reaches(aVersion)) {
-    return { m_lists.ToFullDelta() };
+    std::vector<wire::ListsDelta> full;
+    full.push_back(m_lists.ToFullDelta());
+    return full;
   }
   return m_history.Since(aVersion);
 }
