--- a/packages/control/control_node_test.cc
+++ b/packages/control/control_node_test.cc
@@ -756,21 +756,29 @@
   }
 }
 
+// The leader receives a report as a host of an older build forwards it.
+static void
+ForwardFromOlderBuild(ControlGroup& aGroup,
+                      const wire::BackendServerRecord& aRecord)
+{
+  wire::Envelope request;
+  *request.mutable_control_request()->mutable_command()->mutable_server() =
+    aRecord;
+  aGroup.m_toEntryHosts.clear();
+  aGroup.m_network.Send(HostId("older-build"),
+                        aGroup.Leader(0)->GroupNode(0).Self().host,
+                        request,
+                        aGroup.m_now);
+  aGroup.Run(std::chrono::milliseconds(300));
+}
+
 // A host of an older build sends what it found in a table that lags.
 BOOST_AUTO_TEST_CASE(AForwardedDeregistrationThatEndsNothingIsNotConfirmed)
 {
   ControlGroup group;
   group.Run(std::chrono::seconds(6));
   BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
-  wire::Envelope request;
-  *request.mutable_control_request()->mutable_command()->mutable_server() =
-    NamelessDeregistration();
-  group.m_toEntryHosts.clear();
-  group.m_network.Send(HostId("older-build"),
-                       group.Leader(0)->GroupNode(0).Self().host,
-                       request,
-                       group.m_now);
-  group.Run(std::chrono::milliseconds(300));
+  ForwardFromOlderBuild(group, NamelessDeregistration());
   BOOST_REQUIRE(group.m_toEntryHosts.size() == 1u);
   BOOST_TEST(group.m_toEntryHosts.front().control_reply().result().code() ==
              wire::CommandResult::RESULT_UNKNOWN);
@@ -782,15 +790,7 @@
 {
   ControlGroup group;
   group.Run(std::chrono::seconds(6));
-  wire::Envelope request;
-  *request.mutable_control_request()->mutable_command()->mutable_server() =
-    NamelessDeregistration();
-  group.m_toEntryHosts.clear();
-  group.m_network.Send(HostId("older-build"),
-                       group.Leader(0)->GroupNode(0).Self().host,
-                       request,
-                       group.m_now);
-  group.Run(std::chrono::milliseconds(300));
+  ForwardFromOlderBuild(group, NamelessDeregistration());
   BOOST_REQUIRE(group.m_toEntryHosts.size() == 1u);
   BOOST_TEST(group.m_toEntryHosts.front().control_reply().result().code() ==
              wire::CommandResult::RESULT_UNKNOWN);
@@ -899,14 +899,7 @@
   group.Run(std::chrono::seconds(6));
   DefineProfileService(group);
   BOOST_REQUIRE(ReportUntilAcknowledged(group, ServerReport(5, 1)));
-  wire::Envelope request;
-  *request.mutable_control_request()->mutable_command()->mutable_server() =
-    OddReport();
-  group.m_network.Send(HostId("older-build"),
-                       group.Leader(0)->GroupNode(0).Self().host,
-                       request,
-                       group.m_now);
-  group.Run(std::chrono::milliseconds(300));
+  ForwardFromOlderBuild(group, OddReport());
   BOOST_TEST(CurrentServer(group).state() == wire::BackendServerRecord::UP);
 }
 
