Create the budget of bodies for both roles in one place

The control service repeated the entry service's budget of bodies and its metrics when it got a bound of its own. MakeBufferBudget and AddBufferMetrics in service_common serve both; limits, log lines and metric names are unchanged.

--- a/packages/net/control_service.cc
+++ b/packages/net/control_service.cc
@@ -64,7 +64,11 @@
                     m_node->OnMessage(aFrom, aMessage, MonotonicNow());
                     ScheduleFlush();
                   })
-    , m_budget(MakeBudget())
+    , m_budget(MakeBufferBudget(aIo,
+                                m_settings.limits.bufferedBytes == 0
+                                  ? kDefaultBufferedBytes
+                                  : m_settings.limits.bufferedBytes,
+                                m_log))
     , m_timer(aIo)
     , m_loop([this](const Event& aEvent) { m_log.Write(aEvent); })
     , m_shutdown(aSettings.gracePeriod)
@@ -149,25 +153,6 @@
   std::error_code FatalError() const { return m_fatal; }
 
 private:
-  // One bound on the bodies of all callers together.
-  std::shared_ptr<BufferBudget> MakeBudget()
-  {
-    BufferBudgetOptions options;
-    options.limit = m_settings.limits.bufferedBytes == 0
-                      ? kDefaultBufferedBytes
-                      : m_settings.limits.bufferedBytes;
-    options.record = [this](const Event& aEvent) { m_log.Write(aEvent); };
-    // Releases occur within other work, such as the end of a connection.
-    options.onRoom = [this] {
-      asio::post(m_io, [budget = std::weak_ptr<BufferBudget>(m_budget)] {
-        if (const auto held = budget.lock()) {
-          held->ServeWaiting(MonotonicNow());
-        }
-      });
-    };
-    return std::make_shared<BufferBudget>(std::move(options));
-  }
-
   std::vector<GroupStorage> OpenStorage(std::error_code& aError)
   {
     std::vector<GroupStorage> storage;
@@ -511,17 +496,7 @@
     m_metrics.Gauge("stored_texts_escaped_total", [this] {
       return static_cast<double>(m_node->EscapedTexts());
     });
-    const auto bufferValue =
-      [this](const char* aName, std::uint64_t (BufferBudget::*aValue)() const) {
-        m_metrics.Gauge(aName, [this, aValue] {
-          return static_cast<double>((*m_budget.*aValue)());
-        });
-      };
-    bufferValue("buffered_bytes", &BufferBudget::Used);
-    bufferValue("buffered_bytes_peak", &BufferBudget::Peak);
-    bufferValue("buffered_bytes_limit", &BufferBudget::Limit);
-    bufferValue("buffer_waits_total", &BufferBudget::Waits);
-    bufferValue("buffer_rejections_total", &BufferBudget::Rejected);
+    AddBufferMetrics(m_metrics, *m_budget);
     m_metrics.Gauge("log_entry_bytes", [this] {
       return SumOverGroups(
         [](const Node& aNode) { return aNode.Entries().Bytes(); });
--- a/packages/net/entry_service.cc
+++ b/packages/net/entry_service.cc
@@ -62,7 +62,7 @@
                   [this](const HostId& aFrom, const wire::Envelope& aMessage) {
                     m_node->OnMessage(aFrom, aMessage, MonotonicNow());
                   })
-    , m_budget(MakeBudget())
+    , m_budget(MakeBufferBudget(aIo, m_settings.limits.bufferedBytes, m_log))
     , m_backends(
         aIo,
         ClientOptions(),
@@ -146,22 +146,6 @@
     std::string callerRequestId;
   };
 
-  std::shared_ptr<BufferBudget> MakeBudget()
-  {
-    BufferBudgetOptions options;
-    options.limit = m_settings.limits.bufferedBytes;
-    options.record = [this](const Event& aEvent) { m_log.Write(aEvent); };
-    // Releases occur within other work, such as the end of a connection.
-    options.onRoom = [this] {
-      asio::post(m_io, [budget = std::weak_ptr<BufferBudget>(m_budget)] {
-        if (const auto held = budget.lock()) {
-          held->ServeWaiting(MonotonicNow());
-        }
-      });
-    };
-    return std::make_shared<BufferBudget>(std::move(options));
-  }
-
   BackendClientOptions ClientOptions() const
   {
     BackendClientOptions options;
@@ -695,25 +679,15 @@
       return static_cast<double>(
         m_node->ListsInForce().Current().Version().Value());
     });
-    AddBufferMetrics();
+    AddBodyMetrics();
     m_metrics.Gauge("caller_connections", [this] {
       return static_cast<double>(m_servers.front()->ConnectionCount());
     });
   }
 
-  void AddBufferMetrics()
+  void AddBodyMetrics()
   {
-    const auto gauge = [this](const char* aName,
-                              std::uint64_t (BufferBudget::*aValue)() const) {
-      m_metrics.Gauge(aName, [this, aValue] {
-        return static_cast<double>((*m_budget.*aValue)());
-      });
-    };
-    gauge("buffered_bytes", &BufferBudget::Used);
-    gauge("buffered_bytes_peak", &BufferBudget::Peak);
-    gauge("buffered_bytes_limit", &BufferBudget::Limit);
-    gauge("buffer_waits_total", &BufferBudget::Waits);
-    gauge("buffer_rejections_total", &BufferBudget::Rejected);
+    AddBufferMetrics(m_metrics, *m_budget);
     m_metrics.Gauge("server_sends_waiting", [this] {
       return static_cast<double>(m_backends.WaitingToSend());
     });
--- a/packages/net/service_common.cc
+++ b/packages/net/service_common.cc
@@ -1,7 +1,12 @@
 #include "net/service_common.h"
 
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
 #include "base/digest.h"
 #include "net/http_responses.h"
+#include "net/monotonic.h"
 
 namespace fuchsiaramp {
 
@@ -92,6 +97,44 @@
   };
 }
 
+std::shared_ptr<BufferBudget>
+MakeBufferBudget(boost::asio::io_context& aIo,
+                 std::uint64_t aLimit,
+                 EventLog& aLog)
+{
+  const auto created = std::make_shared<std::weak_ptr<BufferBudget>>();
+  BufferBudgetOptions options;
+  options.limit = aLimit;
+  options.record = [&aLog](const Event& aEvent) { aLog.Write(aEvent); };
+  // Releases occur within other work, such as the end of a connection.
+  options.onRoom = [&aIo, created] {
+    boost::asio::post(aIo, [created] {
+      if (const auto budget = created->lock()) {
+        budget->ServeWaiting(MonotonicNow());
+      }
+    });
+  };
+  auto budget = std::make_shared<BufferBudget>(std::move(options));
+  *created = budget;
+  return budget;
+}
+
+void
+AddBufferMetrics(Metrics& aMetrics, const BufferBudget& aBudget)
+{
+  const auto gauge = [&](const char* aName,
+                         std::uint64_t (BufferBudget::*aValue)() const) {
+    aMetrics.Gauge(aName, [&aBudget, aValue] {
+      return static_cast<double>((aBudget.*aValue)());
+    });
+  };
+  gauge("buffered_bytes", &BufferBudget::Used);
+  gauge("buffered_bytes_peak", &BufferBudget::Peak);
+  gauge("buffered_bytes_limit", &BufferBudget::Limit);
+  gauge("buffer_waits_total", &BufferBudget::Waits);
+  gauge("buffer_rejections_total", &BufferBudget::Rejected);
+}
+
 HttpResponse
 MetricsResponse(const Metrics& aMetrics)
 {
--- a/packages/net/service_common.h
+++ b/packages/net/service_common.h
@@ -10,6 +10,7 @@
 #include "base/event.h"
 #include "base/ids.h"
 #include "base/random.h"
+#include "net/buffer_budget.h"
 #include "net/http_server.h"
 #include "net/message_transport.h"
 #include "observe/event_log.h"
@@ -51,6 +52,17 @@
 HttpRejectHook
 MakeRejectHook(EventLog& aLog);
 
+// One bound on the bodies that a host holds, which serves its waits on aIo.
+// aLimit: as in BufferBudgetOptions. aIo and aLog must outlive the budget.
+std::shared_ptr<BufferBudget>
+MakeBufferBudget(boost::asio::io_context& aIo,
+                 std::uint64_t aLimit,
+                 EventLog& aLog);
+
+// aBudget must outlive aMetrics.
+void
+AddBufferMetrics(Metrics& aMetrics, const BufferBudget& aBudget);
+
 HttpResponse
 MetricsResponse(const Metrics& aMetrics);
 
