End servers without reports through one function

AdmitReport and ServerWatch wrote the same record for a server that ends without having said so. WithoutReports beside the table serves both; the records are the same. server_watch_test, report_admission_test, servers_state_test and control_node_test pass.

--- a/packages/control/report_admission.cc
+++ b/packages/control/report_admission.cc
@@ -25,16 +25,6 @@
          aExisting->address() == aReport.address();
 }
 
-// A former holder that was leaving does not come back.
-static Record
-EndedHolder(const Record& aHolder)
-{
-  Record ended = aHolder;
-  ended.set_state(Record::GONE);
-  ended.set_lapsed(aHolder.state() == Record::UP);
-  return ended;
-}
-
 ReportAdmission
 AdmitReport(const Lists& aLists,
             const ServersState& aServers,
@@ -67,7 +57,7 @@
     return Refuse(wire::CommandResult::INVALID,
                   "a server that started later holds the address");
   }
-  admission.formerHolder = EndedHolder(*holder);
+  admission.formerHolder = WithoutReports(*holder);
   return admission;
 }
 
--- a/packages/control/server_watch.cc
+++ b/packages/control/server_watch.cc
@@ -36,11 +36,7 @@
       existing == m_expiresAt.end() ? aNow + m_lifetime : existing->second;
     watched[server->id()] = expiresAt;
     if (IsDue(expiresAt, aNow)) {
-      wire::BackendServerRecord record = *server;
-      record.set_state(wire::BackendServerRecord::GONE);
-      // One that was leaving does not return with a late report.
-      record.set_lapsed(server->state() == wire::BackendServerRecord::UP);
-      expired.push_back(record);
+      expired.push_back(WithoutReports(*server));
       watched[server->id()] = aNow + m_lifetime;
     }
   }
--- a/packages/state/servers_state.cc
+++ b/packages/state/servers_state.cc
@@ -17,6 +17,15 @@
          aRecord.service().empty() && aRecord.incarnation() == 0;
 }
 
+Record
+WithoutReports(const Record& aServer)
+{
+  Record ended = aServer;
+  ended.set_state(Record::GONE);
+  ended.set_lapsed(aServer.state() == Record::UP);
+  return ended;
+}
+
 const Record*
 ServersState::Find(const std::string& aId) const
 {
--- a/packages/state/servers_state.h
+++ b/packages/state/servers_state.h
@@ -23,6 +23,11 @@
 bool
 NamesNoIncarnation(const wire::BackendServerRecord& aRecord);
 
+// The record that ends a server whose reports have stopped, or that another has
+// displaced. Its next report brings it back, unless it was leaving.
+wire::BackendServerRecord
+WithoutReports(const wire::BackendServerRecord& aServer);
+
 class ServersState
 {
 public:
